--- /dev/null
+++ b/cmd/foxtail-entry/main.go
@@ -0,0 +1,12 @@
+// Command foxtail-entry is described by its --help.
+package main
+
+import (
+	"os"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/command"
+)
+
+func main() {
+	os.Exit(command.Entry(os.Args[1:]))
+}
--- /dev/null
+++ b/cmd/foxtail-gate/main.go
@@ -0,0 +1,12 @@
+// Command foxtail-gate is described by its --help.
+package main
+
+import (
+	"os"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/command"
+)
+
+func main() {
+	os.Exit(command.Gate(os.Args[1:]))
+}
--- /dev/null
+++ b/cmd/foxtail-standin/main.go
@@ -0,0 +1,12 @@
+// Command foxtail-standin is described by its --help.
+package main
+
+import (
+	"os"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/command"
+)
+
+func main() {
+	os.Exit(command.Standin(os.Args[1:]))
+}
--- /dev/null
+++ b/cmd/foxtailctl/main.go
@@ -0,0 +1,12 @@
+// Command foxtailctl is described by its --help.
+package main
+
+import (
+	"os"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/command"
+)
+
+func main() {
+	os.Exit(command.Control(os.Args[1:]))
+}
--- /dev/null
+++ b/internal/booking/claim.go
@@ -0,0 +1,285 @@
+// Package booking makes sure that a non-idempotent request runs at most once,
+// whichever hosts its caller sends it to. It does no I/O, reads no clock and
+// starts no goroutine.
+//
+// Before a request is run, a claim with a nonce is created in the key-value
+// service. Only who reads its own nonce back may run the request, and a claim
+// is only taken back by who knows that the request was not run.
+package booking
+
+import (
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/chart"
+)
+
+//go:embed claim.chart.json
+var claimChartFile []byte
+
+var claimChart = chart.MustParse(claimChartFile)
+
+// KeyPrefix comes before the service and the request id in the key of a claim.
+const KeyPrefix = "foxtailshelf/claims/"
+
+// maxReads is how often a claim of uncertain fate is read.
+const maxReads = 4
+
+// The phases of a claim in the service.
+const (
+	PhaseClaimed  Phase = "claimed"
+	PhaseReleased Phase = "released"
+	PhaseDone     Phase = "done"
+	PhaseUnknown  Phase = "unknown"
+)
+
+const (
+	stateClaiming chart.State = "claiming"
+	stateReading  chart.State = "reading"
+	stateRunning  chart.State = "running"
+)
+
+// A Phase is what a claim says of its request.
+type Phase string
+
+// A Record is the value of a claim.
+type Record struct {
+	// Nonce names the one run that the claim allows.
+	Nonce string `json:"nonce"`
+	Phase Phase  `json:"phase"`
+	// Digest names the content, so that an id is not used for another.
+	Digest string `json:"digest"`
+	// Answer is the answer of a request that was done.
+	Answer json.RawMessage `json:"answer,omitempty"`
+}
+
+// An Outcome is what the caller is told.
+type Outcome int
+
+// The outcomes.
+const (
+	// Ran requests have an answer.
+	Ran Outcome = iota + 1
+	// NotRun requests were not run, and may be sent again.
+	NotRun
+	// Unknown requests may have been run.
+	Unknown
+	// Conflicting requests use the id of another request; they were not run.
+	Conflicting
+)
+
+// An Event is something that happened to a Claim.
+type Event interface{ isEvent() }
+
+// Created reports a write; Err is set if its fate is uncertain.
+type Created struct {
+	Written bool
+	Err     error
+}
+
+// Read brings the claim as it stands; Revision is zero if there is none.
+type Read struct {
+	Record   Record
+	Revision uint64
+	Err      error
+}
+
+// Finished brings the end of the run.
+type Finished struct {
+	Outcome Outcome
+	Answer  json.RawMessage
+}
+
+func (Created) isEvent()  {}
+func (Read) isEvent()     {}
+func (Finished) isEvent() {}
+
+// An Action is what the driver must do.
+type Action interface{ isAction() }
+
+// Write asks for a compare-and-swap of the claim; the driver reports Created.
+type Write struct {
+	Record   Record
+	Revision uint64
+}
+
+// ReadBack asks for the claim; the driver reports Read.
+type ReadBack struct{}
+
+// Run asks for the one run; the driver reports Finished.
+type Run struct{}
+
+// Answer ends the request for the caller; there is exactly one.
+type Answer struct {
+	Outcome Outcome
+	Body    json.RawMessage
+	Reason  string
+	// Stored is set if the answer is of an earlier run.
+	Stored bool
+}
+
+// Settle asks for a last write in the background, repeated until it is known
+// to have taken effect or another record stands there.
+type Settle struct{ Record Record }
+
+func (Write) isAction()    {}
+func (ReadBack) isAction() {}
+func (Run) isAction()      {}
+func (Answer) isAction()   {}
+func (Settle) isAction()   {}
+
+// A Claim is the state of one request. It is not safe for concurrent use.
+type Claim struct {
+	nonce  string
+	digest string
+	// state is a state of claim.chart.json.
+	state    chart.State
+	deadline time.Time
+	reads    int
+	actions  []Action
+}
+
+// New returns a claim and its first actions.
+func New(nonce, digest string, deadline time.Time) (*Claim, []Action) {
+	c := &Claim{nonce: nonce, digest: digest, deadline: deadline, state: claimChart.Initial()}
+	c.emit(Write{Record: c.record(PhaseClaimed, nil)})
+	return c, c.actions
+}
+
+// Key returns the key of the claim for a request of a service.
+func Key(service, requestID string) string {
+	return KeyPrefix + service + "/" + requestID
+}
+
+// ParseRecord reads the value of a claim.
+func ParseRecord(data []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(data, &r); err != nil {
+		return Record{}, fmt.Errorf("parse claim: %w", err)
+	}
+	return r, nil
+}
+
+// Encode returns the value of a claim.
+func (r Record) Encode() []byte {
+	data, err := json.Marshal(r)
+	if err != nil {
+		panic(fmt.Sprintf("claim cannot be encoded: %v", err))
+	}
+	return data
+}
+
+// Step takes one event and returns what to do about it.
+func (c *Claim) Step(now time.Time, event Event) []Action {
+	c.actions = nil
+	switch e := event.(type) {
+	case Created:
+		c.created(now, e)
+	case Read:
+		c.read(now, e)
+	case Finished:
+		c.finished(e)
+	}
+	return c.actions
+}
+
+func (c *Claim) answer(a Answer) {
+	c.fire("answer")
+	c.emit(a)
+}
+
+func (c *Claim) created(now time.Time, e Created) {
+	if c.state != stateClaiming {
+		return
+	}
+	if e.Err == nil && e.Written {
+		c.run(now)
+		return
+	}
+	c.readAgain(now)
+}
+
+func (c *Claim) emit(a Action) { c.actions = append(c.actions, a) }
+
+func (c *Claim) finished(e Finished) {
+	if c.state != stateRunning {
+		return
+	}
+	phase := PhaseUnknown
+	switch e.Outcome {
+	case Ran:
+		phase = PhaseDone
+	case NotRun:
+		phase = PhaseReleased
+	}
+	c.emit(Settle{Record: c.record(phase, e.Answer)})
+	c.answer(Answer{Outcome: e.Outcome, Body: e.Answer})
+}
+
+func (c *Claim) fire(e chart.Event) {
+	c.state = claimChart.NextOrSame(c.state, e)
+}
+
+// giveUp ends a request that was not run by this claim. The claim may stand in
+// the service, so it is taken back in the background.
+func (c *Claim) giveUp(reason string) {
+	c.emit(Settle{Record: c.record(PhaseReleased, nil)})
+	c.answer(Answer{Outcome: NotRun, Reason: reason})
+}
+
+func (c *Claim) read(now time.Time, e Read) {
+	if c.state != stateReading {
+		return
+	}
+	switch {
+	case e.Err != nil:
+		c.readAgain(now)
+	case e.Revision == 0:
+		c.rewrite(now, 0)
+	case e.Record.Nonce == c.nonce && e.Record.Phase == PhaseClaimed:
+		c.run(now)
+	case e.Record.Digest != c.digest:
+		c.answer(Answer{Outcome: Conflicting, Reason: "the request id was used for another request"})
+	case e.Record.Phase == PhaseReleased:
+		c.rewrite(now, e.Revision)
+	case e.Record.Phase == PhaseDone:
+		c.answer(Answer{Outcome: Ran, Body: e.Record.Answer, Stored: true})
+	default:
+		c.answer(Answer{Outcome: Unknown, Reason: "an earlier run of the request has no known outcome"})
+	}
+}
+
+func (c *Claim) readAgain(now time.Time) {
+	c.reads++
+	if c.reads > maxReads || !now.Before(c.deadline) {
+		c.giveUp("the key-value service does not answer")
+		return
+	}
+	c.fire("uncertain")
+	c.emit(ReadBack{})
+}
+
+func (c *Claim) record(p Phase, answer json.RawMessage) Record {
+	return Record{Nonce: c.nonce, Phase: p, Digest: c.digest, Answer: answer}
+}
+
+func (c *Claim) rewrite(now time.Time, revision uint64) {
+	if c.reads > maxReads || !now.Before(c.deadline) {
+		c.giveUp("the claim changes all the time")
+		return
+	}
+	c.fire("free")
+	c.emit(Write{Record: c.record(PhaseClaimed, nil), Revision: revision})
+}
+
+// run starts the one run, unless it is too late.
+func (c *Claim) run(now time.Time) {
+	if !now.Before(c.deadline) {
+		c.giveUp("the deadline passed before the run")
+		return
+	}
+	c.fire("claimed")
+	c.emit(Run{})
+}
--- /dev/null
+++ b/internal/budget/budget.go
@@ -0,0 +1,32 @@
+// Package budget limits extra attempts to a share of the planned ones.
+package budget
+
+// A Budget is a token bucket that planned work fills and extra work empties.
+// It is not safe for concurrent use.
+type Budget struct {
+	// ratio is the tokens earned for each planned attempt.
+	ratio float64
+	// burst is the most tokens kept.
+	burst float64
+	// tokens is between 0 and burst.
+	tokens float64
+}
+
+// New returns a full Budget that earns ratio tokens for each planned attempt.
+func New(ratio, burst float64) *Budget {
+	return &Budget{ratio: ratio, burst: burst, tokens: burst}
+}
+
+// Earn adds the share of one planned attempt, scaled by factor (0 to 1).
+func (b *Budget) Earn(factor float64) {
+	b.tokens = min(b.burst, b.tokens+b.ratio*factor)
+}
+
+// Spend takes a token and reports whether there was one.
+func (b *Budget) Spend() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,129 @@
+package catalog
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// maxChanges is how many change ids a head remembers.
+const maxChanges = 64
+
+// A Head is the small value that says which documents are in force.
+type Head struct {
+	// Revision grows by one with each change.
+	Revision uint64 `json:"revision"`
+	// Services maps the name of each service to the hash of its document.
+	Services map[string]string `json:"services"`
+	// Changes holds the ids of the last changes, newest last.
+	Changes []string `json:"changes"`
+}
+
+// A Catalog is an immutable set of services at one revision.
+type Catalog struct {
+	head     Head
+	services map[string]*Service
+}
+
+// Empty returns the catalog before the first change.
+func Empty() *Catalog {
+	return &Catalog{head: Head{Services: map[string]string{}}, services: map[string]*Service{}}
+}
+
+// Hash returns the name under which a document is kept.
+func Hash(document []byte) string {
+	sum := sha256.Sum256(document)
+	return hex.EncodeToString(sum[:16])
+}
+
+// ParseHead reads a head.
+func ParseHead(data []byte) (Head, error) {
+	var h Head
+	if err := json.Unmarshal(data, &h); err != nil {
+		return Head{}, fmt.Errorf("parse catalog head: %w", err)
+	}
+	return h, nil
+}
+
+// Assemble builds the catalog of a head; document returns the document with a
+// hash.
+func Assemble(head Head, document func(hash string) ([]byte, error)) (*Catalog, error) {
+	c := &Catalog{head: head, services: make(map[string]*Service)}
+	for _, name := range slices.Sorted(maps.Keys(head.Services)) {
+		data, err := document(head.Services[name])
+		if err != nil {
+			return nil, fmt.Errorf("document of service %s: %w", name, err)
+		}
+		if Hash(data) != head.Services[name] {
+			return nil, fmt.Errorf("document of service %s does not match its hash", name)
+		}
+		s, err := ParseService(name, data)
+		if err != nil {
+			return nil, fmt.Errorf("document of service %s: %w", name, err)
+		}
+		c.services[name] = s
+	}
+	return c, nil
+}
+
+// Encode returns the JSON of the head.
+func (h Head) Encode() []byte {
+	data, err := json.Marshal(h)
+	if err != nil {
+		panic(fmt.Sprintf("catalog head cannot be encoded: %v", err))
+	}
+	return data
+}
+
+// Has reports whether the change with this id is part of the head.
+func (h Head) Has(changeID string) bool {
+	return slices.Contains(h.Changes, changeID)
+}
+
+// Head returns the head of the catalog.
+func (c *Catalog) Head() Head { return c.head }
+
+// Revision returns the revision of the catalog.
+func (c *Catalog) Revision() uint64 { return c.head.Revision }
+
+// Service returns the service with this name.
+func (c *Catalog) Service(name string) (*Service, bool) {
+	s, ok := c.services[name]
+	return s, ok
+}
+
+// Services returns all services, sorted by name.
+func (c *Catalog) Services() []*Service {
+	names := slices.Sorted(maps.Keys(c.services))
+	services := make([]*Service, 0, len(names))
+	for _, n := range names {
+		services = append(services, c.services[n])
+	}
+	return services
+}
+
+// With returns the catalog after one change: services to put and names to
+// remove.
+func (c *Catalog) With(changeID string, put []*Service, remove []string) *Catalog {
+	next := &Catalog{services: maps.Clone(c.services)}
+	next.head = Head{
+		Revision: c.head.Revision + 1,
+		Services: maps.Clone(c.head.Services),
+		Changes:  append(slices.Clone(c.head.Changes), changeID),
+	}
+	if n := len(next.head.Changes); n > maxChanges {
+		next.head.Changes = next.head.Changes[n-maxChanges:]
+	}
+	for _, s := range put {
+		next.services[s.Name()] = s
+		next.head.Services[s.Name()] = Hash(s.Document())
+	}
+	for _, name := range remove {
+		delete(next.services, name)
+		delete(next.head.Services, name)
+	}
+	return next
+}
--- /dev/null
+++ b/internal/catalog/service.go
@@ -0,0 +1,278 @@
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A Goal is what a service gives up last.
+type Goal string
+
+// The goals.
+const (
+	GoalCoverage Goal = "coverage"
+	GoalLatency  Goal = "latency"
+)
+
+// A Canary says when a request runs on one shard before all the others.
+type Canary string
+
+// The canary settings.
+const (
+	CanaryAlways     Canary = "always"
+	CanaryAfterCrash Canary = "after-crash"
+	CanaryNever      Canary = "never"
+)
+
+// A Service is the checked, immutable form of a ServiceSpec.
+type Service struct {
+	spec      ServiceSpec
+	kinds     map[string]Kind
+	upstreams map[string]UpstreamSpec
+	maps      map[string]*Map
+	// groups partition the upstreams: two upstreams that ever serve the
+	// same shard are in the same group.
+	groups []*Group
+	// groupOf has an entry for each shard of each map, by "map/shard".
+	groupOf map[string]*Group
+}
+
+// A Kind is one kind of request.
+type Kind struct {
+	name       string
+	urgency    Urgency
+	idempotent bool
+	keyed      bool
+	deadline   time.Duration
+}
+
+// A Map is one partition of the indexes into shards.
+type Map struct {
+	name   string
+	shards []Shard
+	// total is the sum of the weights of all shards.
+	total int
+}
+
+// A Shard is one part of the indexes.
+type Shard struct {
+	name      string
+	weight    int
+	upstreams []string
+}
+
+// A Group is the unit that one gate owns: shards that share upstreams.
+type Group struct {
+	name      string
+	upstreams []UpstreamSpec
+	// replicas holds, for each "map/shard" of the group, its upstreams.
+	replicas map[string][]string
+}
+
+// Deadline returns the time allowed to requests that name none.
+func (k Kind) Deadline() time.Duration { return k.deadline }
+
+// Idempotent reports whether the kind may run more than once.
+func (k Kind) Idempotent() bool { return k.idempotent }
+
+// Keyed reports whether a request goes to the one shard of its key.
+func (k Kind) Keyed() bool { return k.keyed }
+
+// Name returns the name of the kind.
+func (k Kind) Name() string { return k.name }
+
+// Urgency returns the place of the kind in queues.
+func (k Kind) Urgency() Urgency { return k.urgency }
+
+// Name returns the name of the shard within its map.
+func (s Shard) Name() string { return s.name }
+
+// Upstreams returns the names of the replicas.
+func (s Shard) Upstreams() []string { return s.upstreams }
+
+// Weight returns what the shard counts in the coverage.
+func (s Shard) Weight() int { return s.weight }
+
+// ForKey returns the shard that holds a key.
+func (m *Map) ForKey(key string) Shard {
+	return m.shards[xxhash.Sum64String(key)%uint64(len(m.shards))]
+}
+
+// Name returns the name of the map.
+func (m *Map) Name() string { return m.name }
+
+// Shards returns the shards in the order of the document.
+func (m *Map) Shards() []Shard { return m.shards }
+
+// Total returns the sum of all weights.
+func (m *Map) Total() int { return m.total }
+
+// Name returns the name of the group, unique over all services.
+func (g *Group) Name() string { return g.name }
+
+// Replicas returns the upstreams of a shard path, or nil.
+func (g *Group) Replicas(shardPath string) []string { return g.replicas[shardPath] }
+
+// Shards returns the shard paths of the group, sorted.
+func (g *Group) Shards() []string {
+	paths := make([]string, 0, len(g.replicas))
+	for p := range g.replicas {
+		paths = append(paths, p)
+	}
+	slices.Sort(paths)
+	return paths
+}
+
+// Upstreams returns the upstreams of the group.
+func (g *Group) Upstreams() []UpstreamSpec { return g.upstreams }
+
+// ShardPath returns the name of a shard that is unique within its service.
+func ShardPath(mapName, shard string) string {
+	return mapName + "/" + shard
+}
+
+// Canary returns when requests run on one shard first.
+func (s *Service) Canary() Canary { return Canary(s.spec.Canary) }
+
+// Goal returns what the service gives up last.
+func (s *Service) Goal() Goal { return Goal(s.spec.Goal) }
+
+// Group returns the group that serves a shard path.
+func (s *Service) Group(shardPath string) (*Group, bool) {
+	g, ok := s.groupOf[shardPath]
+	return g, ok
+}
+
+// Groups returns all groups of the service.
+func (s *Service) Groups() []*Group { return s.groups }
+
+// Kind returns the kind with this name.
+func (s *Service) Kind(name string) (Kind, bool) {
+	k, ok := s.kinds[name]
+	return k, ok
+}
+
+// Map returns the shard map with this name.
+func (s *Service) Map(name string) (*Map, bool) {
+	m, ok := s.maps[name]
+	return m, ok
+}
+
+// MinReplicas returns how many replicas of each shard a pinned version needs.
+func (s *Service) MinReplicas() int { return s.spec.MinReplicas }
+
+// Name returns the name of the service.
+func (s *Service) Name() string { return s.spec.Name }
+
+// ShardPaths returns the paths of all shards of a map, or nil.
+func (s *Service) ShardPaths(mapName string) []string {
+	m, ok := s.maps[mapName]
+	if !ok {
+		return nil
+	}
+	paths := make([]string, 0, len(m.shards))
+	for _, h := range m.shards {
+		paths = append(paths, ShardPath(mapName, h.name))
+	}
+	return paths
+}
+
+// Spec returns a copy of the document.
+func (s *Service) Spec() ServiceSpec {
+	var c ServiceSpec
+	data := s.Document()
+	if err := json.Unmarshal(data, &c); err != nil {
+		panic(fmt.Sprintf("service %s does not read back: %v", s.Name(), err))
+	}
+	return c
+}
+
+// Document returns the canonical JSON of the service.
+func (s *Service) Document() []byte {
+	data, err := json.Marshal(s.spec)
+	if err != nil {
+		panic(fmt.Sprintf("service %s cannot be encoded: %v", s.Name(), err))
+	}
+	return data
+}
+
+func compile(spec ServiceSpec) *Service {
+	s := &Service{
+		spec:      spec,
+		kinds:     make(map[string]Kind),
+		upstreams: make(map[string]UpstreamSpec),
+		maps:      make(map[string]*Map),
+		groupOf:   make(map[string]*Group),
+	}
+	for _, k := range spec.Kinds {
+		urgency, err := ParseUrgency(k.Urgency)
+		if err != nil {
+			urgency = Background
+		}
+		s.kinds[k.Name] = Kind{
+			name: k.Name, urgency: urgency, idempotent: k.Idempotent, keyed: k.Scatter == "key",
+			deadline: time.Duration(k.DeadlineMilliseconds) * time.Millisecond,
+		}
+	}
+	for _, u := range spec.Upstreams {
+		s.upstreams[u.Name] = u
+	}
+	for _, m := range spec.Maps {
+		s.maps[m.Name] = compileMap(m)
+	}
+	s.compileGroups()
+	return s
+}
+
+func compileMap(spec MapSpec) *Map {
+	m := &Map{name: spec.Name}
+	for _, h := range spec.Shards {
+		m.shards = append(m.shards, Shard{name: h.Name, weight: h.Weight, upstreams: h.Upstreams})
+		m.total += h.Weight
+	}
+	return m
+}
+
+// compileGroups joins upstreams that serve a common shard (union-find).
+func (s *Service) compileGroups() {
+	parent := make(map[string]string)
+	for name := range s.upstreams {
+		parent[name] = name
+	}
+	var root func(string) string
+	root = func(name string) string {
+		if parent[name] != name {
+			parent[name] = root(parent[name])
+		}
+		return parent[name]
+	}
+	for _, m := range s.spec.Maps {
+		for _, h := range m.Shards {
+			for _, u := range h.Upstreams[1:] {
+				a, b := root(h.Upstreams[0]), root(u)
+				parent[max(a, b)] = min(a, b)
+			}
+		}
+	}
+	byRoot := make(map[string]*Group)
+	for _, u := range s.spec.Upstreams {
+		r := root(u.Name)
+		if byRoot[r] == nil {
+			byRoot[r] = &Group{name: s.spec.Name + "/" + r, replicas: make(map[string][]string)}
+			s.groups = append(s.groups, byRoot[r])
+		}
+		byRoot[r].upstreams = append(byRoot[r].upstreams, u)
+	}
+	for _, m := range s.spec.Maps {
+		for _, h := range m.Shards {
+			g := byRoot[root(h.Upstreams[0])]
+			path := ShardPath(m.Name, h.Name)
+			g.replicas[path] = h.Upstreams
+			s.groupOf[path] = g
+		}
+	}
+}
--- /dev/null
+++ b/internal/catalog/urgency.go
@@ -0,0 +1,42 @@
+package catalog
+
+import "fmt"
+
+// An Urgency orders requests in queues; smaller values go first.
+type Urgency int
+
+// The urgencies, most urgent first.
+const (
+	Urgent Urgency = iota
+	Prompt
+	Ordinary
+	Background
+)
+
+// Urgencies is the number of urgencies.
+const Urgencies = 4
+
+var urgencyNames = [Urgencies]string{"urgent", "prompt", "ordinary", "background"}
+
+// ParseUrgency returns the urgency with this name.
+func ParseUrgency(name string) (Urgency, error) {
+	for i, n := range urgencyNames {
+		if n == name {
+			return Urgency(i), nil
+		}
+	}
+	return 0, fmt.Errorf("unknown urgency %q", name)
+}
+
+// Bounded returns u if it is an urgency and the least urgent one otherwise.
+func (u Urgency) Bounded() Urgency {
+	if u < 0 || u >= Urgencies {
+		return Background
+	}
+	return u
+}
+
+// String implements fmt.Stringer.
+func (u Urgency) String() string {
+	return urgencyNames[u.Bounded()]
+}
--- /dev/null
+++ b/internal/command/ctlcmd.go
@@ -0,0 +1,289 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/hostlist"
+	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
+	"github.com/foxtailshelf/foxtailshelf/internal/operator"
+	"github.com/foxtailshelf/foxtailshelf/internal/peer"
+	"github.com/foxtailshelf/foxtailshelf/internal/timeline"
+)
+
+const ctlHelp = `
+Statements:
+  show services|kinds|upstreams|shards|hosts|changes [where COLUMN =|!=|~ VALUE [and ...]]
+  apply file FILE                          create or replace services
+  drain upstream NAME of SERVICE           give it no new work
+  resume upstream NAME of SERVICE
+  set upstream NAME of SERVICE slots|connections|address VALUE
+  set kind NAME of SERVICE urgency|deadline-milliseconds VALUE
+  remove upstream NAME of SERVICE
+  remove service NAME
+
+Examples:
+  foxtailctl do "show upstreams where service = screening and drain = true"
+  foxtailctl do --dry-run "drain upstream s1-a of screening"
+  foxtailctl do --revision 12 "drain upstream s1-a of screening"
+  foxtailctl timeline --operations 127.0.0.1:7401,127.0.0.1:7301 --request r-17
+
+Exit codes: 0 done, 1 failed, 2 bad input, 3 stale revision, 4 unsafe without
+--confirm, 5 accepted but not confirmed by every host, 6 fate unknown.`
+
+const (
+	// confirmTime is how long hosts may take to put a change in force.
+	confirmTime  = 18 * time.Second
+	fetchTimeout = 3 * time.Second
+	// defaultStore and defaultHosts are used if nothing else is given.
+	defaultStore = "127.0.0.1:8500"
+	defaultHosts = "127.0.0.1:8501"
+)
+
+// control is one call of foxtailctl.
+type control struct {
+	store, hosts string
+	plain        bool
+	dryRun       bool
+	confirm      bool
+	revision     int
+	statement    string
+	operations   string
+	request      string
+	out          io.Writer
+}
+
+// Control runs foxtailctl and returns its exit code.
+func Control(arguments []string) int {
+	c := &control{store: defaultStore, hosts: defaultHosts, revision: -1, out: os.Stdout}
+	parser := newParser("foxtailctl", "Reads the state of foxtailshelf and changes it safely.", ctlHelp)
+	parser.String(&c.store, "", "store", "Address of the key-value service.")
+	parser.String(&c.hosts, "", "host-list", "Address of the host list.")
+	parser.Bool(&c.plain, "p", "plain", "Print tab-separated lines without a frame.")
+	do := flaggy.NewSubcommand("do")
+	do.Description = "Run one statement."
+	do.AddPositionalValue(&c.statement, "statement", 1, true, "The statement, in quotes.")
+	do.Bool(&c.dryRun, "n", "dry-run", "Print what would change, and change nothing.")
+	do.Bool(&c.confirm, "", "confirm", "Accept that shards are left unable to answer.")
+	do.Int(&c.revision, "r", "revision", "Refuse the change unless the catalog is at this revision.")
+	events := flaggy.NewSubcommand("timeline")
+	events.Description = "Merge the events of several processes."
+	events.String(&c.operations, "o", "operations", "Operations addresses, separated by commas.")
+	events.String(&c.request, "", "request", "Only the events of this request.")
+	parser.AttachSubcommand(do, 1)
+	parser.AttachSubcommand(events, 1)
+	if err := parser.ParseArgs(arguments); err != nil {
+		return report(os.Stderr, "foxtailctl", &ExitError{Code: ExitUsage, Err: err})
+	}
+	switch {
+	case do.Used:
+		return report(os.Stderr, "foxtailctl", c.do(context.Background()))
+	case events.Used:
+		return report(os.Stderr, "foxtailctl", c.timeline(context.Background()))
+	default:
+		return report(os.Stderr, "foxtailctl", &ExitError{Code: ExitUsage, Err: errors.New("no command; see foxtailctl --help")})
+	}
+}
+
+func (c *control) do(ctx context.Context) error {
+	statement, err := operator.Parse(c.statement)
+	if err != nil {
+		return &ExitError{Code: ExitUsage, Err: err}
+	}
+	var store keyvalue.Store = keyvalue.NewHTTPStore(c.store)
+	if !statement.Changes() {
+		store = &keyvalue.ReadOnlyStore{Store: store}
+	}
+	if c.dryRun {
+		store = &keyvalue.DryRunStore{Store: store}
+	}
+	publisher := &operator.Publisher{Store: store}
+	if !statement.Changes() {
+		return c.show(ctx, publisher, statement.Show)
+	}
+	return c.change(ctx, publisher, statement)
+}
+
+func (c *control) change(ctx context.Context, publisher *operator.Publisher, statement *operator.Statement) error {
+	base, headRevision, err := publisher.Read(ctx)
+	if err != nil {
+		return err
+	}
+	if c.revision >= 0 && uint64(c.revision) != base.Revision() {
+		return &ExitError{Code: ExitStale, Err: &operator.StaleError{Base: uint64(c.revision), Current: base.Revision()}}
+	}
+	change, err := statement.Plan(base, os.ReadFile)
+	if err != nil {
+		return &ExitError{Code: ExitUsage, Err: err}
+	}
+	c.printChange(change)
+	if change.Empty() {
+		return nil
+	}
+	if len(change.Dangers()) > 0 && !c.confirm {
+		return &ExitError{Code: ExitUnsafe, Err: errors.New("refused: the change would leave this unable to answer; use --confirm to do it all the same")}
+	}
+	if c.dryRun {
+		return nil
+	}
+	next, err := publisher.Publish(ctx, base, headRevision, change)
+	if err != nil {
+		return publishError(err)
+	}
+	_, _ = fmt.Fprintf(c.out, "accepted as revision %d\n", next.Revision())
+	return c.awaitForce(ctx, next.Revision())
+}
+
+func (c *control) printChange(change *operator.Change) {
+	_, _ = fmt.Fprintf(c.out, "based on revision %d\n", change.Base())
+	if change.Empty() {
+		_, _ = fmt.Fprintln(c.out, "nothing to change")
+	}
+	for _, l := range change.Lines() {
+		_, _ = fmt.Fprintln(c.out, l)
+	}
+	for _, d := range change.Dangers() {
+		_, _ = fmt.Fprintf(c.out, "! unable to answer: %s\n", d)
+	}
+}
+
+// awaitForce waits until each host says that a revision is in force.
+func (c *control) awaitForce(ctx context.Context, revision uint64) error {
+	deadline := time.Now().Add(confirmTime)
+	for {
+		hosts, err := c.hostStates(ctx)
+		if err != nil {
+			return &ExitError{Code: ExitUnconfirmed, Err: err}
+		}
+		behind := slices.DeleteFunc(slices.Clone(hosts), func(h operator.HostState) bool {
+			return h.Answered && h.Revision >= revision
+		})
+		if len(behind) == 0 {
+			_, _ = fmt.Fprintf(c.out, "in force on all %d hosts\n", len(hosts))
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return c.unconfirmed(behind)
+		}
+		time.Sleep(time.Second / 4)
+	}
+}
+
+func (c *control) unconfirmed(behind []operator.HostState) error {
+	var names []string
+	for _, h := range behind {
+		names = append(names, h.Host)
+	}
+	return &ExitError{Code: ExitUnconfirmed, Err: fmt.Errorf("accepted, but not confirmed by %s", strings.Join(names, ", "))}
+}
+
+// hostStates asks the gate of each listed host.
+func (c *control) hostStates(ctx context.Context) ([]operator.HostState, error) {
+	hosts, err := hostlist.NewHTTPList(c.hosts).Hosts(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("read host list: %w", err)
+	}
+	gates := peer.NewClient()
+	defer gates.Close()
+	var states []operator.HostState
+	for _, h := range hosts {
+		states = append(states, askHost(ctx, gates, h))
+	}
+	return states, nil
+}
+
+func (c *control) show(ctx context.Context, publisher *operator.Publisher, show *operator.Show) error {
+	current, _, err := publisher.Read(ctx)
+	if err != nil {
+		return err
+	}
+	var hosts []operator.HostState
+	if show.Table == "hosts" {
+		if hosts, err = c.hostStates(ctx); err != nil {
+			return err
+		}
+	}
+	table, err := show.Read(current, hosts)
+	if err != nil {
+		return &ExitError{Code: ExitUsage, Err: err}
+	}
+	return printTable(c.out, table, c.plain)
+}
+
+// timeline merges the events of several processes.
+func (c *control) timeline(ctx context.Context) error {
+	if c.operations == "" {
+		return &ExitError{Code: ExitUsage, Err: errors.New("--operations must be given")}
+	}
+	var events []timeline.Event
+	var faults []error
+	for address := range strings.SplitSeq(c.operations, ",") {
+		part, err := fetchEvents(ctx, address, c.request)
+		faults = append(faults, err)
+		events = append(events, part...)
+	}
+	slices.SortStableFunc(events, func(a, b timeline.Event) int {
+		if a.Stamp.Before(b.Stamp) {
+			return -1
+		}
+		return 1
+	})
+	for _, e := range events {
+		at := time.UnixMicro(e.Stamp.Micros).UTC().Format("15:04:05.000000")
+		_, _ = fmt.Fprintf(c.out, "%s.%d\t%s/%s\t%s\t%s\t%s\n", at, e.Stamp.Count, e.Host, e.Process, e.Kind, e.Request, e.Detail)
+	}
+	return errors.Join(faults...)
+}
+
+func askHost(ctx context.Context, gates peer.Gates, h hostlist.Host) operator.HostState {
+	state := operator.HostState{Host: h.Name, DataCenter: h.DataCenter, State: h.State}
+	reply, err := gates.Exchange(ctx, h.GateAddress, emptyExchange())
+	if err == nil {
+		state.Answered = true
+		state.Revision = reply.GetRevision()
+		state.State = reply.GetSender().GetState()
+	}
+	return state
+}
+
+func fetchEvents(ctx context.Context, address, request string) ([]timeline.Event, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	call, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/events?request="+request, nil)
+	if err != nil {
+		return nil, fmt.Errorf("build call: %w", err)
+	}
+	response, err := http.DefaultClient.Do(call)
+	if err != nil {
+		return nil, fmt.Errorf("read events: %w", err)
+	}
+	defer response.Body.Close()
+	var events []timeline.Event
+	if err := json.NewDecoder(response.Body).Decode(&events); err != nil {
+		return nil, fmt.Errorf("decode events of %s: %w", address, err)
+	}
+	return events, nil
+}
+
+func publishError(err error) error {
+	var stale *operator.StaleError
+	var uncertain *operator.UncertainError
+	switch {
+	case errors.As(err, &stale):
+		return &ExitError{Code: ExitStale, Err: err}
+	case errors.As(err, &uncertain):
+		return &ExitError{Code: ExitUncertain, Err: err}
+	default:
+		return err
+	}
+}
--- /dev/null
+++ b/internal/command/entrycmd.go
@@ -0,0 +1,63 @@
+package command
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/entry"
+	"github.com/foxtailshelf/foxtailshelf/internal/hostlist"
+	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
+	"github.com/foxtailshelf/foxtailshelf/internal/peer"
+	"github.com/foxtailshelf/foxtailshelf/internal/process"
+	"github.com/foxtailshelf/foxtailshelf/internal/settings"
+)
+
+// EntrySettings is the settings file of foxtail-entry.
+type EntrySettings struct {
+	Host       string `json:"host" validate:"required,kebab,max=64"`
+	DataCenter string `json:"data-center" validate:"required,kebab,max=64"`
+	// Listen is where callers connect.
+	Listen           string `json:"listen" validate:"required,hostname_port"`
+	OperationsListen string `json:"operations-listen" validate:"required,hostname_port"`
+	// Gate is the address of the gate on the same host.
+	Gate     string `json:"gate" validate:"required,hostname_port"`
+	Store    string `json:"store" validate:"required,hostname_port"`
+	HostList string `json:"host-list" validate:"required,hostname_port"`
+	LogLevel string `json:"log-level" validate:"required,oneof=debug info warning error"`
+	// AddressTimeToLiveMilliseconds is how long callers may keep the answer
+	// to which addresses to use; a planned stop takes that long.
+	AddressTimeToLiveMilliseconds int `json:"address-time-to-live-milliseconds" validate:"min=100,max=600000"`
+}
+
+const entryHelp = `
+Example:
+  foxtail-entry --settings /etc/foxtailshelf/entry.jsonc
+
+Exit codes: 0 stopped gracefully, 1 failed, 2 bad arguments or settings.`
+
+// Entry runs foxtail-entry and returns its exit code.
+func Entry(arguments []string) int {
+	return runDaemon("foxtail-entry", "Faces callers: admits, scatters and gathers their requests.", entryHelp, arguments, runEntry)
+}
+
+func runEntry(path string) error {
+	var s EntrySettings
+	if err := settings.Load(path, &s); err != nil {
+		return &ExitError{Code: ExitUsage, Err: err}
+	}
+	p := &process.Process{Name: "entry", Host: s.Host, OperationsAddress: s.OperationsListen, LogLevel: s.LogLevel}
+	if err := p.Init(); err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	e := &entry.Entry{
+		Host: s.Host, DataCenter: s.DataCenter, Address: s.Listen, LocalGate: s.Gate,
+		Store: keyvalue.NewHTTPStore(s.Store), Hosts: hostlist.NewHTTPList(s.HostList), Gates: peer.NewClient(),
+		Recorder: p.Recorder(), Timeline: p.Ring(), Metrics: entry.NewMetrics(p.Registry()), Log: p.Log(),
+		AddressTime: time.Duration(s.AddressTimeToLiveMilliseconds) * time.Millisecond,
+		Seed:        uint64(time.Now().UnixMicro()),
+	}
+	p.Leave = e.Leave
+	p.Ready = e.Ready
+	p.State = func() any { return e.State() }
+	return p.Run(e.Run, process.HTTPTask(s.Listen, e.Handler()))
+}
--- /dev/null
+++ b/internal/command/gatecmd.go
@@ -0,0 +1,96 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/catalog"
+	"github.com/foxtailshelf/foxtailshelf/internal/gate"
+	"github.com/foxtailshelf/foxtailshelf/internal/hostlist"
+	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
+	"github.com/foxtailshelf/foxtailshelf/internal/peer"
+	"github.com/foxtailshelf/foxtailshelf/internal/process"
+	"github.com/foxtailshelf/foxtailshelf/internal/roster"
+	"github.com/foxtailshelf/foxtailshelf/internal/settings"
+	"github.com/foxtailshelf/foxtailshelf/internal/shard"
+	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
+)
+
+// GateSettings is the settings file of foxtail-gate.
+type GateSettings struct {
+	Host       string `json:"host" validate:"required,kebab,max=64"`
+	DataCenter string `json:"data-center" validate:"required,kebab,max=64"`
+	// Listen is where entries and gates connect.
+	Listen string `json:"listen" validate:"required,hostname_port"`
+	// EntryAddress is where callers connect to the entry of the same host.
+	EntryAddress     string `json:"entry-address" validate:"required,hostname_port"`
+	OperationsListen string `json:"operations-listen" validate:"required,hostname_port"`
+	Store            string `json:"store" validate:"required,hostname_port"`
+	HostList         string `json:"host-list" validate:"required,hostname_port"`
+	LogLevel         string `json:"log-level" validate:"required,oneof=debug info warning error"`
+	// HedgePercent is the share of extra attempts.
+	HedgePercent float64 `json:"hedge-percent" validate:"min=0,max=50"`
+	// WarmMilliseconds is how long a cold upstream takes to get all slots.
+	WarmMilliseconds int `json:"warm-milliseconds" validate:"min=1,max=600000"`
+}
+
+const gateHelp = `
+Example:
+  foxtail-gate --settings /etc/foxtailshelf/gate.jsonc
+
+Exit codes: 0 stopped gracefully, 1 failed, 2 bad arguments or settings.`
+
+// Gate runs foxtail-gate and returns its exit code.
+func Gate(arguments []string) int {
+	return runDaemon("foxtail-gate", "Faces the upstreams of the shards that this host owns.", gateHelp, arguments, runGate)
+}
+
+func runGate(path string) error {
+	var s GateSettings
+	if err := settings.Load(path, &s); err != nil {
+		return &ExitError{Code: ExitUsage, Err: err}
+	}
+	p := &process.Process{Name: "gate", Host: s.Host, OperationsAddress: s.OperationsListen, LogLevel: s.LogLevel}
+	if err := p.Init(); err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	g := newGate(s, p)
+	p.Leave = g.Leave
+	p.State = func() any { return g.State() }
+	p.Ready = func() string {
+		if !g.Ready() {
+			return "no source of the configuration has answered yet"
+		}
+		return ""
+	}
+	return p.Run(g.Run, serveGate(s.Listen, g))
+}
+
+func newGate(s GateSettings, p *process.Process) *gate.Gate {
+	incarnation := uint64(time.Now().UnixMicro())
+	options := shard.DefaultOptions()
+	options.HedgeRatio = s.HedgePercent / 100
+	options.WarmWindow = time.Duration(s.WarmMilliseconds) * time.Millisecond
+	options.Seed = incarnation
+	return &gate.Gate{
+		Self:  roster.NewMember(s.Host, s.DataCenter, s.Listen, s.EntryAddress, incarnation, roster.Alive),
+		Store: keyvalue.NewHTTPStore(s.Store), Hosts: hostlist.NewHTTPList(s.HostList), Gates: peer.NewClient(),
+		NewClient: func(u catalog.UpstreamSpec) upstream.Client {
+			return upstream.NewHTTPClient(u.Address, u.Slots, u.Connections)
+		},
+		Options: options, Recorder: p.Recorder(), Timeline: p.Ring(), Metrics: gate.NewMetrics(p.Registry()),
+		Log: p.Log(), Seed: incarnation,
+	}
+}
+
+func serveGate(address string, g *gate.Gate) process.Task {
+	return func(ctx context.Context) error {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		return peer.Serve(ctx, listener, g)
+	}
+}
--- /dev/null
+++ b/internal/command/standincmd.go
@@ -0,0 +1,114 @@
+package command
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/catalog"
+	"github.com/foxtailshelf/foxtailshelf/internal/hostlist"
+	"github.com/foxtailshelf/foxtailshelf/internal/process"
+	"github.com/foxtailshelf/foxtailshelf/internal/settings"
+	"github.com/foxtailshelf/foxtailshelf/internal/snapshot"
+	"github.com/foxtailshelf/foxtailshelf/internal/standin"
+)
+
+// StandinSettings is the settings file of foxtail-standin.
+type StandinSettings struct {
+	OperationsListen string `json:"operations-listen" validate:"required,hostname_port"`
+	// Store and HostList are where the platform's stand-ins listen.
+	Store               string                `json:"store" validate:"required,hostname_port"`
+	HostList            string                `json:"host-list" validate:"required,hostname_port"`
+	HostLagMilliseconds int                   `json:"host-lag-milliseconds" validate:"min=0,max=600000"`
+	Hosts               []StandinHostSettings `json:"hosts" validate:"required,dive"`
+	// Catalog is a file of services; each of their upstreams gets a stand-in.
+	Catalog string `json:"catalog" validate:"required"`
+	// Version is the index version that all upstreams hold at first.
+	Version  uint64 `json:"version" validate:"min=1"`
+	LogLevel string `json:"log-level" validate:"required,oneof=debug info warning error"`
+}
+
+// StandinHostSettings is one host of the list.
+type StandinHostSettings struct {
+	Name         string `json:"name" validate:"required,kebab"`
+	DataCenter   string `json:"data-center" validate:"required,kebab"`
+	EntryAddress string `json:"entry-address" validate:"required,hostname_port"`
+	GateAddress  string `json:"gate-address" validate:"required,hostname_port"`
+}
+
+const standinHelp = `
+Stand-ins for upstreams, the key-value service and the host list, for tests and
+demonstrations. Faults are switched on with PUT /faults on each address.
+
+Example:
+  foxtail-standin --settings standin.jsonc`
+
+const (
+	standinRestart = 2 * time.Second
+	standinWarm    = 2 * time.Second
+)
+
+// Standin runs foxtail-standin and returns its exit code.
+func Standin(arguments []string) int {
+	return runDaemon("foxtail-standin", "Stands in for upstreams and the platform.", standinHelp, arguments, runStandin)
+}
+
+func runStandin(path string) error {
+	var s StandinSettings
+	if err := settings.Load(path, &s); err != nil {
+		return &ExitError{Code: ExitUsage, Err: err}
+	}
+	p := &process.Process{Name: "standin", Host: "standin", OperationsAddress: s.OperationsListen, LogLevel: s.LogLevel}
+	if err := p.Init(); err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	p.Ready = func() string { return "" }
+	p.State = func() any { return s }
+	hosts := &standin.Hosts{Lag: time.Duration(s.HostLagMilliseconds) * time.Millisecond}
+	hosts.Set(standinHosts(s.Hosts))
+	tasks := []process.Task{
+		process.HTTPTask(s.Store, (&standin.Store{}).Handler()),
+		process.HTTPTask(s.HostList, hosts.Handler()),
+	}
+	upstreams, err := standinUpstreams(s)
+	if err != nil {
+		return &ExitError{Code: ExitUsage, Err: err}
+	}
+	tasks = append(tasks, upstreams...)
+	return p.Run(tasks...)
+}
+
+// standinUpstreams returns a task for each upstream of the catalog file.
+func standinUpstreams(s StandinSettings) ([]process.Task, error) {
+	data, err := os.ReadFile(s.Catalog)
+	if err != nil {
+		return nil, fmt.Errorf("read catalog: %w", err)
+	}
+	services, err := catalog.ParseBundle(s.Catalog, data)
+	if err != nil {
+		return nil, err
+	}
+	ledger := &standin.Ledger{}
+	var tasks []process.Task
+	for _, service := range services {
+		spec := service.Spec()
+		for i, u := range spec.Upstreams {
+			stand := &standin.Upstream{
+				Name: u.Name, Slots: u.Slots, RestartTime: standinRestart, WarmTime: standinWarm, Seed: uint64(i), Ledger: ledger,
+			}
+			stand.SetVersions(snapshot.New(s.Version, spec.Maps[0].Name))
+			tasks = append(tasks, process.HTTPTask(u.Address, stand.Handler()))
+		}
+	}
+	return tasks, nil
+}
+
+func standinHosts(list []StandinHostSettings) []hostlist.Host {
+	var hosts []hostlist.Host
+	for _, h := range list {
+		hosts = append(hosts, hostlist.Host{
+			Name: h.Name, DataCenter: h.DataCenter, EntryAddress: h.EntryAddress, GateAddress: h.GateAddress, State: hostlist.StateLive,
+		})
+	}
+	return hosts
+}
--- /dev/null
+++ b/internal/entry/book.go
@@ -0,0 +1,184 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/booking"
+	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
+	"github.com/foxtailshelf/foxtailshelf/internal/query"
+)
+
+const (
+	// readPause is the pause before a claim is read again.
+	readPause = 50 * time.Millisecond
+	// settleTries and settlePause bound how long a claim is settled.
+	settleTries = 40
+	settlePause = 500 * time.Millisecond
+	// promptSettle is how long an answer waits for the claim to be settled.
+	promptSettle = 100 * time.Millisecond
+	// claimTimeout bounds one call to the service for a claim.
+	claimTimeout = 500 * time.Millisecond
+	// maxStoredAnswer is the largest answer kept in a claim, in bytes.
+	maxStoredAnswer = 512 << 10
+)
+
+// bookingRun is one non-idempotent request on its way.
+type bookingRun struct {
+	entry   *Entry
+	request *request
+	key     string
+	claim   *booking.Claim
+	// document is the answer once there is one.
+	document *AnswerDocument
+	// last is the answer of the run, if it ran here.
+	last AnswerDocument
+}
+
+// book runs a non-idempotent request at most once.
+func (e *Entry) book(ctx context.Context, r *request) AnswerDocument {
+	b := &bookingRun{entry: e, request: r, key: booking.Key(r.service.Name(), r.id)}
+	var actions []booking.Action
+	b.claim, actions = booking.New(uuid.NewString(), fmt.Sprintf("%016x", r.fingerprint), r.deadline)
+	b.perform(ctx, actions)
+	return *b.document
+}
+
+func (b *bookingRun) perform(ctx context.Context, actions []booking.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case booking.Write:
+			b.step(ctx, b.write(ctx, a))
+		case booking.ReadBack:
+			sleep(ctx, readPause)
+			b.step(ctx, b.read(ctx))
+		case booking.Run:
+			b.step(ctx, b.run(ctx))
+		case booking.Settle:
+			b.settle(a.Record)
+		case booking.Answer:
+			b.document = b.describe(a)
+		}
+	}
+}
+
+func (b *bookingRun) step(ctx context.Context, event booking.Event) {
+	b.perform(ctx, b.claim.Step(time.Now(), event))
+}
+
+func (b *bookingRun) write(ctx context.Context, w booking.Write) booking.Created {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	written, err := b.entry.Store.CompareAndSwap(ctx, b.key, w.Record.Encode(), w.Revision)
+	return booking.Created{Written: written, Err: err}
+}
+
+func (b *bookingRun) read(ctx context.Context) booking.Read {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	record, revision, err := readClaim(ctx, b.entry.Store, b.key)
+	return booking.Read{Record: record, Revision: revision, Err: err}
+}
+
+// settle brings the claim to its last phase, if possible before the caller is
+// answered, so that a caller that comes again finds it there.
+func (b *bookingRun) settle(record booking.Record) {
+	if b.entry.settleOnce(b.key, record, promptSettle) {
+		return
+	}
+	b.entry.group.Go(func() { b.entry.settle(b.key, record) })
+}
+
+// run sends the request once. It goes on when the caller leaves: the caller
+// will ask for the outcome.
+func (b *bookingRun) run(ctx context.Context) booking.Finished {
+	answer := b.entry.serve(context.WithoutCancel(ctx), b.request)
+	b.last = answerDocument(b.request.id, answer)
+	f := booking.Finished{Outcome: booking.Unknown}
+	switch answer.Status {
+	case query.Complete:
+		f.Outcome = booking.Ran
+	case query.NotRun:
+		f.Outcome = booking.NotRun
+	}
+	data, err := json.Marshal(b.last)
+	if err == nil && len(data) <= maxStoredAnswer {
+		f.Answer = data
+	}
+	return f
+}
+
+func (b *bookingRun) describe(a booking.Answer) *AnswerDocument {
+	d := b.last
+	if a.Stored {
+		d = AnswerDocument{}
+		if err := json.Unmarshal(a.Body, &d); err != nil {
+			a = booking.Answer{Outcome: booking.Unknown, Reason: "the request ran, but its answer was not kept"}
+		}
+		d.FromEarlierRun = true
+	}
+	d.RequestID = b.request.id
+	switch a.Outcome {
+	case booking.NotRun:
+		d.Status = string(query.NotRun)
+	case booking.Unknown:
+		d.Status = string(query.Unknown)
+	case booking.Conflicting:
+		d.Status = statusConflict
+	}
+	if a.Reason != "" {
+		d.Reason = a.Reason
+	}
+	if a.Outcome != booking.Ran && d.RetryAfterMilliseconds == 0 {
+		d.RetryAfterMilliseconds = settlePause.Milliseconds()
+	}
+	if d.Results == nil {
+		d.Results, d.Missing = []ResultDocument{}, []string{}
+	}
+	return &d
+}
+
+// settle brings the claim to its last phase, however long the service is away.
+func (e *Entry) settle(key string, record booking.Record) {
+	for range settleTries {
+		if e.settleOnce(key, record, claimTimeout) {
+			return
+		}
+		time.Sleep(settlePause)
+	}
+	e.Log.WithField("key", key).Warn("claim could not be settled")
+}
+
+// settleOnce reports whether the claim needs no more care.
+func (e *Entry) settleOnce(key string, record booking.Record, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	standing, revision, err := readClaim(ctx, e.Store, key)
+	if err != nil {
+		return false
+	}
+	if revision != 0 && (standing.Nonce != record.Nonce || standing.Phase == record.Phase) {
+		return true
+	}
+	written, err := e.Store.CompareAndSwap(ctx, key, record.Encode(), revision)
+	return err == nil && written
+}
+
+// readClaim returns the claim, with revision zero if there is none.
+func readClaim(ctx context.Context, store keyvalue.Store, key string) (booking.Record, uint64, error) {
+	entry, err := store.Get(ctx, key)
+	var missing *keyvalue.NotFoundError
+	if errors.As(err, &missing) {
+		return booking.Record{}, 0, nil
+	}
+	if err != nil {
+		return booking.Record{}, 0, fmt.Errorf("read claim: %w", err)
+	}
+	record, err := booking.ParseRecord(entry.Value())
+	return record, entry.Revision(), err
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,154 @@
+// Package entry runs an entry: the process that faces callers.
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/catalog"
+	"github.com/foxtailshelf/foxtailshelf/internal/follow"
+	"github.com/foxtailshelf/foxtailshelf/internal/hostlist"
+	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
+	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
+	"github.com/foxtailshelf/foxtailshelf/internal/peer"
+	"github.com/foxtailshelf/foxtailshelf/internal/timeline"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
+)
+
+const (
+	viewPeriod = 250 * time.Millisecond
+	// cutOffAfter is how long an entry serves without news from any gate.
+	cutOffAfter = 3 * time.Second
+	// DefaultAddressTime is how long callers may keep the address answer.
+	DefaultAddressTime = 10 * time.Second
+)
+
+// An Entry is the state of the process. Its exported fields are set before
+// Run.
+type Entry struct {
+	Host       string
+	DataCenter string
+	// Address is where callers connect.
+	Address string
+	// LocalGate is the gate of the same host, asked first for news.
+	LocalGate string
+	Store     keyvalue.Store
+	Hosts     hostlist.List
+	Gates     peer.Gates
+	Recorder  *invariant.Recorder
+	Timeline  *timeline.Ring
+	Metrics   *Metrics
+	Log       logrus.FieldLogger
+	// AddressTime is how long callers may keep the address answer.
+	AddressTime time.Duration
+	// NoAdmission accepts requests that cannot be done by their deadline.
+	NoAdmission bool
+	// Seed is for all random choices.
+	Seed uint64
+
+	follower *follow.Follower
+	group    work.Group
+	view     *view
+
+	mu sync.Mutex
+	// boards has an entry for each service in use.
+	boards map[string]*board
+	// proven remembers requests that were answered before.
+	proven recent
+	// lastBroken is when an upstream of a service last broke.
+	lastBroken map[string]time.Time
+	leaving    bool
+	newsAt     time.Time
+	inFlight   sync.WaitGroup
+	start      sync.Once
+}
+
+// Catalog returns the catalog in force.
+func (e *Entry) Catalog() *catalog.Catalog {
+	e.init()
+	return e.follower.Current()
+}
+
+// Leave withdraws from the addresses, serves callers that still have the
+// address, and returns when nothing is in flight any more.
+func (e *Entry) Leave(ctx context.Context) {
+	e.init()
+	e.Timeline.Add("leave", "", "entry withdraws")
+	e.mu.Lock()
+	e.leaving = true
+	e.mu.Unlock()
+	e.refreshView(ctx)
+	sleep(ctx, e.AddressTime)
+	done := make(chan struct{})
+	e.group.Go(func() {
+		e.inFlight.Wait()
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// Ready returns an empty string if the entry can serve, or else why not.
+func (e *Entry) Ready() string {
+	e.init()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch {
+	case !e.follower.Ready():
+		return "no source of the configuration has answered yet"
+	case time.Since(e.newsAt) > cutOffAfter:
+		return "cut off from all gates"
+	default:
+		return ""
+	}
+}
+
+// Run works until the context ends; call Leave first for a graceful stop.
+func (e *Entry) Run(ctx context.Context) error {
+	e.init()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return e.follower.Run(ctx) })
+	group.Go(func() error { return e.followView(ctx) })
+	err := group.Wait()
+	e.group.Wait()
+	return err
+}
+
+func (e *Entry) init() {
+	e.start.Do(func() {
+		e.view = newView()
+		e.boards = make(map[string]*board)
+		e.lastBroken = make(map[string]time.Time)
+		if e.AddressTime == 0 {
+			e.AddressTime = DefaultAddressTime
+		}
+		e.follower = &follow.Follower{
+			Store: e.Store, Gates: e.Gates, Peers: e.gateAddresses, Watches: func() bool { return false },
+			OnChange: func(*catalog.Catalog) {}, Recorder: e.Recorder, Log: e.Log,
+		}
+	})
+}
+
+func (e *Entry) board(service string) *board {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b, ok := e.boards[service]
+	if !ok {
+		b = newBoard()
+		e.boards[service] = b
+	}
+	return b
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/follow/follower.go
@@ -0,0 +1,308 @@
+// Package follow keeps a process at the newest revision of the catalog.
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/catalog"
+	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
+	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
+	"github.com/foxtailshelf/foxtailshelf/internal/peer"
+	"github.com/foxtailshelf/foxtailshelf/internal/wire"
+)
+
+const (
+	// HeadKey is the key of the catalog head.
+	HeadKey = "foxtailshelf/head"
+	// DocumentPrefix comes before the hash in the key of a document.
+	DocumentPrefix = "foxtailshelf/documents/"
+	watchWait      = 10 * time.Second
+	retryPause     = 500 * time.Millisecond
+	idlePause      = 250 * time.Millisecond
+	bootstrapPeers = 5
+)
+
+// A Follower holds the catalog in force in this process. Its exported fields
+// are set before Run.
+type Follower struct {
+	Store keyvalue.Store
+	Gates peer.Gates
+	// Peers returns the addresses of gates to ask, best first.
+	Peers func() []string
+	// Watches reports whether this process watches the service itself.
+	Watches func() bool
+	// OnChange is called with each new catalog, in order.
+	OnChange func(*catalog.Catalog)
+	Recorder *invariant.Recorder
+	Log      logrus.FieldLogger
+
+	mu      sync.RWMutex
+	current *catalog.Catalog
+	// storeContact is when the service answered last.
+	storeContact time.Time
+	// applying makes sure that OnChange sees revisions in order.
+	applying sync.Mutex
+	hintOnce sync.Once
+	hints    chan hint
+}
+
+type hint struct {
+	revision uint64
+	address  string
+}
+
+// Current returns the catalog in force, never nil.
+func (f *Follower) Current() *catalog.Catalog {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if f.current == nil {
+		return catalog.Empty()
+	}
+	return f.current
+}
+
+// Documents returns the catalog in force for a peer.
+func (f *Follower) Documents(have uint64) *wire.DocumentsReply {
+	c := f.Current()
+	reply := &wire.DocumentsReply{Revision: c.Revision()}
+	if c.Revision() <= have {
+		return reply
+	}
+	reply.Head = c.Head().Encode()
+	for _, s := range c.Services() {
+		reply.Documents = append(reply.Documents, &wire.Document{Hash: c.Head().Services[s.Name()], Body: s.Document()})
+	}
+	return reply
+}
+
+// Hint says that the gate at an address has a revision.
+func (f *Follower) Hint(revision uint64, address string) {
+	if revision <= f.Current().Revision() {
+		return
+	}
+	select {
+	case f.hintChannel() <- hint{revision: revision, address: address}:
+	default:
+	}
+}
+
+// Ready reports whether there is a catalog.
+func (f *Follower) Ready() bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.current != nil
+}
+
+// Run follows the catalog until the context ends.
+func (f *Follower) Run(ctx context.Context) error {
+	f.bootstrap(ctx)
+	for ctx.Err() == nil {
+		if f.Watches() {
+			f.watch(ctx)
+			continue
+		}
+		f.wait(ctx)
+	}
+	return nil
+}
+
+// StoreContact returns when the service answered last.
+func (f *Follower) StoreContact() time.Time {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	return f.storeContact
+}
+
+// Touch asks the service whether it answers, and takes what it has.
+func (f *Follower) Touch(ctx context.Context) error {
+	entry, err := f.Store.Get(ctx, HeadKey)
+	var missing *keyvalue.NotFoundError
+	if errors.As(err, &missing) {
+		f.contacted()
+		f.apply(catalog.Empty())
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("read catalog head: %w", err)
+	}
+	f.contacted()
+	return f.take(ctx, entry)
+}
+
+// apply puts a catalog in force unless a newer one is.
+func (f *Follower) apply(c *catalog.Catalog) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
+	f.mu.Lock()
+	old := f.current
+	if old != nil && c.Revision() <= old.Revision() {
+		f.mu.Unlock()
+		return
+	}
+	f.current = c
+	f.mu.Unlock()
+	f.Recorder.Check(old == nil || c.Revision() > old.Revision(), invariant.RevisionMonotonic, "revision %d", c.Revision())
+	f.Log.WithField("revision", c.Revision()).Info("catalog in force")
+	f.OnChange(c)
+}
+
+// bootstrap asks the service and several peers until one has a catalog.
+func (f *Follower) bootstrap(ctx context.Context) {
+	for ctx.Err() == nil {
+		storeErr := f.Touch(ctx)
+		for i, address := range f.Peers() {
+			if i == bootstrapPeers {
+				break
+			}
+			f.fetch(ctx, address)
+		}
+		if f.Ready() {
+			return
+		}
+		f.Log.WithError(storeErr).Warn("no source of the catalog yet")
+		sleep(ctx, retryPause)
+	}
+}
+
+func (f *Follower) contacted() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.storeContact = time.Now()
+}
+
+// document returns a document from the catalog in force or from the service.
+func (f *Follower) document(ctx context.Context, hash string) ([]byte, error) {
+	c := f.Current()
+	for name, h := range c.Head().Services {
+		if s, ok := c.Service(name); ok && h == hash {
+			return s.Document(), nil
+		}
+	}
+	entry, err := f.Store.Get(ctx, DocumentPrefix+hash)
+	if err != nil {
+		return nil, fmt.Errorf("read document: %w", err)
+	}
+	return entry.Value(), nil
+}
+
+// fetch takes the catalog of a peer if it is newer.
+func (f *Follower) fetch(ctx context.Context, address string) {
+	have := f.Current().Revision()
+	reply, err := f.Gates.Documents(ctx, address, &wire.DocumentsRequest{HaveRevision: have})
+	if err != nil || reply.GetRevision() <= have {
+		return
+	}
+	documents := make(map[string][]byte)
+	for _, d := range reply.GetDocuments() {
+		documents[d.GetHash()] = d.GetBody()
+	}
+	head, err := catalog.ParseHead(reply.GetHead())
+	if err == nil {
+		err = f.assemble(head, func(hash string) ([]byte, error) { return documents[hash], nil })
+	}
+	if err != nil {
+		f.Log.WithError(err).WithField("address", address).Warn("peer sent a faulty catalog")
+	}
+}
+
+func (f *Follower) assemble(head catalog.Head, document func(string) ([]byte, error)) error {
+	c, err := catalog.Assemble(head, document)
+	if err != nil {
+		return fmt.Errorf("assemble catalog %d: %w", head.Revision, err)
+	}
+	f.apply(c)
+	return nil
+}
+
+func (f *Follower) hintChannel() chan hint {
+	f.hintOnce.Do(func() { f.hints = make(chan hint, 1) })
+	return f.hints
+}
+
+// take puts the head read from the service in force.
+func (f *Follower) take(ctx context.Context, entry keyvalue.Entry) error {
+	head, err := catalog.ParseHead(entry.Value())
+	if err != nil {
+		return err
+	}
+	if f.Ready() && head.Revision <= f.Current().Revision() {
+		return nil
+	}
+	return f.assemble(head, func(hash string) ([]byte, error) { return f.document(ctx, hash) })
+}
+
+// wait learns of new revisions from peers only.
+func (f *Follower) wait(ctx context.Context) {
+	select {
+	case h := <-f.hintChannel():
+		f.fetch(ctx, h.address)
+	case <-time.After(idlePause):
+	case <-ctx.Done():
+	}
+}
+
+// watch waits for the next head in the service, and for hints meanwhile.
+func (f *Follower) watch(ctx context.Context) {
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan error, 1)
+	var group sync.WaitGroup
+	group.Go(func() { done <- f.watchOnce(watchCtx) })
+	defer group.Wait()
+	for {
+		select {
+		case h := <-f.hintChannel():
+			f.fetch(ctx, h.address)
+		case err := <-done:
+			if err != nil && ctx.Err() == nil {
+				f.Log.WithError(err).Warn("catalog watch failed")
+				sleep(ctx, retryPause)
+			}
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (f *Follower) watchOnce(ctx context.Context) error {
+	entry, err := f.Store.Get(ctx, HeadKey)
+	var missing *keyvalue.NotFoundError
+	if err != nil && !errors.As(err, &missing) {
+		return fmt.Errorf("read catalog head: %w", err)
+	}
+	f.contacted()
+	for ctx.Err() == nil {
+		if entry.Revision() != 0 {
+			if err := f.take(ctx, entry); err != nil {
+				return err
+			}
+		}
+		entry, err = f.Store.Watch(ctx, HeadKey, entry.Revision(), watchWait)
+		if errors.As(err, &missing) {
+			sleep(ctx, retryPause)
+			err = nil
+		}
+		if err != nil {
+			return fmt.Errorf("watch catalog head: %w", err)
+		}
+		f.contacted()
+		if !f.Watches() {
+			return nil
+		}
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/gate/membership.go
@@ -0,0 +1,269 @@
+package gate
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/chart"
+	"github.com/foxtailshelf/foxtailshelf/internal/hostlist"
+	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
+	"github.com/foxtailshelf/foxtailshelf/internal/roster"
+	"github.com/foxtailshelf/foxtailshelf/internal/wire"
+)
+
+const (
+	// maxChanges is how many member changes are kept for entries.
+	maxChanges = 1024
+	// maxNotices bounds the notices on one message.
+	maxNotices = 16
+)
+
+// Exchange implements peer.Handler.
+func (g *Gate) Exchange(ctx context.Context, request *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
+	g.init()
+	heard := roster.Heard{Rumours: decodeMembers(request.GetRumours())}
+	if request.GetSender() != nil {
+		heard.Sender = decodeMember(request.GetSender())
+		g.follower.Hint(request.GetRevision(), request.GetSender().GetGateAddress())
+	}
+	g.rosterStep(heard)
+	if request.GetFromEntry() {
+		g.rosterStep(roster.EntryMoved{Address: g.entryAddress(request.GetEntryLeaving())})
+	}
+	g.acceptNotices(request.GetNotices())
+	reply := &wire.ExchangeReply{Notices: g.notices(), Revision: g.follower.Current().Revision()}
+	if request.GetProbe() != nil {
+		reply.ProbeAnswered = g.exchange(ctx, decodeMember(request.GetProbe()))
+	}
+	g.rosterMu.Lock()
+	defer g.rosterMu.Unlock()
+	reply.Sender = encodeMember(g.roster.Self())
+	if request.GetAllMembers() {
+		g.addView(request, reply)
+		return reply, nil
+	}
+	reply.Rumours = encodeMembers(g.roster.Rumours())
+	return reply, nil
+}
+
+// addView adds the members that changed since the view of the sender.
+func (g *Gate) addView(request *wire.ExchangeRequest, reply *wire.ExchangeReply) {
+	reply.View = g.firstChange + uint64(len(g.changes)) - 1
+	known := request.GetView()
+	if request.GetViewIncarnation() != g.roster.Self().Incarnation() || known < g.firstChange || known > reply.GetView() {
+		reply.Full = true
+		reply.Rumours = encodeMembers(g.roster.Members())
+		return
+	}
+	reply.Rumours = encodeMembers(g.changes[known-g.firstChange+1:])
+}
+
+// entryAddress returns where callers find the entry of this host.
+func (g *Gate) entryAddress(leaving bool) string {
+	if leaving {
+		return ""
+	}
+	return g.Self.EntryAddress()
+}
+
+func (g *Gate) acceptNotices(notices []*wire.Notice) {
+	for _, n := range notices {
+		notice := quarantine.Notice{Fingerprint: n.GetFingerprint(), Left: time.Duration(n.GetLeftMicros()) * time.Microsecond}
+		g.mu.Lock()
+		news := g.ledger.Accept(time.Now(), notice)
+		g.mu.Unlock()
+		if news {
+			g.quarantine(notice.Fingerprint, notice.Left)
+		}
+	}
+}
+
+// exchange trades news with a member; it reports whether the member answered.
+func (g *Gate) exchange(ctx context.Context, target roster.Member) bool {
+	ctx, cancel := context.WithTimeout(ctx, roster.ProbeTimeout)
+	defer cancel()
+	reply, err := g.Gates.Exchange(ctx, target.GateAddress(), g.exchangeRequest(nil))
+	if err != nil || reply.GetSender().GetHost() != target.Host() {
+		return false
+	}
+	g.absorb(reply)
+	return true
+}
+
+func (g *Gate) absorb(reply *wire.ExchangeReply) {
+	g.rosterStep(roster.Heard{Sender: decodeMember(reply.GetSender()), Rumours: decodeMembers(reply.GetRumours())})
+	g.acceptNotices(reply.GetNotices())
+	g.follower.Hint(reply.GetRevision(), reply.GetSender().GetGateAddress())
+}
+
+func (g *Gate) exchangeRequest(probe *wire.Member) *wire.ExchangeRequest {
+	request := &wire.ExchangeRequest{Notices: g.notices(), Revision: g.follower.Current().Revision(), Probe: probe}
+	g.rosterMu.Lock()
+	defer g.rosterMu.Unlock()
+	request.Sender = encodeMember(g.roster.Self())
+	request.Rumours = encodeMembers(g.roster.Rumours())
+	return request
+}
+
+func (g *Gate) notices() []*wire.Notice {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var notices []*wire.Notice
+	for _, n := range g.ledger.Notices(time.Now(), maxNotices) {
+		notices = append(notices, &wire.Notice{Fingerprint: n.Fingerprint, LeftMicros: n.Left.Microseconds()})
+	}
+	return notices
+}
+
+// peerAddresses returns the gates to learn the catalog from.
+func (g *Gate) peerAddresses() []string {
+	var addresses []string
+	for _, m := range g.Members() {
+		if m.Host() != g.Self.Host() && m.State() != roster.Dead {
+			addresses = append(addresses, m.GateAddress())
+		}
+	}
+	return addresses
+}
+
+func (g *Gate) pollHosts(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if hosts, err := g.Hosts.Hosts(ctx); err == nil {
+			g.rosterStep(roster.HostsListed{Hosts: listedMembers(hosts)})
+		}
+		wait(ctx, listPeriod)
+	}
+	return nil
+}
+
+func (g *Gate) probe(ctx context.Context, target roster.Member) {
+	answered := g.exchange(ctx, target)
+	g.rosterStep(roster.ProbeEnded{Host: target.Host(), Answered: answered})
+}
+
+// probeThrough asks others to probe a member that did not answer.
+func (g *Gate) probeThrough(ctx context.Context, p roster.ProbeThrough) {
+	ctx, cancel := context.WithTimeout(ctx, 2*roster.ProbeTimeout)
+	defer cancel()
+	answers := make(chan bool, len(p.Via))
+	for _, via := range p.Via {
+		g.group.Go(func() {
+			reply, err := g.Gates.Exchange(ctx, via.GateAddress(), g.exchangeRequest(encodeMember(p.Target)))
+			answers <- err == nil && reply.GetProbeAnswered()
+		})
+	}
+	answered := false
+	for range p.Via {
+		select {
+		case a := <-answers:
+			answered = answered || a
+		case <-ctx.Done():
+		}
+	}
+	g.rosterStep(roster.ProbeEnded{Host: p.Target.Host(), Answered: answered, Indirect: true})
+}
+
+// rosterStep lets the roster decide and does what it decided.
+func (g *Gate) rosterStep(event roster.Event) {
+	g.rosterMu.Lock()
+	actions := g.roster.Step(time.Now(), event)
+	changed := false
+	for _, a := range actions {
+		if c, ok := a.(roster.Changed); ok {
+			changed = true
+			g.ownership.Apply(c.New)
+			g.logChange(c.New)
+		}
+	}
+	g.rosterMu.Unlock()
+	for _, a := range actions {
+		g.performRoster(a)
+	}
+	if changed {
+		g.reassign()
+	}
+}
+
+func (g *Gate) logChange(m roster.Member) {
+	g.changes = append(g.changes, m)
+	if extra := len(g.changes) - maxChanges; extra > 0 {
+		g.changes = slices.Clone(g.changes[extra:])
+		g.firstChange += uint64(extra)
+	}
+}
+
+func (g *Gate) performRoster(action roster.Action) {
+	switch a := action.(type) {
+	case roster.Probe:
+		g.group.Go(func() { g.probe(context.Background(), a.Target) })
+	case roster.ProbeThrough:
+		g.group.Go(func() { g.probeThrough(context.Background(), a) })
+	case roster.Changed:
+		g.Timeline.Add("member", "", "%s: %s to %s, incarnation %d", a.New.Host(), a.Old.State(), a.New.State(), a.New.Incarnation())
+	}
+}
+
+func (g *Gate) tick(ctx context.Context) error {
+	for ctx.Err() == nil {
+		g.checkPause(time.Now())
+		g.rosterStep(roster.Tick{})
+		wait(ctx, tickPeriod)
+	}
+	return nil
+}
+
+// watches reports whether this gate is one of the few of its data centre that
+// watch the service.
+func (g *Gate) watches() bool {
+	var names []string
+	for _, m := range g.Members() {
+		if m.DataCenter() == g.Self.DataCenter() && m.Owns() {
+			names = append(names, m.Host())
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)) })
+	return slices.Contains(names[:min(len(names), watchersPerDataCenter)], g.Self.Host())
+}
+
+func decodeMember(m *wire.Member) roster.Member {
+	return roster.NewMember(m.GetHost(), m.GetDataCenter(), m.GetGateAddress(), m.GetEntryAddress(), m.GetIncarnation(), chart.State(m.GetState()))
+}
+
+func decodeMembers(members []*wire.Member) []roster.Member {
+	decoded := make([]roster.Member, 0, len(members))
+	for _, m := range members {
+		decoded = append(decoded, decodeMember(m))
+	}
+	return decoded
+}
+
+func encodeMember(m roster.Member) *wire.Member {
+	return &wire.Member{
+		Host: m.Host(), DataCenter: m.DataCenter(), GateAddress: m.GateAddress(), EntryAddress: m.EntryAddress(),
+		Incarnation: m.Incarnation(), State: string(m.State()),
+	}
+}
+
+func encodeMembers(members []roster.Member) []*wire.Member {
+	encoded := make([]*wire.Member, 0, len(members))
+	for _, m := range members {
+		encoded = append(encoded, encodeMember(m))
+	}
+	return encoded
+}
+
+func listedMembers(hosts []hostlist.Host) []roster.Member {
+	members := make([]roster.Member, 0, len(hosts))
+	for _, h := range hosts {
+		state := roster.Listed
+		if h.State == hostlist.StateLeaving {
+			state = roster.Leaving
+		}
+		members = append(members, roster.NewMember(h.Name, h.DataCenter, h.GateAddress, h.EntryAddress, 0, state))
+	}
+	return members
+}
--- /dev/null
+++ b/internal/gate/scatter.go
@@ -0,0 +1,148 @@
+package gate
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/catalog"
+	"github.com/foxtailshelf/foxtailshelf/internal/peer"
+	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
+	"github.com/foxtailshelf/foxtailshelf/internal/shard"
+	"github.com/foxtailshelf/foxtailshelf/internal/snapshot"
+	"github.com/foxtailshelf/foxtailshelf/internal/wire"
+)
+
+// minimalRetry is told to callers when nothing better is known.
+const minimalRetry = 50 * time.Millisecond
+
+var _ peer.Handler = (*Gate)(nil)
+
+var outcomes = map[shard.Outcome]wire.Outcome{
+	shard.Answered: wire.Outcome_OUTCOME_ANSWERED,
+	shard.NotRun:   wire.Outcome_OUTCOME_NOT_RUN,
+	shard.Failed:   wire.Outcome_OUTCOME_FAILED,
+}
+
+// Documents implements peer.Handler.
+func (g *Gate) Documents(_ context.Context, request *wire.DocumentsRequest) (*wire.DocumentsReply, error) {
+	g.init()
+	return g.follower.Documents(request.GetHaveRevision()), nil
+}
+
+// Scatter implements peer.Handler.
+func (g *Gate) Scatter(ctx context.Context, request *wire.ScatterRequest, deliver func(*wire.ScatterReply) error) error {
+	g.init()
+	g.inFlight.Add(1)
+	defer g.inFlight.Done()
+	if err := deliver(&wire.ScatterReply{Accepted: true, Revision: g.follower.Current().Revision()}); err != nil {
+		return err
+	}
+	g.awaitKnown(ctx, request.GetService(), request.GetShards())
+	replies := make(chan *wire.ScatterReply, len(request.GetShards()))
+	withdrawals := g.submitAll(request, func(r *wire.ScatterReply) { replies <- r })
+	for range request.GetShards() {
+		select {
+		case r := <-replies:
+			if err := deliver(r); err != nil {
+				withdrawAll(withdrawals)
+				return err
+			}
+		case <-ctx.Done():
+			withdrawAll(withdrawals)
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// Survey implements peer.Handler.
+func (g *Gate) Survey(ctx context.Context, request *wire.SurveyRequest) (*wire.SurveyReply, error) {
+	g.init()
+	g.awaitKnown(ctx, request.GetService(), request.GetShards())
+	reply := &wire.SurveyReply{Revision: g.follower.Current().Revision()}
+	now := time.Now()
+	for _, path := range request.GetShards() {
+		o := g.ownerOf(request.GetService(), path)
+		if o == nil {
+			continue
+		}
+		o.mu.Lock()
+		reply.Reports = append(reply.Reports, o.describeShard(now, path))
+		o.mu.Unlock()
+	}
+	return reply, nil
+}
+
+// awaitKnown waits until the upstreams of these shards had time to report.
+func (g *Gate) awaitKnown(ctx context.Context, service string, paths []string) {
+	for _, path := range paths {
+		o := g.ownerOf(service, path)
+		if o == nil {
+			continue
+		}
+		select {
+		case <-o.known:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// finished tells the ledger that a request ended.
+func (g *Gate) finished(fingerprint uint64, answered bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ledger.Finished(fingerprint, answered)
+}
+
+func (g *Gate) submitAll(request *wire.ScatterRequest, deliver func(*wire.ScatterReply)) []func() {
+	verdict, left := g.judge(request.GetFingerprint())
+	deadline := time.Now().Add(time.Duration(request.GetDeadlineMicros()) * time.Microsecond)
+	var withdrawals []func()
+	for _, path := range request.GetShards() {
+		o := g.ownerOf(request.GetService(), path)
+		switch {
+		case verdict == quarantine.Quarantined:
+			deliver(refusal(request, path, shard.ReasonQuarantined, left))
+		case verdict == quarantine.Waiting:
+			deliver(refusal(request, path, shard.ReasonSuspect, left))
+		case o == nil:
+			deliver(refusal(request, path, shard.ReasonNotOwner, minimalRetry))
+		default:
+			p := &pending{request: request, shardPath: path, deadline: deadline, deliver: deliver}
+			withdrawals = append(withdrawals, o.submit(p, shard.Job{
+				ShardPath: path, Version: decodeVersion(request.GetVersion()), Urgency: catalog.Urgency(request.GetUrgency()).Bounded(),
+				Deadline: deadline, Idempotent: request.GetIdempotent(), Fingerprint: request.GetFingerprint(),
+				Suspect: verdict == quarantine.Suspect,
+			}))
+		}
+	}
+	return withdrawals
+}
+
+func decodeVersion(v *wire.Version) snapshot.Version {
+	return snapshot.New(v.GetNumber(), v.GetMap())
+}
+
+func encodeVersion(v snapshot.Version) *wire.Version {
+	return &wire.Version{Number: v.Number(), Map: v.Map()}
+}
+
+// pathSafe returns an id that can stand in a URL path.
+func pathSafe(id string) string {
+	return strings.ReplaceAll(id, "/", ".")
+}
+
+func refusal(request *wire.ScatterRequest, path string, reason shard.Reason, after time.Duration) *wire.ScatterReply {
+	return &wire.ScatterReply{
+		Accepted: true, Shard: path, Nonce: request.GetNonce(), Outcome: wire.Outcome_OUTCOME_NOT_RUN,
+		Reason: string(reason), RetryAfterMicros: after.Microseconds(),
+	}
+}
+
+func withdrawAll(withdrawals []func()) {
+	for _, w := range withdrawals {
+		w()
+	}
+}
--- /dev/null
+++ b/internal/hostlist/list.go
@@ -0,0 +1,86 @@
+// Package hostlist is the interface to the platform's list of hosts.
+package hostlist
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	callTimeout = 2 * time.Second
+	maxListSize = 4 << 20
+	// StateLive and StateLeaving are the states of a listed host.
+	StateLive    = "live"
+	StateLeaving = "leaving"
+)
+
+// A Host is one entry of the list. The list lags.
+type Host struct {
+	Name         string `json:"name"`
+	DataCenter   string `json:"data-center"`
+	EntryAddress string `json:"entry-address"`
+	GateAddress  string `json:"gate-address"`
+	State        string `json:"state"`
+}
+
+// A List is the platform's list of live and leaving hosts.
+type List interface {
+	Hosts(ctx context.Context) ([]Host, error)
+}
+
+// An HTTPList is the List behind an HTTP interface.
+type HTTPList struct {
+	url    string
+	client *http.Client
+}
+
+var _ List = (*HTTPList)(nil)
+
+// NewHTTPList returns a List that calls this address.
+func NewHTTPList(address string) *HTTPList {
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: callTimeout}).DialContext, DisableKeepAlives: true}
+	return &HTTPList{
+		url:    "http://" + address + "/v1/hosts",
+		client: &http.Client{Transport: transport, Timeout: callTimeout},
+	}
+}
+
+// Decode reads the JSON of the list.
+func Decode(data []byte) ([]Host, error) {
+	var hosts []Host
+	if err := json.Unmarshal(data, &hosts); err != nil {
+		return nil, fmt.Errorf("decode host list: %w", err)
+	}
+	for i, h := range hosts {
+		if h.Name == "" || h.GateAddress == "" {
+			return nil, fmt.Errorf("decode host list: entry %d has no name or gate address", i)
+		}
+	}
+	return hosts, nil
+}
+
+// Hosts implements List.
+func (l *HTTPList) Hosts(ctx context.Context) ([]Host, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, l.url, nil)
+	if err != nil {
+		return nil, fmt.Errorf("build host list call: %w", err)
+	}
+	response, err := l.client.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("call host list: %w", err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxListSize))
+	if err != nil {
+		return nil, fmt.Errorf("read host list: %w", err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("host list replied with status %d", response.StatusCode)
+	}
+	return Decode(data)
+}
--- /dev/null
+++ b/internal/keyvalue/wrappers.go
@@ -0,0 +1,83 @@
+package keyvalue
+
+import (
+	"context"
+	"fmt"
+	"sync"
+)
+
+// A ReadOnlyError says that a write was tried on a read-only Store.
+type ReadOnlyError struct{ Key string }
+
+// A ReadOnlyStore passes on reads and refuses writes.
+type ReadOnlyStore struct{ Store }
+
+// A DryRunStore passes on reads and pretends to write.
+type DryRunStore struct{ Store }
+
+// A RecordingStore passes on everything and records the writes.
+type RecordingStore struct {
+	Store
+
+	mu sync.Mutex
+	// writes holds a line for each write, in order.
+	writes []string
+}
+
+var (
+	_ Store = (*ReadOnlyStore)(nil)
+	_ Store = (*DryRunStore)(nil)
+	_ Store = (*RecordingStore)(nil)
+)
+
+// Error implements error.
+func (e *ReadOnlyError) Error() string {
+	return fmt.Sprintf("write of %q refused: the store is open for reading only", e.Key)
+}
+
+// CompareAndSwap implements Store.
+func (s *ReadOnlyStore) CompareAndSwap(_ context.Context, key string, _ []byte, _ uint64) (bool, error) {
+	return false, &ReadOnlyError{Key: key}
+}
+
+// Delete implements Store.
+func (s *ReadOnlyStore) Delete(_ context.Context, key string, _ uint64) (bool, error) {
+	return false, &ReadOnlyError{Key: key}
+}
+
+// CompareAndSwap implements Store.
+func (s *DryRunStore) CompareAndSwap(context.Context, string, []byte, uint64) (bool, error) {
+	return true, nil
+}
+
+// Delete implements Store.
+func (s *DryRunStore) Delete(context.Context, string, uint64) (bool, error) {
+	return true, nil
+}
+
+// CompareAndSwap implements Store.
+func (s *RecordingStore) CompareAndSwap(ctx context.Context, key string, value []byte, revision uint64) (bool, error) {
+	ok, err := s.Store.CompareAndSwap(ctx, key, value, revision)
+	s.record("put %s at %d: %v, %v", key, revision, ok, err)
+	return ok, err
+}
+
+// Delete implements Store.
+func (s *RecordingStore) Delete(ctx context.Context, key string, revision uint64) (bool, error) {
+	ok, err := s.Store.Delete(ctx, key, revision)
+	s.record("delete %s at %d: %v, %v", key, revision, ok, err)
+	return ok, err
+}
+
+// Writes returns a line for each write so far.
+func (s *RecordingStore) Writes() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.writes...)
+}
+
+func (s *RecordingStore) record(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes = append(s.writes, fmt.Sprintf(format, args...))
+}
--- /dev/null
+++ b/internal/operator/table.go
@@ -0,0 +1,156 @@
+package operator
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/catalog"
+)
+
+// A Table is what a show statement reads.
+type Table struct {
+	columns []string
+	rows    [][]string
+}
+
+// A HostState is what one host said of itself.
+type HostState struct {
+	Host       string
+	DataCenter string
+	State      string
+	Revision   uint64
+	Answered   bool
+}
+
+// A ColumnError names a column that a table does not have.
+type ColumnError struct {
+	Column string
+	Known  []string
+}
+
+// Columns returns the names of the columns.
+func (t *Table) Columns() []string { return t.columns }
+
+// Rows returns the rows.
+func (t *Table) Rows() [][]string { return t.rows }
+
+// Error implements error.
+func (e *ColumnError) Error() string {
+	return fmt.Sprintf("no column %q; the columns are %s", e.Column, strings.Join(e.Known, ", "))
+}
+
+// Read returns the table of a show statement.
+func (s *Show) Read(c *catalog.Catalog, hosts []HostState) (*Table, error) {
+	var t *Table
+	switch s.Table {
+	case "services":
+		t = services(c)
+	case "kinds":
+		t = kinds(c)
+	case "upstreams":
+		t = upstreams(c)
+	case "shards":
+		t = shards(c)
+	case "hosts":
+		t = hostTable(hosts)
+	default:
+		t = changes(c)
+	}
+	for _, condition := range s.Where {
+		if err := t.filter(condition); err != nil {
+			return nil, err
+		}
+	}
+	return t, nil
+}
+
+func (t *Table) add(cells ...any) {
+	row := make([]string, 0, len(cells))
+	for _, cell := range cells {
+		row = append(row, fmt.Sprint(cell))
+	}
+	t.rows = append(t.rows, row)
+}
+
+func (t *Table) filter(c *Condition) error {
+	i := slices.Index(t.columns, c.Column)
+	if i < 0 {
+		return &ColumnError{Column: c.Column, Known: t.columns}
+	}
+	t.rows = slices.DeleteFunc(t.rows, func(row []string) bool {
+		switch c.Operator {
+		case "=":
+			return row[i] != c.Value
+		case "!=":
+			return row[i] == c.Value
+		default:
+			return !strings.Contains(row[i], c.Value)
+		}
+	})
+	return nil
+}
+
+func changes(c *catalog.Catalog) *Table {
+	t := &Table{columns: []string{"revision", "change"}}
+	ids := c.Head().Changes
+	for i, id := range ids {
+		t.add(c.Revision()-uint64(len(ids)-1-i), id)
+	}
+	return t
+}
+
+func hostTable(hosts []HostState) *Table {
+	t := &Table{columns: []string{"host", "data-center", "state", "revision", "answered"}}
+	for _, h := range hosts {
+		revision := strconv.FormatUint(h.Revision, 10)
+		if !h.Answered {
+			revision = "-"
+		}
+		t.add(h.Host, h.DataCenter, h.State, revision, h.Answered)
+	}
+	return t
+}
+
+func kinds(c *catalog.Catalog) *Table {
+	t := &Table{columns: []string{"service", "kind", "urgency", "idempotent", "scatter", "deadline-milliseconds"}}
+	for _, s := range c.Services() {
+		for _, k := range s.Spec().Kinds {
+			t.add(s.Name(), k.Name, k.Urgency, k.Idempotent, k.Scatter, k.DeadlineMilliseconds)
+		}
+	}
+	return t
+}
+
+func services(c *catalog.Catalog) *Table {
+	t := &Table{columns: []string{"service", "goal", "canary", "min-replicas", "kinds", "upstreams", "maps"}}
+	for _, s := range c.Services() {
+		spec := s.Spec()
+		t.add(s.Name(), spec.Goal, spec.Canary, spec.MinReplicas, len(spec.Kinds), len(spec.Upstreams), len(spec.Maps))
+	}
+	return t
+}
+
+func shards(c *catalog.Catalog) *Table {
+	t := &Table{columns: []string{"service", "map", "shard", "weight", "upstreams", "group"}}
+	for _, s := range c.Services() {
+		for _, m := range s.Spec().Maps {
+			for _, h := range m.Shards {
+				group, _ := s.Group(catalog.ShardPath(m.Name, h.Name))
+				t.add(s.Name(), m.Name, h.Name, h.Weight, strings.Join(h.Upstreams, " "), group.Name())
+			}
+		}
+	}
+	return t
+}
+
+func upstreams(c *catalog.Catalog) *Table {
+	t := &Table{columns: []string{"service", "upstream", "address", "data-center", "slots", "connections", "drain"}}
+	for _, s := range c.Services() {
+		for _, u := range s.Spec().Upstreams {
+			t.add(s.Name(), u.Name, u.Address, u.DataCenter, u.Slots, u.Connections, u.Drain)
+		}
+	}
+	return t
+}
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,189 @@
+// Package process runs what all programs of foxtailshelf have in common: logs,
+// the operations endpoint, signals and the graceful stop.
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
+	"github.com/foxtailshelf/foxtailshelf/internal/timeline"
+)
+
+const (
+	// timelineSize is how many events a process keeps.
+	timelineSize = 8192
+	// headerTimeout is how long a peer may take to send its headers.
+	headerTimeout = 5 * time.Second
+	// stopTimeout bounds a graceful stop.
+	stopTimeout     = 2 * time.Minute
+	shutdownTimeout = 2 * time.Second
+	maxHeaderSize   = 64 << 10
+)
+
+// A Process is the frame around one program. Its exported fields are set
+// before Run.
+type Process struct {
+	Name string
+	Host string
+	// OperationsAddress serves metrics, health and the time line.
+	OperationsAddress string
+	LogLevel          string
+	// Ready returns an empty string or why the process is not ready.
+	Ready func() string
+	// State returns what the operations endpoint shows as the state.
+	State func() any
+	// Leave stops gracefully before the context of Run's tasks ends.
+	Leave func(context.Context)
+
+	log      *logrus.Logger
+	registry *prometheus.Registry
+	ring     *timeline.Ring
+	recorder *invariant.Recorder
+}
+
+// A Task runs until its context ends.
+type Task func(context.Context) error
+
+// Init makes the log, the metrics and the time line.
+func (p *Process) Init() error {
+	p.log = logrus.New()
+	p.log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	level, err := logrus.ParseLevel(p.LogLevel)
+	if err != nil {
+		return fmt.Errorf("log level: %w", err)
+	}
+	p.log.SetLevel(level)
+	p.registry = prometheus.NewRegistry()
+	p.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	p.ring = &timeline.Ring{Host: p.Host, Process: p.Name, Size: timelineSize}
+	violations := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "foxtailshelf_invariant_violations_total", Help: "Broken promises by rule.",
+	}, []string{"rule"})
+	p.registry.MustRegister(violations)
+	p.recorder = &invariant.Recorder{OnViolation: func(v invariant.Violation) {
+		violations.WithLabelValues(string(v.Rule)).Inc()
+		p.ring.Add("violation", "", "%s", v.Error())
+		p.log.WithField("rule", v.Rule).Error(v.Detail)
+	}}
+	return nil
+}
+
+// Log returns the log with the host on each line.
+func (p *Process) Log() logrus.FieldLogger {
+	return p.log.WithFields(logrus.Fields{"host": p.Host, "process": p.Name})
+}
+
+// Recorder returns where violations are recorded.
+func (p *Process) Recorder() *invariant.Recorder { return p.recorder }
+
+// Registry returns where metrics are registered.
+func (p *Process) Registry() prometheus.Registerer { return p.registry }
+
+// Ring returns the time line.
+func (p *Process) Ring() *timeline.Ring { return p.ring }
+
+// Run runs the tasks until a signal to stop, then stops gracefully.
+func (p *Process) Run(tasks ...Task) error {
+	signals, stopSignals := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stopSignals()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	tasks = append(tasks, HTTPTask(p.OperationsAddress, p.operations()))
+	for _, task := range tasks {
+		group.Go(func() error { return task(ctx) })
+	}
+	group.Go(func() error {
+		select {
+		case <-signals.Done():
+			p.leave(ctx)
+			cancel()
+		case <-ctx.Done():
+		}
+		return nil
+	})
+	p.Log().Info("started")
+	err := group.Wait()
+	if err != nil && !errors.Is(err, context.Canceled) {
+		return fmt.Errorf("run %s: %w", p.Name, err)
+	}
+	p.Log().Info("stopped")
+	return nil
+}
+
+func (p *Process) leave(ctx context.Context) {
+	p.Log().Info("leaving")
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	if p.Leave != nil {
+		p.Leave(ctx)
+	}
+}
+
+func (p *Process) operations() http.Handler {
+	router := mux.NewRouter()
+	router.Handle("/metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
+	router.HandleFunc("/v1/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintln(w, "ok") })
+	router.HandleFunc("/v1/readyz", p.handleReady)
+	router.HandleFunc("/v1/events", func(w http.ResponseWriter, r *http.Request) {
+		writeJSON(w, p.ring.Events(r.URL.Query().Get("request")))
+	})
+	router.HandleFunc("/v1/state", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.State()) })
+	return router
+}
+
+func (p *Process) handleReady(w http.ResponseWriter, _ *http.Request) {
+	if reason := p.Ready(); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = fmt.Fprintln(w, "ready")
+}
+
+// HTTPTask serves a handler on an address until the context ends, and then
+// finishes the requests in flight.
+func HTTPTask(address string, handler http.Handler) Task {
+	return func(ctx context.Context) error {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderSize}
+		group, ctx := errgroup.WithContext(ctx)
+		group.Go(func() error {
+			err := server.Serve(listener)
+			if errors.Is(err, http.ErrServerClosed) {
+				return nil
+			}
+			return fmt.Errorf("serve %s: %w", address, err)
+		})
+		group.Go(func() error {
+			<-ctx.Done()
+			stop, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+			defer cancel()
+			return server.Shutdown(stop)
+		})
+		return group.Wait()
+	}
+}
+
+func writeJSON(w http.ResponseWriter, document any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(document)
+}
--- /dev/null
+++ b/internal/quarantine/ledger.go
@@ -0,0 +1,195 @@
+// Package quarantine decides which requests are no longer run because they
+// crash the upstreams that run them.
+package quarantine
+
+import "time"
+
+const (
+	// crashesToQuarantine is how many upstreams one request may crash.
+	crashesToQuarantine = 2
+	// suspicionTime is how long a first crash is remembered.
+	suspicionTime = 10 * time.Minute
+	// quarantineTime is how long a request stays quarantined.
+	quarantineTime = 10 * time.Minute
+	// trialTime is how long a further try may keep others waiting.
+	trialTime = 2 * time.Second
+	// massWindow and massUpstreams tell a lost network or rack.
+	massWindow    = 2 * time.Second
+	massUpstreams = 5
+	// maxSuspects bounds the memory of a Ledger.
+	maxSuspects = 10_000
+)
+
+// A Verdict says whether a request may run.
+type Verdict int
+
+// The verdicts.
+const (
+	// Allowed requests may run.
+	Allowed Verdict = iota
+	// Suspect requests crashed one upstream and may be tried once more.
+	Suspect
+	// Waiting requests are suspect, and their one more try is running.
+	Waiting
+	// Quarantined requests may not run.
+	Quarantined
+)
+
+// A Notice tells another host about a quarantined request.
+type Notice struct {
+	Fingerprint uint64
+	Left        time.Duration
+}
+
+// A Ledger counts, by fingerprint, the upstreams that died while running a
+// request. It is not safe for concurrent use.
+type Ledger struct {
+	suspects map[uint64]*suspect
+	// broke holds when each upstream broke last, within massWindow.
+	broke map[string]time.Time
+}
+
+type suspect struct {
+	// crashed holds the upstreams that died running the request.
+	crashed map[string]bool
+	// trialUntil is in the future while one further try may be running.
+	trialUntil time.Time
+	// until is when the entry is forgotten.
+	until time.Time
+	// quarantined entries may not run until then.
+	quarantined bool
+}
+
+// NewLedger returns an empty Ledger.
+func NewLedger() *Ledger {
+	return &Ledger{suspects: make(map[uint64]*suspect), broke: make(map[string]time.Time)}
+}
+
+// Accept takes a notice from another host; it reports whether it was news.
+func (l *Ledger) Accept(now time.Time, n Notice) bool {
+	if n.Left <= 0 || n.Left > quarantineTime {
+		return false
+	}
+	s := l.suspect(now, n.Fingerprint)
+	if s == nil || s.quarantined {
+		return false
+	}
+	s.quarantined = true
+	s.until = now.Add(n.Left)
+	return true
+}
+
+// Crashed notes that an upstream died while it ran these requests, and
+// returns those that are quarantined from now on.
+func (l *Ledger) Crashed(now time.Time, upstream string, fingerprints []uint64) []uint64 {
+	var news []uint64
+	mass := l.massLoss(now, upstream)
+	for _, f := range fingerprints {
+		s := l.suspect(now, f)
+		if s == nil {
+			continue
+		}
+		s.trialUntil = now.Add(trialTime)
+		if mass && len(s.crashed) > 0 {
+			continue
+		}
+		s.crashed[upstream] = true
+		if len(s.crashed) < crashesToQuarantine || s.quarantined {
+			continue
+		}
+		s.quarantined = true
+		s.until = now.Add(quarantineTime)
+		news = append(news, f)
+	}
+	return news
+}
+
+// Finished notes that an attempt of a request ended without a crash; answered
+// clears the suspicion.
+func (l *Ledger) Finished(fingerprint uint64, answered bool) {
+	s, ok := l.suspects[fingerprint]
+	if !ok || s.quarantined {
+		return
+	}
+	s.trialUntil = time.Time{}
+	if answered {
+		delete(l.suspects, fingerprint)
+	}
+}
+
+// Judge returns whether a new attempt of a request may start, and when to ask
+// again if not.
+func (l *Ledger) Judge(now time.Time, fingerprint uint64) (Verdict, time.Duration) {
+	s, ok := l.suspects[fingerprint]
+	if !ok {
+		return Allowed, 0
+	}
+	left := s.until.Sub(now)
+	switch {
+	case left <= 0:
+		delete(l.suspects, fingerprint)
+		return Allowed, 0
+	case s.quarantined:
+		return Quarantined, left
+	case s.trialUntil.After(now):
+		return Waiting, s.trialUntil.Sub(now)
+	default:
+		return Suspect, 0
+	}
+}
+
+// Notices returns the quarantined requests, at most limit of them.
+func (l *Ledger) Notices(now time.Time, limit int) []Notice {
+	var notices []Notice
+	for f, s := range l.suspects {
+		if len(notices) == limit {
+			break
+		}
+		if s.quarantined && s.until.After(now) {
+			notices = append(notices, Notice{Fingerprint: f, Left: s.until.Sub(now)})
+		}
+	}
+	return notices
+}
+
+// Trial notes that the one further try of a suspect request starts.
+func (l *Ledger) Trial(now time.Time, fingerprint uint64) {
+	if s, ok := l.suspects[fingerprint]; ok {
+		s.trialUntil = now.Add(trialTime)
+	}
+}
+
+// massLoss reports whether so many upstreams broke at about the same time
+// that the network or a rack is a likelier cause than any one request.
+func (l *Ledger) massLoss(now time.Time, upstream string) bool {
+	l.broke[upstream] = now
+	for u, at := range l.broke {
+		if now.Sub(at) > massWindow {
+			delete(l.broke, u)
+		}
+	}
+	return len(l.broke) >= massUpstreams
+}
+
+func (l *Ledger) suspect(now time.Time, fingerprint uint64) *suspect {
+	if s, ok := l.suspects[fingerprint]; ok {
+		return s
+	}
+	if len(l.suspects) >= maxSuspects {
+		l.forget(now)
+	}
+	if len(l.suspects) >= maxSuspects {
+		return nil
+	}
+	s := &suspect{crashed: make(map[string]bool), until: now.Add(suspicionTime)}
+	l.suspects[fingerprint] = s
+	return s
+}
+
+func (l *Ledger) forget(now time.Time) {
+	for f, s := range l.suspects {
+		if !s.until.After(now) {
+			delete(l.suspects, f)
+		}
+	}
+}
--- /dev/null
+++ b/internal/query/query.go
@@ -0,0 +1,492 @@
+// Package query decides how one request is scattered over its shards and
+// gathered into one answer. It does no I/O, reads no clock and starts no
+// goroutine.
+package query
+
+import (
+	_ "embed"
+	"slices"
+	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/catalog"
+	"github.com/foxtailshelf/foxtailshelf/internal/chart"
+	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
+	"github.com/foxtailshelf/foxtailshelf/internal/shard"
+	"github.com/foxtailshelf/foxtailshelf/internal/snapshot"
+)
+
+//go:embed query.chart.json
+var queryChartFile []byte
+
+var queryChart = chart.MustParse(queryChartFile)
+
+const (
+	stateCanary   chart.State = "canary"
+	stateGather   chart.State = "gathering"
+	stateRepin    chart.State = "repinning"
+	stateFinished chart.State = "finished"
+)
+
+const (
+	// patienceShare of the weight must have answered before a query with
+	// the goal of latency stops to wait.
+	patienceShare = 0.8
+	// patienceFactor times the time that took is how long it waits in all.
+	patienceFactor = 3
+	// minPatience is the least time such a query waits.
+	minPatience = 30 * time.Millisecond
+	// maxRepins is how often a query starts anew on another version.
+	maxRepins = 1
+	// maxReroutes is how often one shard is sent to another gate.
+	maxReroutes = 2
+	// DefaultRetry is told to callers when nothing better is known.
+	DefaultRetry = 50 * time.Millisecond
+)
+
+// A Status is how complete an answer is.
+type Status string
+
+// The statuses.
+const (
+	// Complete answers hold every planned shard.
+	Complete Status = "complete"
+	// Partial answers hold some of the planned shards.
+	Partial Status = "partial"
+	// NotRun requests were run nowhere, not even in part.
+	NotRun Status = "not-run"
+	// Failed requests brought nothing, but may have been run in part.
+	Failed Status = "failed"
+	// Unknown is Failed for requests that must not run twice.
+	Unknown Status = "unknown"
+)
+
+// A Part is one planned shard.
+type Part struct {
+	Path   string
+	Name   string
+	Weight int
+}
+
+// A Plan is what a query is pinned to. Its fields are not changed after New.
+type Plan struct {
+	Version snapshot.Version
+	Parts   []Part
+	// Nonce names this run; replies to other runs are not accepted.
+	Nonce string
+}
+
+// Terms are what holds for a query whatever its plan.
+type Terms struct {
+	Deadline   time.Time
+	Goal       catalog.Goal
+	Idempotent bool
+	// Canary asks for one shard before all the others.
+	Canary bool
+	// CanaryIndex chooses the shard; any number will do.
+	CanaryIndex uint64
+}
+
+// A Result is what one shard brought.
+type Result struct {
+	Part Part
+	Body []byte
+}
+
+// An Answer is what the caller gets.
+type Answer struct {
+	Status  Status
+	Version snapshot.Version
+	// Coverage is the answered share of the planned weight, 0 to 1.
+	Coverage float64
+	// Results are in the order of the plan.
+	Results []Result
+	// Missing are the shards that did not answer, in the order of the plan.
+	Missing []Part
+	// Reason explains a status other than Complete.
+	Reason     shard.Reason
+	RetryAfter time.Duration
+	Attempts   int
+}
+
+// An Event is something that happened to a Query.
+type Event interface{ isEvent() }
+
+// ShardReplied brings the end of one shard's part.
+type ShardReplied struct {
+	Nonce      string
+	Path       string
+	Outcome    shard.Outcome
+	Reason     shard.Reason
+	Version    snapshot.Version
+	Body       []byte
+	RetryAfter time.Duration
+	Attempts   int
+}
+
+// GateLost says that a gate will not reply for these shards any more.
+type GateLost struct {
+	Nonce string
+	Paths []string
+	// Sent is false if the gate surely did not get the request.
+	Sent bool
+}
+
+// Repinned brings a plan on another version; without parts there is none.
+type Repinned struct{ Plan Plan }
+
+// Wake is the passing of time alone.
+type Wake struct{}
+
+// CallerLeft says that nobody waits for the answer.
+type CallerLeft struct{}
+
+func (ShardReplied) isEvent() {}
+func (GateLost) isEvent()     {}
+func (Repinned) isEvent()     {}
+func (Wake) isEvent()         {}
+func (CallerLeft) isEvent()   {}
+
+// An Action is what the driver must do.
+type Action interface{ isAction() }
+
+// Scatter sends the request to the gates that own these shards. Reroute is set
+// if their owners of last time could not be reached.
+type Scatter struct {
+	Plan    Plan
+	Parts   []Part
+	Reroute bool
+}
+
+// Repin asks for a plan on a version other than Gone.
+type Repin struct {
+	Gone snapshot.Version
+	Path string
+}
+
+// CancelRun gives up all that runs under a nonce.
+type CancelRun struct{ Nonce string }
+
+// Finish ends the query; there is exactly one.
+type Finish struct{ Answer Answer }
+
+func (Scatter) isAction()   {}
+func (Repin) isAction()     {}
+func (CancelRun) isAction() {}
+func (Finish) isAction()    {}
+
+// A Query is the state of one request. It is not safe for concurrent use.
+type Query struct {
+	terms    Terms
+	plan     Plan
+	recorder *invariant.Recorder
+	// state is a state of query.chart.json.
+	state   chart.State
+	startAt time.Time
+	// outcomes has an entry for each shard of the plan that ended.
+	outcomes map[string]ShardReplied
+	// reroutes counts, by shard, how often its gate was lost.
+	reroutes map[string]int
+	repins   int
+	// ran is set once an upstream may have run a part, under any plan.
+	ran bool
+	// attempts counts those of former plans too.
+	attempts int
+	// enough is when enough weight had answered for the goal of latency.
+	enough  time.Time
+	actions []Action
+}
+
+// New returns a query and its first actions.
+func New(now time.Time, terms Terms, plan Plan, recorder *invariant.Recorder) (*Query, []Action) {
+	q := &Query{
+		terms: terms, recorder: recorder, startAt: now, state: queryChart.Initial(),
+		reroutes: make(map[string]int),
+	}
+	q.begin(plan)
+	return q, q.actions
+}
+
+// NextWake returns when Step wants a Wake.
+func (q *Query) NextWake() time.Time {
+	if q.enough.IsZero() {
+		return q.terms.Deadline
+	}
+	if patience := q.patienceEnd(); patience.Before(q.terms.Deadline) {
+		return patience
+	}
+	return q.terms.Deadline
+}
+
+// Step takes one event and returns what to do about it.
+func (q *Query) Step(now time.Time, event Event) []Action {
+	q.actions = nil
+	if q.state == stateFinished {
+		return nil
+	}
+	switch e := event.(type) {
+	case ShardReplied:
+		q.replied(now, e)
+	case GateLost:
+		q.gateLost(now, e)
+	case Repinned:
+		q.repinned(e)
+	case CallerLeft:
+		q.finish(shard.ReasonWithdrawn)
+	case Wake:
+	}
+	q.checkTime(now)
+	return q.actions
+}
+
+func (q *Query) begin(plan Plan) {
+	q.plan = plan
+	q.outcomes = make(map[string]ShardReplied)
+	q.enough = time.Time{}
+	if q.terms.Canary && len(plan.Parts) > 1 && !q.ran {
+		q.fire("begin-canary")
+		first := plan.Parts[q.terms.CanaryIndex%uint64(len(plan.Parts))]
+		q.emit(Scatter{Plan: plan, Parts: []Part{first}})
+		return
+	}
+	q.fire("begin")
+	q.emit(Scatter{Plan: plan, Parts: plan.Parts})
+}
+
+func (q *Query) checkTime(now time.Time) {
+	if q.state == stateFinished {
+		return
+	}
+	late := !now.Before(q.terms.Deadline)
+	outOfPatience := !q.enough.IsZero() && !now.Before(q.patienceEnd())
+	if late || outOfPatience {
+		q.finish(shard.ReasonDeadline)
+	}
+}
+
+func (q *Query) emit(a Action) { q.actions = append(q.actions, a) }
+
+func (q *Query) fire(e chart.Event) {
+	q.state = queryChart.NextOrSame(q.state, e)
+}
+
+// finish builds the answer from what is there.
+func (q *Query) finish(reason shard.Reason) {
+	answer := q.answer(reason)
+	q.fire("finish")
+	if len(q.outcomes) < len(q.plan.Parts) {
+		q.emit(CancelRun{Nonce: q.plan.Nonce})
+	}
+	q.emit(Finish{Answer: answer})
+}
+
+func (q *Query) answer(reason shard.Reason) Answer {
+	a := Answer{Version: q.plan.Version, Reason: reason, Attempts: q.attempts}
+	planned, answered := 0, 0
+	for _, p := range q.plan.Parts {
+		planned += p.Weight
+		o, ended := q.outcomes[p.Path]
+		a.Attempts += o.Attempts
+		if !ended || o.Outcome != shard.Answered {
+			a.Missing = append(a.Missing, p)
+			q.explain(&a, o, ended)
+			continue
+		}
+		answered += p.Weight
+		a.Results = append(a.Results, Result{Part: p, Body: o.Body})
+		q.recorder.Check(o.Version == q.plan.Version, invariant.OneSnapshot, "shard %s answered from %s, the query is pinned to %s", p.Path, o.Version, q.plan.Version)
+	}
+	if planned > 0 {
+		a.Coverage = float64(answered) / float64(planned)
+	}
+	a.Status = q.status(a)
+	if a.Status == Complete {
+		a.Reason, a.RetryAfter = "", 0
+	}
+	if a.Status != Complete && a.RetryAfter == 0 {
+		a.RetryAfter = DefaultRetry
+	}
+	q.recorder.Check((a.Status == Complete) == (len(a.Missing) == 0), invariant.TrueCoverage, "status %s with %d shards missing", a.Status, len(a.Missing))
+	q.recorder.Check(len(a.Results)+len(a.Missing) == len(q.plan.Parts), invariant.ShardOnce, "%d results and %d missing of %d", len(a.Results), len(a.Missing), len(q.plan.Parts))
+	return a
+}
+
+// explain takes the reason and the longest wait from the missing shards.
+func (q *Query) explain(a *Answer, o ShardReplied, ended bool) {
+	if !ended {
+		return
+	}
+	if a.Reason == "" || a.Reason == shard.ReasonDeadline {
+		a.Reason = o.Reason
+	}
+	a.RetryAfter = max(a.RetryAfter, o.RetryAfter)
+}
+
+func (q *Query) status(a Answer) Status {
+	ran := q.ran || q.mayRun()
+	switch {
+	case len(a.Missing) == 0:
+		return Complete
+	case len(a.Results) > 0:
+		return Partial
+	case !ran:
+		return NotRun
+	case q.terms.Idempotent:
+		return Failed
+	default:
+		return Unknown
+	}
+}
+
+// mayRun reports whether a part of the current plan has not been refuted.
+func (q *Query) mayRun() bool {
+	if q.state == stateRepin {
+		return false
+	}
+	for _, p := range q.sentParts() {
+		if o, ended := q.outcomes[p.Path]; !ended || o.Outcome != shard.NotRun {
+			return true
+		}
+	}
+	return false
+}
+
+// sentParts returns the parts that went to gates under the current plan.
+func (q *Query) sentParts() []Part {
+	if q.state == stateCanary {
+		return []Part{q.plan.Parts[q.terms.CanaryIndex%uint64(len(q.plan.Parts))]}
+	}
+	return q.plan.Parts
+}
+
+func (q *Query) patienceEnd() time.Time {
+	took := q.enough.Sub(q.startAt)
+	return q.startAt.Add(max(patienceFactor*took, minPatience))
+}
+
+func (q *Query) part(path string) (Part, bool) {
+	i := slices.IndexFunc(q.plan.Parts, func(p Part) bool { return p.Path == path })
+	if i < 0 {
+		return Part{}, false
+	}
+	return q.plan.Parts[i], true
+}
+
+func (q *Query) replied(now time.Time, e ShardReplied) {
+	part, planned := q.part(e.Path)
+	_, twice := q.outcomes[e.Path]
+	if e.Nonce != q.plan.Nonce || !planned || twice || q.state == stateRepin {
+		return
+	}
+	if e.Outcome == shard.NotRun && e.Reason == shard.ReasonVersionGone && q.repins < maxRepins {
+		q.repin(e)
+		return
+	}
+	if e.Outcome == shard.NotRun && isRouting(e.Reason) && q.reroute(now, part) {
+		return
+	}
+	if e.Outcome == shard.Answered && e.Version != q.plan.Version {
+		e.Outcome = shard.Failed
+		e.Reason = shard.ReasonMismatch
+	}
+	q.outcomes[e.Path] = e
+	q.progress(now, e)
+}
+
+// progress goes on after one more shard ended.
+func (q *Query) progress(now time.Time, e ShardReplied) {
+	switch {
+	case q.state == stateCanary && e.Outcome == shard.Answered:
+		q.fire("canary-answered")
+		q.emit(Scatter{Plan: q.plan, Parts: q.rest(e.Path)})
+	case q.state == stateCanary:
+		q.finish(e.Reason)
+		return
+	}
+	if len(q.outcomes) == len(q.plan.Parts) {
+		q.finish("")
+		return
+	}
+	if q.terms.Goal == catalog.GoalLatency && q.enough.IsZero() && q.answeredShare() >= patienceShare {
+		q.enough = now
+	}
+}
+
+func (q *Query) rest(except string) []Part {
+	return slices.DeleteFunc(slices.Clone(q.plan.Parts), func(p Part) bool { return p.Path == except })
+}
+
+func (q *Query) answeredShare() float64 {
+	planned, answered := 0, 0
+	for _, p := range q.plan.Parts {
+		planned += p.Weight
+		if q.outcomes[p.Path].Outcome == shard.Answered {
+			answered += p.Weight
+		}
+	}
+	return float64(answered) / float64(planned)
+}
+
+func (q *Query) gateLost(now time.Time, e GateLost) {
+	if e.Nonce != q.plan.Nonce || q.state == stateRepin {
+		return
+	}
+	for _, path := range e.Paths {
+		part, planned := q.part(path)
+		if _, ended := q.outcomes[path]; !planned || ended || q.state == stateFinished {
+			continue
+		}
+		if e.Sent {
+			q.ran = true
+		}
+		if (q.terms.Idempotent || !e.Sent) && q.reroute(now, part) {
+			continue
+		}
+		outcome := shard.NotRun
+		if e.Sent {
+			outcome = shard.Failed
+		}
+		lost := ShardReplied{Nonce: e.Nonce, Path: path, Outcome: outcome, Reason: shard.ReasonUnreachable}
+		q.outcomes[path] = lost
+		q.progress(now, lost)
+	}
+}
+
+// reroute sends a shard to its next owner, if it may be sent again.
+func (q *Query) reroute(now time.Time, p Part) bool {
+	if q.reroutes[p.Path] >= maxReroutes || !now.Before(q.terms.Deadline) {
+		return false
+	}
+	q.reroutes[p.Path]++
+	q.emit(Scatter{Plan: q.plan, Parts: []Part{p}, Reroute: true})
+	return true
+}
+
+// repin starts anew on another version, since this one is gone.
+func (q *Query) repin(e ShardReplied) {
+	q.repins++
+	for _, p := range q.sentParts() {
+		o, ended := q.outcomes[p.Path]
+		q.attempts += o.Attempts
+		if p.Path != e.Path && (!ended || o.Outcome != shard.NotRun) {
+			q.ran = true
+		}
+	}
+	q.fire("version-gone")
+	q.emit(CancelRun{Nonce: q.plan.Nonce})
+	q.emit(Repin{Gone: q.plan.Version, Path: e.Path})
+}
+
+func (q *Query) repinned(e Repinned) {
+	if q.state != stateRepin {
+		return
+	}
+	if len(e.Plan.Parts) == 0 {
+		q.finish(shard.ReasonVersionGone)
+		return
+	}
+	q.begin(e.Plan)
+}
+
+func isRouting(r shard.Reason) bool {
+	return r == shard.ReasonNotOwner || r == shard.ReasonStopping
+}
--- /dev/null
+++ b/internal/roster/member.go
@@ -0,0 +1,100 @@
+// Package roster decides which hosts are members of the fleet and which of
+// them owns what. It does no I/O, reads no clock and starts no goroutine.
+package roster
+
+import (
+	_ "embed"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/chart"
+)
+
+//go:embed member.chart.json
+var memberChartFile []byte
+
+var memberChart = chart.MustParse(memberChartFile)
+
+// The states of a member, as in member.chart.json.
+const (
+	// Listed members stand in the host list but were never heard of.
+	Listed chart.State = "listed"
+	// Alive members answer.
+	Alive chart.State = "alive"
+	// Suspect members did not answer, directly or through others.
+	Suspect chart.State = "suspect"
+	// Leaving members take no new work.
+	Leaving chart.State = "leaving"
+	// Dead members stayed suspect for too long.
+	Dead chart.State = "dead"
+)
+
+// A Member is what is known of one host. It is a value.
+type Member struct {
+	host         string
+	dataCenter   string
+	gateAddress  string
+	entryAddress string
+	// incarnation is chosen by the host itself and grows with each start
+	// and each time it contradicts a rumour about itself.
+	incarnation uint64
+	state       chart.State
+}
+
+// NewMember returns a member in a state of the chart.
+func NewMember(host, dataCenter, gateAddress, entryAddress string, incarnation uint64, state chart.State) Member {
+	return Member{
+		host: host, dataCenter: dataCenter, gateAddress: gateAddress, entryAddress: entryAddress,
+		incarnation: incarnation, state: state,
+	}
+}
+
+// DataCenter returns the data centre.
+func (m Member) DataCenter() string { return m.dataCenter }
+
+// EntryAddress returns where callers connect.
+func (m Member) EntryAddress() string { return m.entryAddress }
+
+// GateAddress returns where entries and gates connect.
+func (m Member) GateAddress() string { return m.gateAddress }
+
+// Host returns the name of the host.
+func (m Member) Host() string { return m.host }
+
+// Incarnation returns the incarnation.
+func (m Member) Incarnation() uint64 { return m.incarnation }
+
+// Owns reports whether the member may own anything.
+func (m Member) Owns() bool { return m.state == Alive || m.state == Suspect }
+
+// State returns the state.
+func (m Member) State() chart.State { return m.state }
+
+// With returns the member in another state of another incarnation.
+func (m Member) With(state chart.State, incarnation uint64) Member {
+	m.state = state
+	m.incarnation = incarnation
+	return m
+}
+
+// overrides reports whether m is newer knowledge than old.
+func (m Member) overrides(old Member) bool {
+	if m.incarnation != old.incarnation {
+		return m.incarnation > old.incarnation
+	}
+	return strength(m.state) > strength(old.state)
+}
+
+// strength orders the states that one incarnation goes through.
+func strength(s chart.State) int {
+	switch s {
+	case Dead:
+		return 4
+	case Leaving:
+		return 3
+	case Suspect:
+		return 2
+	case Alive:
+		return 1
+	default:
+		return 0
+	}
+}
--- /dev/null
+++ b/internal/roster/ownership.go
@@ -0,0 +1,101 @@
+package roster
+
+import (
+	"github.com/cespare/xxhash/v2"
+)
+
+// Buckets is how many parts the owned groups are divided into.
+const Buckets = 16384
+
+// An Ownership maps groups to hosts by rendezvous hashing over buckets. The
+// change of one host touches only the buckets that it wins or loses. It is not
+// safe for concurrent use.
+type Ownership struct {
+	hosts map[string]uint64
+	// owners and scores hold the winner of each bucket and its score.
+	owners [Buckets]string
+	scores [Buckets]uint64
+}
+
+// NewOwnership returns an Ownership without hosts.
+func NewOwnership() *Ownership {
+	return &Ownership{hosts: make(map[string]uint64)}
+}
+
+// Apply takes over a change of a member.
+func (o *Ownership) Apply(m Member) {
+	if m.Owns() {
+		o.Add(m.host)
+		return
+	}
+	o.Remove(m.host)
+}
+
+// Add gives a host the buckets in which it scores highest.
+func (o *Ownership) Add(host string) {
+	if _, ok := o.hosts[host]; ok {
+		return
+	}
+	h := xxhash.Sum64String(host)
+	o.hosts[host] = h
+	for b := range o.owners {
+		if s := score(h, b); o.owners[b] == "" || s > o.scores[b] {
+			o.owners[b] = host
+			o.scores[b] = s
+		}
+	}
+}
+
+// Len returns the number of hosts.
+func (o *Ownership) Len() int { return len(o.hosts) }
+
+// Owner returns the host that owns a group, or "".
+func (o *Ownership) Owner(group string) string {
+	return o.owners[bucket(group)]
+}
+
+// OwnerWithout returns the owner if these hosts did not exist, or "".
+func (o *Ownership) OwnerWithout(group string, without map[string]bool) string {
+	best, bestScore := "", uint64(0)
+	b := bucket(group)
+	for host, h := range o.hosts {
+		if s := score(h, b); !without[host] && (best == "" || s > bestScore) {
+			best, bestScore = host, s
+		}
+	}
+	return best
+}
+
+// Remove gives the buckets of a host to the next best.
+func (o *Ownership) Remove(host string) {
+	if _, ok := o.hosts[host]; !ok {
+		return
+	}
+	delete(o.hosts, host)
+	for b := range o.owners {
+		if o.owners[b] == host {
+			o.elect(b)
+		}
+	}
+}
+
+func (o *Ownership) elect(b int) {
+	o.owners[b], o.scores[b] = "", 0
+	for host, h := range o.hosts {
+		if s := score(h, b); o.owners[b] == "" || s > o.scores[b] {
+			o.owners[b], o.scores[b] = host, s
+		}
+	}
+}
+
+func bucket(group string) int {
+	return int(xxhash.Sum64String(group) % Buckets)
+}
+
+// score mixes the hash of a host with a bucket (the finalizer of SplitMix64).
+func score(host uint64, b int) uint64 {
+	x := host ^ (uint64(b)+1)*0x9e3779b97f4a7c15
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,329 @@
+package roster
+
+import (
+	"maps"
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/chart"
+)
+
+const (
+	// ProbePeriod is how often each member probes one other.
+	ProbePeriod = 500 * time.Millisecond
+	// ProbeTimeout is how long a direct or an indirect probe may take.
+	ProbeTimeout = 200 * time.Millisecond
+	// SuspicionTime is how long a suspect has to contradict.
+	SuspicionTime = 2 * time.Second
+	// TombstoneTime is how long the dead are remembered.
+	TombstoneTime = 2 * time.Minute
+	// maxRumours bounds the rumours on one message.
+	maxRumours = 8
+	// indirectProbes is how many others are asked to probe a silent member.
+	indirectProbes = 3
+	// rumourFactor times the logarithm of the fleet is how often one rumour
+	// is passed on.
+	rumourFactor = 3
+)
+
+// An Event is something that happened to a Roster.
+type Event interface{ isEvent() }
+
+// Tick is a period of time.
+type Tick struct{}
+
+// HostsListed brings a copy of the platform's host list.
+type HostsListed struct{ Hosts []Member }
+
+// Heard brings a message from another member, or from an entry (no Sender).
+type Heard struct {
+	Sender  Member
+	Rumours []Member
+}
+
+// ProbeEnded reports a probe; Indirect is set for one made through others.
+type ProbeEnded struct {
+	Host     string
+	Answered bool
+	Indirect bool
+}
+
+// Leave says that this host stops on purpose.
+type Leave struct{}
+
+// EntryMoved says where callers find the entry of this host; "" for nowhere.
+type EntryMoved struct{ Address string }
+
+func (Tick) isEvent()        {}
+func (HostsListed) isEvent() {}
+func (Heard) isEvent()       {}
+func (ProbeEnded) isEvent()  {}
+func (Leave) isEvent()       {}
+func (EntryMoved) isEvent()  {}
+
+// An Action is what the driver must do.
+type Action interface{ isAction() }
+
+// Probe asks for one direct exchange with a member.
+type Probe struct{ Target Member }
+
+// ProbeThrough asks others to probe a member.
+type ProbeThrough struct {
+	Target Member
+	Via    []Member
+}
+
+// Changed says that a member changed.
+type Changed struct{ Old, New Member }
+
+func (Probe) isAction()        {}
+func (ProbeThrough) isAction() {}
+func (Changed) isAction()      {}
+
+// A Roster is one host's view of the fleet. It is not safe for concurrent use.
+type Roster struct {
+	self    Member
+	members map[string]Member
+	random  *rand.Rand
+	// rumours counts how often news of a host may still be passed on.
+	rumours map[string]int
+	// suspectedAt and deadAt hold when a member entered the state.
+	suspectedAt map[string]time.Time
+	deadAt      map[string]time.Time
+	nextProbe   time.Time
+	// order is a random permutation; each round probes every member once.
+	order   []string
+	actions []Action
+}
+
+// New returns the view of a host that has just started.
+func New(self Member, seed uint64) *Roster {
+	r := &Roster{
+		self:        self.With(Alive, self.incarnation),
+		members:     make(map[string]Member),
+		random:      rand.New(rand.NewPCG(seed, seed)),
+		rumours:     make(map[string]int),
+		suspectedAt: make(map[string]time.Time),
+		deadAt:      make(map[string]time.Time),
+	}
+	r.members[self.host] = r.self
+	r.rumours[self.host] = r.rumourLimit()
+	return r
+}
+
+// Members returns all members, sorted by host.
+func (r *Roster) Members() []Member {
+	members := make([]Member, 0, len(r.members))
+	for _, h := range slices.Sorted(maps.Keys(r.members)) {
+		members = append(members, r.members[h])
+	}
+	return members
+}
+
+// Rumours returns the news for the next message and counts them as sent.
+func (r *Roster) Rumours() []Member {
+	hosts := slices.Sorted(maps.Keys(r.rumours))
+	slices.SortStableFunc(hosts, func(a, b string) int { return r.rumours[b] - r.rumours[a] })
+	var news []Member
+	for _, h := range hosts[:min(len(hosts), maxRumours)] {
+		news = append(news, r.members[h])
+		r.rumours[h]--
+		if r.rumours[h] <= 0 {
+			delete(r.rumours, h)
+		}
+	}
+	return news
+}
+
+// Self returns the host's own entry.
+func (r *Roster) Self() Member { return r.self }
+
+// Step takes one event and returns what to do about it.
+func (r *Roster) Step(now time.Time, event Event) []Action {
+	r.actions = nil
+	switch e := event.(type) {
+	case Tick:
+		r.tick(now)
+	case HostsListed:
+		r.hostsListed(now, e.Hosts)
+	case Heard:
+		r.heard(now, e)
+	case ProbeEnded:
+		r.probeEnded(now, e)
+	case Leave:
+		r.setSelf(Leaving, r.self.incarnation+1)
+	case EntryMoved:
+		r.entryMoved(e.Address)
+	}
+	return r.actions
+}
+
+// bootstrap reports whether nobody else was ever heard of.
+func (r *Roster) bootstrap() bool {
+	for h, m := range r.members {
+		if h != r.self.host && m.state != Listed {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Roster) heard(now time.Time, e Heard) {
+	if e.Sender.host != "" {
+		r.accept(now, e.Sender)
+	}
+	for _, m := range e.Rumours {
+		r.accept(now, m)
+	}
+}
+
+// accept takes one piece of news.
+func (r *Roster) accept(now time.Time, m Member) {
+	if m.host == r.self.host {
+		r.contradict(m)
+		return
+	}
+	old, known := r.members[m.host]
+	if known && !m.overrides(old) {
+		return
+	}
+	r.set(now, old, m)
+}
+
+// contradict answers a rumour about this host itself.
+func (r *Roster) contradict(m Member) {
+	wrong := m.incarnation > r.self.incarnation || (m.incarnation == r.self.incarnation && strength(m.state) > strength(r.self.state))
+	if wrong {
+		r.setSelf(r.self.state, m.incarnation+1)
+	}
+}
+
+func (r *Roster) entryMoved(address string) {
+	if r.self.entryAddress == address {
+		return
+	}
+	r.self.entryAddress = address
+	r.setSelf(r.self.state, r.self.incarnation+1)
+}
+
+func (r *Roster) setSelf(state chart.State, incarnation uint64) {
+	old := r.self
+	r.self = r.self.With(state, incarnation)
+	r.members[r.self.host] = r.self
+	r.rumours[r.self.host] = r.rumourLimit()
+	r.actions = append(r.actions, Changed{Old: old, New: r.self})
+}
+
+func (r *Roster) set(now time.Time, old, m Member) {
+	r.members[m.host] = m
+	r.rumours[m.host] = r.rumourLimit()
+	delete(r.suspectedAt, m.host)
+	delete(r.deadAt, m.host)
+	switch m.state {
+	case Suspect:
+		r.suspectedAt[m.host] = now
+	case Dead:
+		r.deadAt[m.host] = now
+	}
+	r.actions = append(r.actions, Changed{Old: old, New: m})
+}
+
+// fire moves a member along the chart within its incarnation.
+func (r *Roster) fire(now time.Time, host string, e chart.Event) {
+	m, ok := r.members[host]
+	if !ok || host == r.self.host {
+		return
+	}
+	next := memberChart.NextOrSame(m.state, e)
+	if next == m.state {
+		return
+	}
+	r.set(now, m, m.With(next, m.incarnation))
+}
+
+func (r *Roster) hostsListed(now time.Time, hosts []Member) {
+	for _, h := range hosts {
+		old, known := r.members[h.host]
+		switch {
+		case h.host == r.self.host:
+		case !known:
+			r.members[h.host] = h.With(Listed, 0)
+		case h.state == Leaving && old.state == Alive:
+			r.fire(now, h.host, "leave")
+		}
+	}
+}
+
+func (r *Roster) probeEnded(now time.Time, e ProbeEnded) {
+	m, ok := r.members[e.Host]
+	switch {
+	case !ok || e.Host == r.self.host:
+	case e.Answered && m.state == Listed:
+		r.fire(now, e.Host, "heard")
+	case e.Answered:
+	case !e.Indirect:
+		r.askOthers(now, m)
+	case m.state == Alive:
+		r.fire(now, e.Host, "suspect")
+	}
+}
+
+func (r *Roster) askOthers(now time.Time, target Member) {
+	var others []Member
+	for _, m := range r.Members() {
+		if m.state == Alive && m.host != r.self.host && m.host != target.host {
+			others = append(others, m)
+		}
+	}
+	r.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	if len(others) == 0 {
+		r.fire(now, target.host, "suspect")
+		return
+	}
+	r.actions = append(r.actions, ProbeThrough{Target: target, Via: others[:min(len(others), indirectProbes)]})
+}
+
+func (r *Roster) tick(now time.Time) {
+	for h, at := range r.suspectedAt {
+		if now.Sub(at) >= SuspicionTime {
+			r.fire(now, h, "die")
+		}
+	}
+	for h, at := range r.deadAt {
+		if now.Sub(at) >= TombstoneTime {
+			delete(r.members, h)
+			delete(r.deadAt, h)
+			delete(r.rumours, h)
+		}
+	}
+	if now.Before(r.nextProbe) && !r.bootstrap() {
+		return
+	}
+	r.nextProbe = now.Add(ProbePeriod)
+	if target, ok := r.nextTarget(); ok {
+		r.actions = append(r.actions, Probe{Target: target})
+	}
+}
+
+// nextTarget returns the members in turn, in an order that is drawn anew each
+// round. The dead are probed too, so that healed partitions are seen.
+func (r *Roster) nextTarget() (Member, bool) {
+	for range 2 {
+		for len(r.order) > 0 {
+			h := r.order[0]
+			r.order = r.order[1:]
+			if m, ok := r.members[h]; ok && h != r.self.host {
+				return m, true
+			}
+		}
+		r.order = slices.Sorted(maps.Keys(r.members))
+		r.random.Shuffle(len(r.order), func(i, j int) { r.order[i], r.order[j] = r.order[j], r.order[i] })
+	}
+	return Member{}, false
+}
+
+func (r *Roster) rumourLimit() int {
+	return rumourFactor * (1 + bits.Len(uint(len(r.members))))
+}
--- /dev/null
+++ b/internal/shard/options.go
@@ -0,0 +1,74 @@
+package shard
+
+import "time"
+
+// HedgeMode says when a second replica is tried.
+type HedgeMode int
+
+// The hedge modes.
+const (
+	// HedgeQueueHead puts hedges before all queued jobs.
+	HedgeQueueHead HedgeMode = iota
+	// HedgeFreeSlot starts hedges only if a slot is free at once.
+	HedgeFreeSlot
+	// HedgeNever starts no hedges.
+	HedgeNever
+)
+
+// Options are the policies of a Group.
+type Options struct {
+	Hedge HedgeMode
+	// HedgeRatio is the share of extra attempts, from 0 to 1.
+	HedgeRatio float64
+	// HedgeDelay is used until enough attempts were seen.
+	HedgeDelay time.Duration
+	// Burst is how many extra attempts may come at once.
+	Burst float64
+	// NoAdmission accepts jobs that cannot be done by their deadline.
+	NoAdmission bool
+	// WarmWindow is how long a cold upstream takes to get all its slots.
+	WarmWindow time.Duration
+	// ShareEvery is how often a start goes to the least urgent job.
+	ShareEvery int
+	// Seed is for the choice between equal replicas.
+	Seed uint64
+}
+
+const (
+	// maxAttempts bounds the attempts of one job.
+	maxAttempts = 3
+	// minSamples is how many attempts an estimate needs.
+	minSamples = 50
+	// slowFactor is how much slower than the best a slow replica is.
+	slowFactor = 3
+	// slowProbeEvery is the pause between jobs given to a slow replica.
+	slowProbeEvery = 200 * time.Millisecond
+	// probeFirst and probeMost bound the pause between probes.
+	probeFirst = 50 * time.Millisecond
+	probeMost  = 2 * time.Second
+	// hopeTime is how long jobs wait for a replica that was just lost.
+	hopeTime = time.Second
+	// minSilence and silenceFactor (times the late quantile) tell from when a
+	// connection without an answer is checked.
+	minSilence    = 500 * time.Millisecond
+	silenceFactor = 4
+	// goneTime is how long "version gone" outweighs reports.
+	goneTime = 5 * time.Second
+	// shedPause is used for upstreams that shed load and give no time.
+	shedPause = 20 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound what callers are told.
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+	// maxSkipped is how many queued jobs are passed over in one search.
+	maxSkipped = 8
+	// initialServiceTime is assumed until attempts were seen.
+	initialServiceTime = 10 * time.Millisecond
+)
+
+// DefaultOptions returns the policies that products run with.
+func DefaultOptions() Options {
+	return Options{
+		Hedge: HedgeQueueHead, HedgeRatio: 0.03, HedgeDelay: 50 * time.Millisecond, Burst: 10,
+		WarmWindow: 5 * time.Second, ShareEvery: 20,
+	}
+}
--- /dev/null
+++ b/internal/timeline/timeline.go
@@ -0,0 +1,110 @@
+// Package timeline records what a process did, in an order that holds across
+// processes.
+package timeline
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// A Stamp is the time of a hybrid logical clock: never behind the wall clock
+// by more than the skew of the fleet, and ordered by cause and effect.
+type Stamp struct {
+	// Micros is the highest wall clock seen, in microseconds since 1970.
+	Micros int64 `json:"micros"`
+	// Count orders stamps of the same microsecond.
+	Count uint32 `json:"count"`
+}
+
+// An Event is one thing that happened.
+type Event struct {
+	Stamp   Stamp  `json:"stamp"`
+	Host    string `json:"host"`
+	Process string `json:"process"`
+	Kind    string `json:"kind"`
+	// Request is the id of the request, if the event belongs to one.
+	Request string `json:"request,omitempty"`
+	Detail  string `json:"detail,omitempty"`
+}
+
+// A Ring keeps the newest events of a process. Its exported fields are set
+// before use; it is safe for concurrent use.
+type Ring struct {
+	Host    string
+	Process string
+	// Size is how many events are kept.
+	Size int
+
+	mu     sync.Mutex
+	last   Stamp
+	events []Event
+	// next is where the next event goes once the ring is full.
+	next int
+}
+
+// Before reports whether s comes before o.
+func (s Stamp) Before(o Stamp) bool {
+	if s.Micros != o.Micros {
+		return s.Micros < o.Micros
+	}
+	return s.Count < o.Count
+}
+
+// Add records an event.
+func (r *Ring) Add(kind, request, format string, args ...any) {
+	if r == nil {
+		return
+	}
+	detail := fmt.Sprintf(format, args...)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := Event{Stamp: r.tick(), Host: r.Host, Process: r.Process, Kind: kind, Request: request, Detail: detail}
+	if len(r.events) < r.Size {
+		r.events = append(r.events, e)
+		return
+	}
+	r.events[r.next] = e
+	r.next = (r.next + 1) % r.Size
+}
+
+// Events returns the kept events of a request, or all if it is "", oldest
+// first.
+func (r *Ring) Events(request string) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var events []Event
+	for i := range r.events {
+		e := r.events[(r.next+i)%len(r.events)]
+		if request == "" || e.Request == request {
+			events = append(events, e)
+		}
+	}
+	return events
+}
+
+// Now returns a new stamp for a message.
+func (r *Ring) Now() Stamp {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tick()
+}
+
+// Witness moves the clock past a stamp on a received message.
+func (r *Ring) Witness(s Stamp) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.last.Before(s) {
+		r.last = s
+	}
+}
+
+func (r *Ring) tick() Stamp {
+	wall := time.Now().UnixMicro()
+	if wall > r.last.Micros {
+		r.last = Stamp{Micros: wall}
+	} else {
+		r.last.Count++
+	}
+	return r.last
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,155 @@
+#!/usr/bin/env bash
+# Starts the stand-ins, three gates and three entries as separate processes,
+# runs a query, a booking and a few operator commands, and stops everything
+# gracefully. The exit code is 0 only if all of it worked.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+work=$(mktemp -d)
+declare -A pids=()
+
+finish() {
+	code=$?
+	for name in "${!pids[@]}"; do
+		kill -KILL "${pids[$name]}" 2>/dev/null || true
+	done
+	if [ "$code" -ne 0 ]; then
+		echo "demo FAILED; last log lines:"
+		tail -n 5 "$work"/*.log || true
+	fi
+	rm -rf "$work"
+	exit "$code"
+}
+trap finish EXIT
+
+echo "== build"
+go build -o "$work/bin/" ./cmd/...
+ctl=("$work/bin/foxtailctl" --store 127.0.0.1:7501 --host-list 127.0.0.1:7502)
+
+hosts=""
+for i in 1 2 3; do
+	hosts+="{\"name\":\"host-$i\",\"data-center\":\"fi-south-$i\",\"entry-address\":\"127.0.0.1:710$i\",\"gate-address\":\"127.0.0.1:720$i\"},"
+	cat >"$work/gate-$i.jsonc" <<JSON
+{
+  "host": "host-$i", "data-center": "fi-south-$i",
+  "listen": "127.0.0.1:720$i", "entry-address": "127.0.0.1:710$i", "operations-listen": "127.0.0.1:740$i",
+  "store": "127.0.0.1:7501", "host-list": "127.0.0.1:7502",
+  "hedge-percent": 3, "warm-milliseconds": 5000, "log-level": "info",
+}
+JSON
+	cat >"$work/entry-$i.jsonc" <<JSON
+{
+  "host": "host-$i", "data-center": "fi-south-$i",
+  "listen": "127.0.0.1:710$i", "operations-listen": "127.0.0.1:730$i", "gate": "127.0.0.1:720$i",
+  "store": "127.0.0.1:7501", "host-list": "127.0.0.1:7502",
+  "address-time-to-live-milliseconds": 2000, "log-level": "info",
+}
+JSON
+done
+cat >"$work/standin.jsonc" <<JSON
+{
+  "operations-listen": "127.0.0.1:7500", "store": "127.0.0.1:7501", "host-list": "127.0.0.1:7502",
+  "host-lag-milliseconds": 1000, "hosts": [$hosts],
+  "catalog": "examples/velkaneuvo.jsonc", "version": 1, "log-level": "info",
+}
+JSON
+
+launch() { # name program
+	"$work/bin/$2" --settings "$work/$1.jsonc" 2>"$work/$1.log" &
+	pids[$1]=$!
+}
+
+await() { # what url: until the address answers
+	for _ in $(seq 100); do
+		if curl -fsS --max-time 1 "$2" >/dev/null 2>&1; then return 0; fi
+		sleep 0.1
+	done
+	echo "$1 is not ready"
+	return 1
+}
+
+expect() { # what pattern text
+	if ! grep -q -- "$2" <<<"$3"; then
+		echo "expected $1 ($2) in: $3"
+		return 1
+	fi
+}
+
+echo "== start"
+launch standin foxtail-standin
+await stand-ins http://127.0.0.1:7502/v1/hosts
+for i in 1 2 3; do launch "gate-$i" foxtail-gate; done
+for i in 1 2 3; do launch "entry-$i" foxtail-entry; done
+for i in 1 2 3; do
+	await "gate $i" "http://127.0.0.1:740$i/v1/readyz"
+	await "entry $i" "http://127.0.0.1:730$i/v1/readyz"
+done
+
+echo "== configure (dry run, then for good)"
+"${ctl[@]}" do --dry-run "apply file examples/velkaneuvo.jsonc" | tail -n 4
+"${ctl[@]}" do "apply file examples/velkaneuvo.jsonc" | tail -n 2
+"${ctl[@]}" do "show hosts"
+
+echo "== addresses"
+addresses=$(curl -fsS "http://127.0.0.1:7101/v1/addresses?data-center=fi-south-2")
+echo "$addresses"
+expect "the nearest entry first" '"addresses":\["127.0.0.1:7102"' "$addresses"
+
+ask() { # entry service body
+	curl -sS --max-time 10 -X POST "http://127.0.0.1:$1/v1/services/$2/requests" -d "$3"
+}
+
+echo "== a query over all ten shards"
+answer=""
+for _ in $(seq 50); do
+	answer=$(ask 7102 console '{"request-id":"demo-query","kind":"history-search","query":{"name":"Virtanen"}}')
+	if grep -q '"status":"complete"' <<<"$answer"; then break; fi
+	sleep 0.1
+done
+echo "$answer" | cut -c 1-220
+expect "a complete answer" '"status":"complete","coverage":1,"snapshot":{"version":1,"map":"m1"}' "$answer"
+[ "$(grep -o '"shard":"s[0-9]*",' <<<"$answer" | wc -l)" -eq 10 ]
+
+echo "== a booking, sent twice to different entries"
+first=$(ask 7101 booking-site '{"request-id":"demo-booking","kind":"booking","key":"2026-12-04T10:00","query":{"household":17}}')
+second=$(ask 7103 booking-site '{"request-id":"demo-booking","kind":"booking","key":"2026-12-04T10:00","query":{"household":17}}')
+echo "$first" | cut -c 1-160
+expect "a complete booking" '"status":"complete"' "$first"
+expect "the stored answer" '"from-earlier-run":true' "$second"
+runs=$(curl -fsS "http://127.0.0.1:21075/runs?service=booking-site&request=demo-booking")
+echo "runs on the upstreams: $runs"
+[ "$runs" -eq 1 ]
+
+echo "== state and time line"
+"${ctl[@]}" --plain do "show upstreams where service = booking-site"
+lines=$("${ctl[@]}" timeline --request demo-query \
+	--operations 127.0.0.1:7301,127.0.0.1:7302,127.0.0.1:7303,127.0.0.1:7401,127.0.0.1:7402,127.0.0.1:7403)
+grep -E 'admitted|pinned|answered' <<<"$lines"
+expect "ten shards in the time line" shard-done "$lines"
+
+echo "== stop gracefully while queries run"
+: >"$work/load"
+load() {
+	for n in $(seq 60); do
+		ask 7103 console "{\"kind\":\"history-search\",\"query\":{\"n\":$n}}" | grep -o '"status":"[a-z-]*"' >>"$work/load"
+		sleep 0.05
+	done
+}
+load &
+loader=$!
+for name in entry-1 gate-1 entry-2 gate-2; do kill -TERM "${pids[$name]}"; done
+wait "$loader"
+for name in entry-1 gate-1 entry-2 gate-2; do
+	wait "${pids[$name]}"
+	unset "pids[$name]"
+done
+echo "answers while two of three hosts left: $(sort "$work/load" | uniq -c | tr '\n' ' ')"
+[ "$(grep -c complete "$work/load")" -eq 60 ]
+for name in entry-3 gate-3 standin; do
+	kill -TERM "${pids[$name]}"
+	wait "${pids[$name]}"
+	unset "pids[$name]"
+done
+violations=$(cat "$work"/*.log | grep -c '"rule"' || true)
+[ "$violations" -eq 0 ]
+echo "demo OK: every request answered, every process stopped by itself, no invariant violated"
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,31 @@
+#!/usr/bin/env bash
+# Runs all tests with fixed seeds. Tests that KNOWN-RED.txt names may fail; they
+# are printed, and only they.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+output=$(mktemp)
+trap 'rm -f "$output"' EXIT
+status=0
+go test ./... -count=1 -timeout 110s "$@" 2>&1 | tee "$output" || status=$?
+known=$(grep -vE '^(#|$)' KNOWN-RED.txt | cut -d ' ' -f 1 || true)
+if [ -n "$known" ]; then
+	echo "known red, see KNOWN-RED.txt:"
+	echo "$known"
+fi
+[ "$status" -eq 0 ] && exit 0
+if grep -qE '^(panic:|FAIL.*\[build failed\]|.*WARNING: DATA RACE)' "$output"; then exit 1; fi
+failed=$(grep -E '^ *--- FAIL: ' "$output" | sed -E 's/^ *--- FAIL: ([^ ]+).*/\1/' | sort -u)
+[ -n "$failed" ] || exit 1
+for f in $failed; do
+	covered=no
+	for k in $known; do
+		# A parent test fails with its known red part.
+		case "$k" in "$f" | "$f"/*) covered=yes ;; esac
+	done
+	if [ "$covered" = no ]; then
+		echo "failed and not known red: $f"
+		exit 1
+	fi
+done
+echo "only known red tests failed"
