--- a/internal/booking/claim.go
+++ b/internal/booking/claim.go
@@ -137,13 +137,17 @@
 	// state is a state of claim.chart.json.
 	state    chart.State
 	deadline time.Time
-	reads    int
-	actions  []Action
+	// free is set once it is known that no earlier run of the request was
+	// started; only then a refusal may say that it was not run.
+	free    bool
+	reads   int
+	actions []Action
 }
 
-// New returns a claim and its first actions.
-func New(nonce, digest string, deadline time.Time) (*Claim, []Action) {
-	c := &Claim{nonce: nonce, digest: digest, deadline: deadline, state: claimChart.Initial()}
+// New returns a claim and its first actions. First is set if the caller says
+// that it never sent the request before.
+func New(nonce, digest string, deadline time.Time, first bool) (*Claim, []Action) {
+	c := &Claim{nonce: nonce, digest: digest, deadline: deadline, state: claimChart.Initial(), free: first}
 	c.emit(Write{Record: c.record(PhaseClaimed, nil)})
 	return c, c.actions
 }
@@ -195,6 +199,7 @@
 		return
 	}
 	if e.Err == nil && e.Written {
+		c.free = true
 		c.run(now)
 		return
 	}
@@ -225,8 +230,12 @@
 // giveUp ends a request that was not run by this claim. The claim may stand in
 // the service, so it is taken back in the background.
 func (c *Claim) giveUp(reason string) {
+	outcome := Unknown
+	if c.free {
+		outcome = NotRun
+	}
 	c.emit(Settle{Record: c.record(PhaseReleased, nil)})
-	c.answer(Answer{Outcome: NotRun, Reason: reason})
+	c.answer(Answer{Outcome: outcome, Reason: reason})
 }
 
 func (c *Claim) read(now time.Time, e Read) {
@@ -237,12 +246,15 @@
 	case e.Err != nil:
 		c.readAgain(now)
 	case e.Revision == 0:
+		c.free = true
 		c.rewrite(now, 0)
 	case e.Record.Nonce == c.nonce && e.Record.Phase == PhaseClaimed:
+		c.free = true
 		c.run(now)
 	case e.Record.Digest != c.digest:
 		c.answer(Answer{Outcome: Conflicting, Reason: "the request id was used for another request"})
 	case e.Record.Phase == PhaseReleased:
+		c.free = true
 		c.rewrite(now, e.Revision)
 	case e.Record.Phase == PhaseDone:
 		c.answer(Answer{Outcome: Ran, Body: e.Record.Answer, Stored: true})
--- a/internal/entry/book.go
+++ b/internal/entry/book.go
@@ -44,7 +44,7 @@
 func (e *Entry) book(ctx context.Context, r *request) AnswerDocument {
 	b := &bookingRun{entry: e, request: r, key: booking.Key(r.service.Name(), r.id)}
 	var actions []booking.Action
-	b.claim, actions = booking.New(uuid.NewString(), fmt.Sprintf("%016x", r.fingerprint), r.deadline)
+	b.claim, actions = booking.New(uuid.NewString(), fmt.Sprintf("%016x", r.fingerprint), r.deadline, r.first)
 	b.perform(ctx, actions)
 	return *b.document
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -31,6 +31,9 @@
 	Key                  string          `json:"key,omitempty"`
 	DeadlineMilliseconds int64           `json:"deadline-milliseconds,omitempty"`
 	Query                json.RawMessage `json:"query,omitempty"`
+	// FirstSending says that the request id was never sent before, so that
+	// a refusal may say more.
+	FirstSending bool `json:"first-sending,omitempty"`
 }
 
 // An AnswerDocument is the JSON of an answer.
@@ -77,6 +80,8 @@
 	deadline    time.Time
 	body        []byte
 	fingerprint uint64
+	// first is set if the caller never sent the request before.
+	first bool
 }
 
 // Error implements error.
@@ -141,7 +146,7 @@
 	if !kind.Idempotent() && d.RequestID == "" {
 		return nil, &BadRequestError{Status: statusBadRequest, Field: "request-id", Problem: "must be given for kinds that are not idempotent"}
 	}
-	r := &request{id: d.RequestID, service: s, kind: kind, key: d.Key, deadline: now.Add(kind.Deadline()), body: d.Query}
+	r := &request{id: d.RequestID, service: s, kind: kind, key: d.Key, deadline: now.Add(kind.Deadline()), body: d.Query, first: d.FirstSending}
 	if r.id == "" {
 		r.id = uuid.NewString()
 	}
--- a/internal/gate/membership.go
+++ b/internal/gate/membership.go
@@ -86,7 +86,12 @@
 func (g *Gate) exchange(ctx context.Context, target roster.Member) bool {
 	ctx, cancel := context.WithTimeout(ctx, roster.ProbeTimeout)
 	defer cancel()
-	reply, err := g.Gates.Exchange(ctx, target.GateAddress(), g.exchangeRequest(nil))
+	request := g.exchangeRequest(nil)
+	if target.State() == roster.Suspect || target.State() == roster.Dead {
+		// The target must hear what is said of it, to contradict.
+		request.Rumours = append(request.Rumours, encodeMember(target))
+	}
+	reply, err := g.Gates.Exchange(ctx, target.GateAddress(), request)
 	if err != nil || reply.GetSender().GetHost() != target.Host() {
 		return false
 	}
--- a/internal/operator/change.go
+++ b/internal/operator/change.go
@@ -299,3 +299,10 @@
 	}
 	return unable
 }
+
+// Replace returns the change that puts one service in place.
+func Replace(base *catalog.Catalog, s *catalog.Service) *Change {
+	c := &Change{base: base.Revision()}
+	c.replace(base, s)
+	return c
+}
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -5,7 +5,7 @@
 import "time"
 
 const (
-	// crashesToQuarantine is how many upstreams one request may crash.
+	// crashesToQuarantine is how often one request may crash an upstream.
 	crashesToQuarantine = 2
 	// suspicionTime is how long a first crash is remembered.
 	suspicionTime = 10 * time.Minute
@@ -50,8 +50,9 @@
 }
 
 type suspect struct {
-	// crashed holds the upstreams that died running the request.
-	crashed map[string]bool
+	// crashes counts how often an upstream died running the request. The same
+	// upstream counts again: it may have been restarted in between.
+	crashes int
 	// trialUntil is in the future while one further try may be running.
 	trialUntil time.Time
 	// until is when the entry is forgotten.
@@ -90,11 +91,11 @@
 			continue
 		}
 		s.trialUntil = now.Add(trialTime)
-		if mass && len(s.crashed) > 0 {
+		if mass && s.crashes > 0 {
 			continue
 		}
-		s.crashed[upstream] = true
-		if len(s.crashed) < crashesToQuarantine || s.quarantined {
+		s.crashes++
+		if s.crashes < crashesToQuarantine || s.quarantined {
 			continue
 		}
 		s.quarantined = true
@@ -181,7 +182,7 @@
 	if len(l.suspects) >= maxSuspects {
 		return nil
 	}
-	s := &suspect{crashed: make(map[string]bool), until: now.Add(suspicionTime)}
+	s := &suspect{until: now.Add(suspicionTime)}
 	l.suspects[fingerprint] = s
 	return s
 }
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,75 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func member(host string, incarnation uint64) Member {
+	return NewMember(host, "attiki-1", host+":1", host+":2", incarnation, Alive)
+}
+
+func TestDeadStayDeadWhenNobodyElseIsThere(t *testing.T) {
+	c := qt.New(t)
+	r := New(member("a", 1), 1)
+	r.Step(start, Heard{Sender: member("b", 1)})
+	now := start
+	for range 100 {
+		now = now.Add(ProbePeriod)
+		for _, action := range r.Step(now, Tick{}) {
+			if p, ok := action.(Probe); ok {
+				r.Step(now, ProbeEnded{Host: p.Target.Host()})
+			}
+		}
+		if now.Sub(start) > 2*ProbePeriod+SuspicionTime && now.Sub(start) < TombstoneTime {
+			c.Assert(r.Members()[1].State(), qt.Equals, Dead)
+		}
+	}
+}
+
+func TestRumours(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		old     Member
+		rumour  Member
+		want    Member
+		mustSay bool
+	}{
+		{"suspicion of the same incarnation counts", member("b", 1), member("b", 1).With(Suspect, 1), member("b", 1).With(Suspect, 1), false},
+		{"life of the same incarnation does not clear suspicion", member("b", 1).With(Suspect, 1), member("b", 1), member("b", 1).With(Suspect, 1), false},
+		{"a new incarnation clears suspicion", member("b", 1).With(Suspect, 1), member("b", 2), member("b", 2), false},
+		{"an old incarnation says nothing", member("b", 5), member("b", 4).With(Dead, 4), member("b", 5), false},
+		{"a rumour about oneself is contradicted", member("b", 1), member("a", 9).With(Dead, 9), member("b", 1), true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := New(member("a", 3), 1)
+			r.Step(start, Heard{Sender: test.old})
+			r.Step(start, Heard{Rumours: []Member{test.rumour}})
+			c.Check(r.Members()[1], qt.Equals, test.want)
+			if test.mustSay {
+				c.Check(r.Self().Incarnation(), qt.Equals, uint64(10))
+				c.Check(r.Self().State(), qt.Equals, Alive)
+			}
+		})
+	}
+}
+
+func TestOwnershipMovesOnlyWhatItMust(t *testing.T) {
+	c := qt.New(t)
+	o := NewOwnership()
+	for _, h := range []string{"a", "b", "c", "d", "e", "f"} {
+		o.Add(h)
+	}
+	before := o.owners
+	o.Add("g")
+	for b, owner := range o.owners {
+		c.Assert(owner == before[b] || owner == "g", qt.IsTrue)
+	}
+	o.Remove("g")
+	c.Check(o.owners, qt.Equals, before)
+}
