--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,9 @@
 	viewPeriod = 250 * time.Millisecond
 	// cutOffAfter is how long an entry serves without news from any gate.
 	cutOffAfter = 3 * time.Second
+	// withdrawTime is how long other entries may take to learn that this one
+	// withdrew; until then they still tell callers its address.
+	withdrawTime = 3 * time.Second
 	// DefaultAddressTime is how long callers may keep the address answer.
 	DefaultAddressTime = 10 * time.Second
 )
@@ -82,7 +85,7 @@
 	e.leaving = true
 	e.mu.Unlock()
 	e.refreshView(ctx)
-	sleep(ctx, e.AddressTime)
+	sleep(ctx, withdrawTime+e.AddressTime)
 	done := make(chan struct{})
 	e.group.Go(func() {
 		e.inFlight.Wait()
--- a/internal/entry/httpapi.go
+++ b/internal/entry/httpapi.go
@@ -114,6 +114,12 @@
 }
 
 func (e *Entry) handleAddresses(w http.ResponseWriter, r *http.Request) {
+	if reason := e.Ready(); reason != "" {
+		// An entry without news may know addresses that are gone.
+		w.Header().Set("Retry-After", "1")
+		writeJSON(w, http.StatusServiceUnavailable, FaultDocument{Field: "addresses", Problem: reason})
+		return
+	}
 	writeJSON(w, http.StatusOK, e.Addresses(r.URL.Query().Get("data-center")))
 }
 
--- a/internal/fleettest/caller.go
+++ b/internal/fleettest/caller.go
@@ -17,8 +17,6 @@
 // A Caller sends requests and checks what must hold for every answer.
 type Caller struct {
 	fleet *Fleet
-	// known holds the addresses that the caller was told last.
-	known []string
 	// Broken holds a line for each broken promise.
 	Broken []string
 }
@@ -72,6 +70,28 @@
 	return last
 }
 
+// AskAround sends a request as a real caller does: to the addresses it was told,
+// for as long as it may keep them, and to the next one if an entry is lost.
+func (c *Caller) AskAround(d entry.RequestDocument, tries int) Response {
+	var last Response
+	for i := range tries {
+		n := c.fleet.addressed(i)
+		if n == nil {
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		last = c.Ask(n, d)
+		if last.Lost && n.left() {
+			c.broke("request %s was cut off by the planned stop of %s, answer of %s", d.RequestID, n.Name, c.fleet.toldBy)
+		}
+		if !last.Lost && last.Answer.Status == "complete" {
+			return last
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return last
+}
+
 // CheckEnd checks what must hold once all requests have ended.
 func (c *Caller) CheckEnd(bookings []string) {
 	for _, id := range bookings {
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -65,6 +65,11 @@
 	nodes  []*Node
 	byAddr map[string]*standin.Upstream
 	random *rand.Rand
+	// addresses are what callers were told last, and until when they keep it.
+	addresses      []string
+	addressesUntil time.Time
+	// toldBy is who told them and when.
+	toldBy string
 	group  work.Group
 	log    logrus.FieldLogger
 }
@@ -77,6 +82,8 @@
 	Ring  *timeline.Ring
 
 	fleet *Fleet
+	// leftGracefully is set if the host stopped on purpose.
+	leftGracefully bool
 	// stop ends both processes; dead is closed then.
 	stop context.CancelFunc
 	dead chan struct{}
@@ -277,10 +284,44 @@
 		both.Go(func() { n.Entry.Leave(n.ctx) })
 		both.Go(func() { n.Gate.Leave(n.ctx) })
 		both.Wait()
+		n.fleet.mu.Lock()
+		n.leftGracefully = !n.Dead()
+		n.fleet.mu.Unlock()
 		n.Kill()
 	})
 }
 
+func (n *Node) left() bool {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return n.leftGracefully
+}
+
+// addressed returns an entry from the address answer that callers share and
+// keep for its time to live; skip passes over the first ones.
+func (f *Fleet) addressed(skip int) *Node {
+	nodes := slices.DeleteFunc(f.Nodes(), func(n *Node) bool { return n.Entry.Ready() != "" })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now := time.Now(); now.After(f.addressesUntil) && len(nodes) > 0 {
+		asked := nodes[f.random.IntN(len(nodes))]
+		answer := asked.Entry.Addresses("attiki-1")
+		f.toldBy = fmt.Sprintf("%s at %s", asked.Name, now.Format("05.000"))
+		f.addresses = answer.Addresses
+		f.addressesUntil = now.Add(time.Duration(answer.TimeToLiveMilliseconds) * time.Millisecond)
+	}
+	if len(f.addresses) == 0 {
+		return nil
+	}
+	address := f.addresses[(f.random.IntN(len(f.addresses))+skip)%len(f.addresses)]
+	for _, n := range f.nodes {
+		if "entry@"+n.Name == address {
+			return n
+		}
+	}
+	return nil
+}
+
 func (f *Fleet) publishHosts() {
 	var hosts []hostlist.Host
 	for _, n := range f.Nodes() {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -75,7 +75,6 @@
 	// firstChange.
 	changes     []roster.Member
 	firstChange uint64
-	leaving     bool
 
 	inFlight sync.WaitGroup
 	start    sync.Once
@@ -120,15 +119,7 @@
 	g.init()
 	g.Timeline.Add("leave", "", "gate withdraws")
 	g.rosterStep(roster.Leave{})
-	g.rosterMu.Lock()
-	g.leaving = true
-	members := g.roster.Members()
-	g.rosterMu.Unlock()
-	for i, m := range members {
-		if m.Host() != g.Self.Host() && m.Owns() && i < farewells {
-			g.group.Go(func() { g.exchange(ctx, m) })
-		}
-	}
+	g.announce(ctx)
 	wait(ctx, leaveTime)
 	done := make(chan struct{})
 	g.group.Go(func() {
@@ -141,8 +132,18 @@
 	}
 }
 
-// farewells is how many members a leaving gate tells directly.
-const farewells = 64
+// announcements is how many members hear of a change of this host directly; the
+// others hear it from them.
+const announcements = 64
+
+// announce tells other members at once what changed here.
+func (g *Gate) announce(ctx context.Context) {
+	for i, m := range g.Members() {
+		if m.Host() != g.Self.Host() && m.Owns() && i < announcements {
+			g.group.Go(func() { g.exchange(ctx, m) })
+		}
+	}
+}
 
 func (g *Gate) init() {
 	g.start.Do(func() {
--- a/internal/gate/membership.go
+++ b/internal/gate/membership.go
@@ -32,7 +32,7 @@
 	}
 	g.rosterStep(heard)
 	if request.GetFromEntry() {
-		g.rosterStep(roster.EntryMoved{Address: g.entryAddress(request.GetEntryLeaving())})
+		g.entryMoved(g.entryAddress(request.GetEntryLeaving()))
 	}
 	g.acceptNotices(request.GetNotices())
 	reply := &wire.ExchangeReply{Notices: g.notices(), Revision: g.follower.Current().Revision()}
@@ -62,6 +62,18 @@
 	reply.Rumours = encodeMembers(g.changes[known-g.firstChange+1:])
 }
 
+// entryMoved takes what the entry of this host says of itself.
+func (g *Gate) entryMoved(address string) {
+	g.rosterMu.Lock()
+	moved := g.roster.Self().EntryAddress() != address
+	g.rosterMu.Unlock()
+	if !moved {
+		return
+	}
+	g.rosterStep(roster.EntryMoved{Address: address})
+	g.announce(context.Background())
+}
+
 // entryAddress returns where callers find the entry of this host.
 func (g *Gate) entryAddress(leaving bool) string {
 	if leaving {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -73,3 +73,12 @@
 	o.Remove("g")
 	c.Check(o.owners, qt.Equals, before)
 }
+
+func TestListedHostThatNeverAnsweredOwnsNothing(t *testing.T) {
+	c := qt.New(t)
+	r := New(member("a", 1), 1)
+	r.Step(start, HostsListed{Hosts: []Member{member("gone", 0)}})
+	r.Step(start, ProbeEnded{Host: "gone"})
+	r.Step(start, ProbeEnded{Host: "gone", Indirect: true})
+	c.Check(r.Members()[1].Owns(), qt.IsFalse)
+}
