--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -47,6 +47,9 @@
 	Goal                           catalog.Goal
 	Canary                         catalog.Canary
 	RunTime                        func(*rand.Rand) time.Duration
+	// Direct makes each host a fleet of its own over the same upstreams, as if
+	// entries dialled them directly.
+	Direct bool
 	// Delay is the time of one message between hosts.
 	Delay time.Duration
 }
@@ -195,6 +198,10 @@
 	ctx, stop := context.WithCancel(context.Background())
 	n := &Node{Name: name, fleet: f, ctx: ctx, stop: stop, dead: make(chan struct{}), Ring: &timeline.Ring{Host: name, Process: "host", Size: timelineSize}}
 	link := &link{network: f.Network, from: name}
+	hosts := f.HostList
+	if f.Options.Direct {
+		hosts = &standin.Hosts{}
+	}
 	store := &nodeStore{Store: f.Store, network: f.Network, from: name}
 	incarnation := uint64(time.Now().UnixMicro())
 	seed := f.Options.Seed*100 + uint64(number)
@@ -202,14 +209,14 @@
 	options.Seed = seed
 	n.Gate = &gate.Gate{
 		Self:  roster.NewMember(name, fmt.Sprintf("attiki-%d", number%3+1), "gate@"+name, "entry@"+name, incarnation, roster.Alive),
-		Store: store, Hosts: f.HostList, Gates: link, Options: options, Recorder: f.Recorder, Timeline: n.Ring,
+		Store: store, Hosts: hosts, Gates: link, Options: options, Recorder: f.Recorder, Timeline: n.Ring,
 		Metrics: gate.NewMetrics(prometheus.NewRegistry()), Log: f.log, Seed: seed,
 		NewClient: func(u catalog.UpstreamSpec) upstream.Client {
 			return f.Network.track(&remoteUpstream{upstream: f.byAddr[u.Address], network: f.Network, node: n})
 		},
 	}
 	n.Entry = &entry.Entry{
-		Host: name, DataCenter: "attiki-1", Address: "entry@" + name, LocalGate: "gate@" + name, Store: store, Hosts: f.HostList,
+		Host: name, DataCenter: "attiki-1", Address: "entry@" + name, LocalGate: "gate@" + name, Store: store, Hosts: hosts,
 		Gates: link, Recorder: f.Recorder, Timeline: n.Ring, Metrics: entry.NewMetrics(prometheus.NewRegistry()), Log: f.log,
 		AddressTime: 2 * time.Second, NoAdmission: f.Options.NoAdmission, Seed: seed,
 	}
--- a/internal/shard/ended.go
+++ b/internal/shard/ended.go
@@ -49,6 +49,7 @@
 	case ResultAnswered:
 		g.latency.add(now, took)
 		r.observe(took, false)
+		r.adapt(took)
 		r.pausedUntil = time.Time{}
 		g.learnSigns(now, r, e)
 	case ResultAborted:
--- a/internal/shard/group.go
+++ b/internal/shard/group.go
@@ -202,6 +202,9 @@
 
 func (g *Group) allowed(now time.Time, r *replica) int {
 	n := r.allowed(now, g.options.WarmWindow)
+	if g.options.AdaptiveLimit {
+		n = min(n, int(r.limit))
+	}
 	if now.Before(g.fullFrom) {
 		n = min(n, 1)
 	}
--- a/internal/shard/options.go
+++ b/internal/shard/options.go
@@ -24,6 +24,10 @@
 	HedgeDelay time.Duration
 	// Burst is how many extra attempts may come at once.
 	Burst float64
+	// AdaptiveLimit learns how many slots to use from the run times, for an
+	// owner that shares its upstreams with others it does not know of. It is
+	// the baseline that owned groups are measured against.
+	AdaptiveLimit bool
 	// NoAdmission accepts jobs that cannot be done by their deadline.
 	NoAdmission bool
 	// WarmWindow is how long a cold upstream takes to get all its slots.
@@ -61,6 +65,10 @@
 	maxRetryAfter = 5 * time.Second
 	// maxSkipped is how many queued jobs are passed over in one search.
 	maxSkipped = 8
+	// limitFactor (times the best run time) is from when the adaptive limit
+	// shrinks by limitShrink.
+	limitFactor = 2.5
+	limitShrink = 0.9
 	// initialServiceTime is assumed until attempts were seen.
 	initialServiceTime = 10 * time.Millisecond
 )
--- a/internal/shard/replica.go
+++ b/internal/shard/replica.go
@@ -45,13 +45,17 @@
 	versions map[snapshot.Version]bool
 	// gone holds when the upstream itself said a version is gone.
 	gone map[snapshot.Version]time.Time
+	// limit is the adaptive limit in slots, between 1 and those of spec.
+	limit float64
+	// best is the shortest average run time seen, in microseconds.
+	best float64
 	// hinted is true if only a health report said it is draining.
 	hinted bool
 }
 
 func newReplica(spec catalog.UpstreamSpec, now time.Time) *replica {
 	r := &replica{
-		spec: spec, state: replicaChart.Initial(), since: now, probePause: probeFirst,
+		spec: spec, state: replicaChart.Initial(), since: now, probePause: probeFirst, limit: 1,
 		versions: make(map[snapshot.Version]bool), gone: make(map[snapshot.Version]time.Time),
 	}
 	if spec.Drain {
@@ -114,6 +118,20 @@
 	r.mean += meanWeight * (micros - r.mean)
 }
 
+// adapt changes the adaptive limit after a run: it grows by one slot for each
+// slot's worth of fast runs, and shrinks with each slow one.
+func (r *replica) adapt(d time.Duration) {
+	micros := float64(d.Microseconds())
+	if r.best == 0 || r.mean < r.best {
+		r.best = r.mean
+	}
+	if micros > limitFactor*r.best {
+		r.limit = max(1, r.limit*limitShrink)
+		return
+	}
+	r.limit = min(float64(r.spec.Slots), r.limit+1/r.limit)
+}
+
 // score orders replicas; the lowest gets the next job.
 func (r *replica) score() float64 {
 	return (r.mean + 1) * float64(r.running+1) / float64(r.spec.Slots)
