Hedges: judge the load on average, not in the moment

Ruled out: the delay (quantile 97.6 of the run times, as wanted). Change: a moving average of the load; full budget up to 0.9, none from 1.2.

--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -8,10 +8,13 @@
 )
 
 const (
-	// hedgeLoadFull and hedgeLoadNone are the loads, as shares of all slots,
-	// up to which hedges get their whole budget and from which they get none.
-	hedgeLoadFull = 0.7
-	hedgeLoadNone = 1.0
+	// hedgeLoadFull and hedgeLoadNone are the average loads, as shares of all
+	// slots, up to which hedges get their whole budget and from which they
+	// get none.
+	hedgeLoadFull = 0.9
+	hedgeLoadNone = 1.2
+	// loadWeight is the weight of one start in the average load.
+	loadWeight = 0.01
 )
 
 // pump starts as many queued jobs as there is room for.
@@ -205,18 +208,16 @@
 // hedgeMargin keeps part of the budget for retries.
 const hedgeMargin = 0.8
 
-// hedgeShare shrinks what planned attempts earn as the slots fill.
+// hedgeShare shrinks what planned attempts earn as the slots fill on average:
+// short bursts are when hedges are needed.
 func (g *Group) hedgeShare(now time.Time) float64 {
-	slots, running := 0, 0
-	for _, r := range g.replicas {
-		slots += g.allowed(now, r)
-		running += r.running
-	}
+	slots, running := g.load(now)
 	if slots == 0 {
 		return 0
 	}
 	load := float64(running+g.queueLength()) / float64(slots)
-	return min(max((hedgeLoadNone-load)/(hedgeLoadNone-hedgeLoadFull), 0), 1)
+	g.averageLoad += loadWeight * (load - g.averageLoad)
+	return min(max((hedgeLoadNone-g.averageLoad)/(hedgeLoadNone-hedgeLoadFull), 0), 1)
 }
 
 // wakeHedges queues a second attempt for those that are late.
