Hedges: the same budget at every load

Cause: the budget shrank as the load grew, so that stragglers kept slots ten times as long just when slots were scarce. A hedge that wins frees the straggler's slot. Ruled out: that hedges at a high load cost more than they bring: at 90% the extra attempts are 1.5% to 1.8%, and the work falls. Change: 3% of planned attempts at every load; less code.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -17,9 +17,9 @@
 	return &Budget{ratio: ratio, burst: burst, tokens: burst}
 }
 
-// Earn adds the share of one planned attempt, scaled by factor (0 to 1).
-func (b *Budget) Earn(factor float64) {
-	b.tokens = min(b.burst, b.tokens+b.ratio*factor)
+// Earn adds the share of one planned attempt.
+func (b *Budget) Earn() {
+	b.tokens = min(b.burst, b.tokens+b.ratio)
 }
 
 // Spend takes a token and reports whether there was one.
--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -7,16 +7,6 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
 )
 
-const (
-	// hedgeLoadFull and hedgeLoadNone are the average loads, as shares of all
-	// slots, up to which hedges get their whole budget and from which they
-	// get none.
-	hedgeLoadFull = 0.9
-	hedgeLoadNone = 1.2
-	// loadWeight is the weight of one start in the average load.
-	loadWeight = 0.01
-)
-
 // pump starts as many queued jobs as there is room for.
 func (g *Group) pump(now time.Time) {
 	g.dropLate(now)
@@ -173,7 +163,7 @@
 	g.recorder.Check(j.Idempotent || j.unrefuted == 0, invariant.SingleAttempt, "job %d of shard %s", j.ID, j.ShardPath)
 	g.queue.started(j)
 	if j.started == 0 {
-		g.extra.Earn(g.hedgeShare(now))
+		g.extra.Earn()
 	}
 	if delay, ok := g.hedgeDelay(); ok && j.Idempotent && !j.hedged && j.broken == 0 {
 		a.hedgeAt = now.Add(delay)
@@ -208,18 +198,6 @@
 // hedgeMargin keeps part of the budget for retries.
 const hedgeMargin = 0.8
 
-// hedgeShare shrinks what planned attempts earn as the slots fill on average:
-// short bursts are when hedges are needed.
-func (g *Group) hedgeShare(now time.Time) float64 {
-	slots, running := g.load(now)
-	if slots == 0 {
-		return 0
-	}
-	load := float64(running+g.queueLength()) / float64(slots)
-	g.averageLoad += loadWeight * (load - g.averageLoad)
-	return min(max((hedgeLoadNone-g.averageLoad)/(hedgeLoadNone-hedgeLoadFull), 0), 1)
-}
-
 // wakeHedges queues a second attempt for those that are late.
 func (g *Group) wakeHedges(now time.Time) {
 	var due []*attempt
--- a/internal/shard/group.go
+++ b/internal/shard/group.go
@@ -30,8 +30,6 @@
 	latency  *latency
 	last     AttemptID
 	starts   int
-	// averageLoad is a moving average of wanted over present slots.
-	averageLoad float64
 	// fullFrom is when the former owner surely uses no slot any more.
 	fullFrom time.Time
 	actions  []Action
