Admission: half the time may be spent in queues; count the urgent work to come

Cause: at 1.5 times capacity requests were let in until the wait reached the deadline, so that one of ten shards dropped its part and the other nine had worked for nothing; and waits of ordinary work left out the urgent work still to come. Ruled out: stale waits at the entries (replies come every few ms). Change: an entry admits up to half of the time left; a wait is stretched by the share of more urgent starts.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -15,6 +15,10 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
 )
 
+// admittedWait is the share of its time that a request may wait in queues; the
+// rest is for the differences between shards and for the run.
+const admittedWait = 0.5
+
 // suspicionTime is how long after a crash services with the setting
 // "after-crash" ask one shard first.
 const suspicionTime = 10 * time.Minute
@@ -56,9 +60,11 @@
 	return n.loop(ctx, plan)
 }
 
-// refuses reports whether a request cannot be done by its deadline.
+// refuses reports whether a request would wait for so much of its time that one
+// of its shards is likely to miss the deadline.
 func (e *Entry) refuses(r *request, wait time.Duration) bool {
-	return !e.NoAdmission && wait > 0 && time.Now().Add(wait).After(r.deadline)
+	limit := time.Duration(admittedWait * float64(time.Until(r.deadline)))
+	return !e.NoAdmission && wait > limit
 }
 
 // plan pins a request to a version, other than one that is gone.
--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/catalog"
 	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
 )
 
@@ -164,6 +165,7 @@
 	g.queue.started(j)
 	if j.started == 0 {
 		g.extra.Earn()
+		g.countStart(j.Urgency.Bounded())
 	}
 	if delay, ok := g.hedgeDelay(); ok && j.Idempotent && !j.hedged && j.broken == 0 {
 		a.hedgeAt = now.Add(delay)
@@ -183,6 +185,14 @@
 	})
 }
 
+// countStart keeps the shares of the urgencies in recent starts.
+func (g *Group) countStart(u catalog.Urgency) {
+	for c := range g.startShares {
+		g.startShares[c] *= 1 - startWeight
+	}
+	g.startShares[u] += startWeight
+}
+
 // hedgeDelay returns how late an attempt is before a second one is wanted:
 // the quantile that fewer attempts pass than the budget pays for.
 func (g *Group) hedgeDelay() (time.Duration, bool) {
--- a/internal/shard/group.go
+++ b/internal/shard/group.go
@@ -30,6 +30,8 @@
 	latency  *latency
 	last     AttemptID
 	starts   int
+	// startShares is the recent share of each urgency in all starts.
+	startShares [catalog.Urgencies]float64
 	// fullFrom is when the former owner surely uses no slot any more.
 	fullFrom time.Time
 	actions  []Action
@@ -178,7 +180,18 @@
 	if before <= 0 {
 		return 0
 	}
-	return g.latency.average() * time.Duration(before) / time.Duration(slots)
+	share := max(minShare, 1-g.moreUrgentShare(u))
+	return time.Duration(float64(g.latency.average()) * float64(before) / float64(slots) / share)
+}
+
+// moreUrgentShare returns the share of recent starts that were more urgent: a
+// queued job waits for those still to come as well.
+func (g *Group) moreUrgentShare(u catalog.Urgency) float64 {
+	share := 0.0
+	for c := catalog.Urgent; c < u; c++ {
+		share += g.startShares[c]
+	}
+	return share
 }
 
 // load returns the slots of the usable replicas and how many are taken.
--- a/internal/shard/options.go
+++ b/internal/shard/options.go
@@ -69,6 +69,10 @@
 	// shrinks by limitShrink.
 	limitFactor = 2.5
 	limitShrink = 0.9
+	// startWeight is the weight of one start in the shares of the urgencies.
+	startWeight = 1.0 / 256
+	// minShare bounds how much more urgent work stretches a wait.
+	minShare = 0.1
 	// initialServiceTime is assumed until attempts were seen.
 	initialServiceTime = 10 * time.Millisecond
 )
