--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -49,10 +49,14 @@
 }
 
 // Assemble builds the catalog of a head; document returns the document with a
-// hash.
-func Assemble(head Head, document func(hash string) ([]byte, error)) (*Catalog, error) {
-	c := &Catalog{head: head, services: make(map[string]*Service)}
+// hash. Services that base holds already, which may be nil, are taken from it.
+func Assemble(head Head, base *Catalog, document func(hash string) ([]byte, error)) (*Catalog, error) {
+	c := &Catalog{head: head, services: make(map[string]*Service, len(head.Services))}
 	for _, name := range slices.Sorted(maps.Keys(head.Services)) {
+		if s, ok := base.unchanged(name, head.Services[name]); ok {
+			c.services[name] = s
+			continue
+		}
 		data, err := document(head.Services[name])
 		if err != nil {
 			return nil, fmt.Errorf("document of service %s: %w", name, err)
@@ -105,6 +109,30 @@
 	return services
 }
 
+// unchanged returns the service if the catalog holds it with this hash.
+func (c *Catalog) unchanged(name, hash string) (*Service, bool) {
+	if c == nil || c.head.Services[name] != hash {
+		return nil, false
+	}
+	return c.Service(name)
+}
+
+// Changed returns the services that other has not or has differently, and the
+// names of those that only other has.
+func (c *Catalog) Changed(other *Catalog) (put []*Service, removed []string) {
+	for _, s := range c.Services() {
+		if _, same := other.unchanged(s.Name(), c.head.Services[s.Name()]); !same {
+			put = append(put, s)
+		}
+	}
+	for _, s := range other.Services() {
+		if _, ok := c.services[s.Name()]; !ok {
+			removed = append(removed, s.Name())
+		}
+	}
+	return put, removed
+}
+
 // With returns the catalog after one change: services to put and names to
 // remove.
 func (c *Catalog) With(changeID string, put []*Service, remove []string) *Catalog {
--- a/internal/entry/httpapi.go
+++ b/internal/entry/httpapi.go
@@ -63,10 +63,7 @@
 	defer e.inFlight.Done()
 	startAt := time.Now()
 	if reason := e.Ready(); reason != "" {
-		return AnswerDocument{
-			RequestID: d.RequestID, Status: string(query.NotRun), Reason: reason,
-			RetryAfterMilliseconds: viewPeriod.Milliseconds(), Results: []ResultDocument{}, Missing: []string{},
-		}, nil
+		return e.notReady(service, d, reason), nil
 	}
 	r, err := e.accept(service, d, startAt)
 	if err != nil {
@@ -79,6 +76,25 @@
 	return answer, nil
 }
 
+// notReady refuses a request. Whether it ran when it was sent before cannot be
+// known here, so only what may run twice or was never sent is called not run.
+func (e *Entry) notReady(service string, d RequestDocument, reason string) AnswerDocument {
+	answer := AnswerDocument{
+		RequestID: d.RequestID, Status: string(query.Unknown), Reason: reason,
+		RetryAfterMilliseconds: viewPeriod.Milliseconds(), Results: []ResultDocument{}, Missing: []string{},
+	}
+	if s, ok := e.follower.Current().Service(service); ok {
+		kind, known := s.Kind(d.Kind)
+		if known && kind.Idempotent() {
+			answer.Status = string(query.NotRun)
+		}
+	}
+	if d.FirstSending {
+		answer.Status = string(query.NotRun)
+	}
+	return answer
+}
+
 // Addresses returns the entries that a caller of a data centre may use.
 func (e *Entry) Addresses(dataCenter string) AddressesDocument {
 	e.init()
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -146,7 +146,7 @@
 	reply, err := e.Gates.Exchange(ctx, address, &wire.ExchangeRequest{
 		AllMembers: true, View: number, ViewIncarnation: incarnation, FromEntry: local, EntryLeaving: leaving,
 	})
-	if err != nil {
+	if err != nil || reply.GetCutOff() {
 		return false
 	}
 	e.view.apply(address, reply)
--- a/internal/fleettest/faults.go
+++ b/internal/fleettest/faults.go
@@ -51,6 +51,7 @@
 		{Name: "gate-cut-in", Inject: cutOwner(true, false), Heal: heal},
 		{Name: "gate-cut-out", Inject: cutOwner(false, true), Heal: heal},
 		{Name: "gate-cut-off", Inject: cutOwner(true, true), Heal: heal},
+		{Name: "host-cut-off", Inject: cutOffOwner, Heal: heal},
 		{Name: "entry-killed", Inject: func(f *Fleet) { f.Asked().Kill() }},
 		{Name: "entry-leaves", Inject: func(f *Fleet) { f.Asked().Leave() }},
 		{Name: "host-joins", Inject: func(f *Fleet) { f.AddNode("host-new"); f.publishHosts() }},
@@ -108,6 +109,14 @@
 	}
 }
 
+// cutOffOwner cuts the owner of shard 0 from all hosts and from the service.
+func cutOffOwner(f *Fleet) {
+	if owner := f.OwnerOf(0); owner != nil {
+		cutOwner(true, true)(f)
+		f.Network.CutStore(owner.Name, true)
+	}
+}
+
 func heal(f *Fleet) { f.Network.Heal() }
 
 func killOwner(f *Fleet) {
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -14,7 +14,6 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
 	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
 	"github.com/foxtailshelf/foxtailshelf/internal/peer"
-	"github.com/foxtailshelf/foxtailshelf/internal/wire"
 )
 
 const (
@@ -44,6 +43,8 @@
 
 	mu      sync.RWMutex
 	current *catalog.Catalog
+	// past holds the last catalogs before current, oldest first.
+	past []*catalog.Catalog
 	// storeContact is when the service answered last.
 	storeContact time.Time
 	// applying makes sure that OnChange sees revisions in order.
@@ -67,20 +68,6 @@
 	return f.current
 }
 
-// Documents returns the catalog in force for a peer.
-func (f *Follower) Documents(have uint64) *wire.DocumentsReply {
-	c := f.Current()
-	reply := &wire.DocumentsReply{Revision: c.Revision()}
-	if c.Revision() <= have {
-		return reply
-	}
-	reply.Head = c.Head().Encode()
-	for _, s := range c.Services() {
-		reply.Documents = append(reply.Documents, &wire.Document{Hash: c.Head().Services[s.Name()], Body: s.Document()})
-	}
-	return reply
-}
-
 // Hint says that the gate at an address has a revision.
 func (f *Follower) Hint(revision uint64, address string) {
 	if revision <= f.Current().Revision() {
@@ -146,6 +133,7 @@
 		return
 	}
 	f.current = c
+	f.remember(c)
 	f.mu.Unlock()
 	f.Recorder.Check(old == nil || c.Revision() > old.Revision(), invariant.RevisionMonotonic, "revision %d", c.Revision())
 	f.Log.WithField("revision", c.Revision()).Info("catalog in force")
@@ -176,14 +164,8 @@
 	f.storeContact = time.Now()
 }
 
-// document returns a document from the catalog in force or from the service.
+// document returns a document from the service.
 func (f *Follower) document(ctx context.Context, hash string) ([]byte, error) {
-	c := f.Current()
-	for name, h := range c.Head().Services {
-		if s, ok := c.Service(name); ok && h == hash {
-			return s.Document(), nil
-		}
-	}
 	entry, err := f.Store.Get(ctx, DocumentPrefix+hash)
 	if err != nil {
 		return nil, fmt.Errorf("read document: %w", err)
@@ -191,28 +173,8 @@
 	return entry.Value(), nil
 }
 
-// fetch takes the catalog of a peer if it is newer.
-func (f *Follower) fetch(ctx context.Context, address string) {
-	have := f.Current().Revision()
-	reply, err := f.Gates.Documents(ctx, address, &wire.DocumentsRequest{HaveRevision: have})
-	if err != nil || reply.GetRevision() <= have {
-		return
-	}
-	documents := make(map[string][]byte)
-	for _, d := range reply.GetDocuments() {
-		documents[d.GetHash()] = d.GetBody()
-	}
-	head, err := catalog.ParseHead(reply.GetHead())
-	if err == nil {
-		err = f.assemble(head, func(hash string) ([]byte, error) { return documents[hash], nil })
-	}
-	if err != nil {
-		f.Log.WithError(err).WithField("address", address).Warn("peer sent a faulty catalog")
-	}
-}
-
 func (f *Follower) assemble(head catalog.Head, document func(string) ([]byte, error)) error {
-	c, err := catalog.Assemble(head, document)
+	c, err := catalog.Assemble(head, f.Current(), document)
 	if err != nil {
 		return fmt.Errorf("assemble catalog %d: %w", head.Revision, err)
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -75,6 +75,7 @@
 	// firstChange.
 	changes     []roster.Member
 	firstChange uint64
+	isolation   isolation
 
 	inFlight sync.WaitGroup
 	start    sync.Once
--- a/internal/gate/membership.go
+++ b/internal/gate/membership.go
@@ -35,7 +35,7 @@
 		g.entryMoved(g.entryAddress(request.GetEntryLeaving()))
 	}
 	g.acceptNotices(request.GetNotices())
-	reply := &wire.ExchangeReply{Notices: g.notices(), Revision: g.follower.Current().Revision()}
+	reply := &wire.ExchangeReply{Notices: g.notices(), Revision: g.follower.Current().Revision(), CutOff: g.CutOff()}
 	if request.GetProbe() != nil {
 		reply.ProbeAnswered = g.exchange(ctx, decodeMember(request.GetProbe()))
 	}
@@ -159,6 +159,7 @@
 
 func (g *Gate) probe(ctx context.Context, target roster.Member) {
 	answered := g.exchange(ctx, target)
+	g.noteProbe(answered)
 	g.rosterStep(roster.ProbeEnded{Host: target.Host(), Answered: answered})
 }
 
@@ -228,6 +229,7 @@
 	for ctx.Err() == nil {
 		g.checkPause(time.Now())
 		g.rosterStep(roster.Tick{})
+		g.touchStore()
 		wait(ctx, tickPeriod)
 	}
 	return nil
--- a/internal/gate/scatter.go
+++ b/internal/gate/scatter.go
@@ -130,6 +130,12 @@
 }
 
 func (g *Gate) submitAll(request *wire.ScatterRequest, deliver func(*wire.ScatterReply)) []func() {
+	if g.CutOff() {
+		for _, path := range request.GetShards() {
+			deliver(refusal(request, path, shard.ReasonCutOff, cutOffAfter))
+		}
+		return nil
+	}
 	verdict, left := g.judge(request.GetFingerprint())
 	deadline := time.Now().Add(time.Duration(request.GetDeadlineMicros()) * time.Microsecond)
 	var withdrawals []func()
--- a/internal/operator/publisher.go
+++ b/internal/operator/publisher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -39,7 +40,11 @@
 
 // Error implements error.
 func (e *StaleError) Error() string {
-	return fmt.Sprintf("the catalog is at revision %d, not %d; changed meanwhile: %v", e.Current, e.Base, e.Changed)
+	text := fmt.Sprintf("the catalog is at revision %d, not %d", e.Current, e.Base)
+	if len(e.Changed) > 0 {
+		text += "; changed meanwhile: " + strings.Join(e.Changed, ", ")
+	}
+	return text
 }
 
 // Error implements error.
@@ -86,7 +91,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	c, err := catalog.Assemble(head, func(hash string) ([]byte, error) {
+	c, err := catalog.Assemble(head, nil, func(hash string) ([]byte, error) {
 		document, err := p.Store.Get(ctx, follow.DocumentPrefix+hash)
 		if err != nil {
 			return nil, fmt.Errorf("read document: %w", err)
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -488,5 +488,5 @@
 }
 
 func isRouting(r shard.Reason) bool {
-	return r == shard.ReasonNotOwner || r == shard.ReasonStopping
+	return r == shard.ReasonNotOwner || r == shard.ReasonStopping || r == shard.ReasonCutOff
 }
--- a/internal/shard/messages.go
+++ b/internal/shard/messages.go
@@ -48,6 +48,7 @@
 	ReasonNotOwner    Reason = "not-owner"
 	ReasonUnreachable Reason = "gate-unreachable"
 	ReasonStopping    Reason = "stopping"
+	ReasonCutOff      Reason = "cut-off"
 )
 
 // A Result is how an attempt ended, as the driver saw it.
