Shard group: random events; deadlines behind stale hedges are watched again

Cause: rapid found a job that was never ended by its group: the earliest deadline came from a hedge of a job that had ended, lay in the past and hid all later ones, so no wake was asked for. The caller was answered in time by the entry; the job stayed in the gate until the next event. Ruled out: the driver of the test (replayed by hand, the group asked for no wake).

--- a/internal/fleettest/policies_test.go
+++ b/internal/fleettest/policies_test.go
@@ -52,7 +52,6 @@
 	asked, useful map[string]int
 	coverage      float64
 	planned       int
-	violations    int
 	broken        []string
 }
 
--- a/internal/shard/queue.go
+++ b/internal/shard/queue.go
@@ -62,7 +62,8 @@
 	q.expedited = append(q.expedited, entry{job: j, hedge: hedge})
 }
 
-// firstDeadline returns the earliest deadline of a queued job.
+// firstDeadline returns the earliest deadline of a queued job that no attempt
+// runs for; the deadlines of others are watched with their attempts.
 func (q *queue) firstDeadline() time.Time {
 	var first time.Time
 	for c := range q.classes {
@@ -75,6 +76,9 @@
 		}
 	}
 	for _, e := range q.expedited {
+		if e.job.done || e.job.running > 0 {
+			continue
+		}
 		if d := e.job.Deadline; first.IsZero() || d.Before(first) {
 			first = d
 		}
