Membership under loss; slopes for the capacity page; cheaper gathering

Cause: with 5% of messages lost, live members were taken for dead: a suspect heard of the suspicion only by rumour, sometimes too late to contradict; and each failed probe sorted the whole fleet. Ruled out: the rumour limits (rumours did arrive).

--- /dev/null
+++ b/internal/capacitytest/capacity_test.go
@@ -0,0 +1,258 @@
+package capacitytest
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/catalog"
+	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
+	"github.com/foxtailshelf/foxtailshelf/internal/peer"
+	"github.com/foxtailshelf/foxtailshelf/internal/query"
+	"github.com/foxtailshelf/foxtailshelf/internal/roster"
+	"github.com/foxtailshelf/foxtailshelf/internal/shard"
+	"github.com/foxtailshelf/foxtailshelf/internal/snapshot"
+	"github.com/foxtailshelf/foxtailshelf/internal/timeline"
+	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
+	"github.com/foxtailshelf/foxtailshelf/internal/wire"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
+)
+
+const leafs = 70
+
+// echo answers each shard of a scatter at once.
+type echo struct{ peer.Handler }
+
+func (echo) Scatter(_ context.Context, r *wire.ScatterRequest, deliver func(*wire.ScatterReply) error) error {
+	if err := deliver(&wire.ScatterReply{Accepted: true}); err != nil {
+		return err
+	}
+	for _, path := range r.GetShards() {
+		if err := deliver(reply(path, r.GetNonce())); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func reply(path, nonce string) *wire.ScatterReply {
+	return &wire.ScatterReply{
+		Accepted: true, Shard: path, Nonce: nonce, Outcome: wire.Outcome_OUTCOME_ANSWERED, Body: []byte(strings.Repeat("x", 500)),
+		Version: &wire.Version{Number: 1, Map: "m1"}, WaitMicros: []int64{0, 0, 0, 0}, Attempts: 1,
+		Versions: []*wire.ShardVersion{{Version: &wire.Version{Number: 1, Map: "m1"}, Replicas: 3}},
+	}
+}
+
+func shardPaths(n int) []string {
+	paths := make([]string, 0, n)
+	for i := range n {
+		paths = append(paths, fmt.Sprintf("m1/s%02d", i))
+	}
+	return paths
+}
+
+// BenchmarkScatter is one message from an entry to a gate with its replies.
+func BenchmarkScatter(b *testing.B) {
+	for _, n := range []int{1, 10, leafs} {
+		b.Run(fmt.Sprintf("%d-shards", n), func(b *testing.B) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			var serving work.Group
+			serving.Go(func() { _ = peer.Serve(ctx, listener, echo{}) })
+			client := peer.NewClient()
+			defer client.Close()
+			request := &wire.ScatterRequest{RequestId: "r", Nonce: "n", Service: "s", Idempotent: true, Shards: shardPaths(n)}
+			b.ReportAllocs()
+			stop := CPU(b)
+			for b.Loop() {
+				err := client.Scatter(ctx, listener.Addr().String(), request, func(*wire.ScatterReply) {})
+				if err != nil {
+					b.Fatal(err)
+				}
+			}
+			stop()
+		})
+	}
+}
+
+// BenchmarkUpstreamCall is one attempt over HTTP, both sides counted.
+func BenchmarkUpstreamCall(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(upstream.HeaderAttempt, r.Header.Get(upstream.HeaderAttempt))
+		w.Header().Set(upstream.HeaderVersion, "1")
+		_, _ = fmt.Fprint(w, strings.Repeat("x", 500))
+	}))
+	defer server.Close()
+	client := upstream.NewHTTPClient(strings.TrimPrefix(server.URL, "http://"), 2, 25)
+	defer client.Close()
+	b.ReportAllocs()
+	stop := CPU(b)
+	for b.Loop() {
+		if _, err := client.Run(context.Background(), upstream.Call{AttemptID: "a", Idempotent: true, Left: time.Second, Version: snapshot.New(1, "")}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	stop()
+}
+
+// BenchmarkQuery is the decisions of one query over 70 leafs.
+func BenchmarkQuery(b *testing.B) {
+	plan := query.Plan{Version: snapshot.New(1, "m1"), Nonce: "n"}
+	for _, path := range shardPaths(leafs) {
+		plan.Parts = append(plan.Parts, query.Part{Path: path, Name: path, Weight: 1})
+	}
+	now := time.Now()
+	terms := query.Terms{Deadline: now.Add(time.Second), Goal: catalog.GoalLatency, Idempotent: true}
+	b.ReportAllocs()
+	for b.Loop() {
+		q, _ := query.New(now, terms, plan, &invariant.Recorder{})
+		for _, p := range plan.Parts {
+			q.Step(now, query.ShardReplied{Nonce: "n", Path: p.Path, Outcome: shard.Answered, Version: plan.Version})
+		}
+	}
+}
+
+// BenchmarkTimeline is one event of the time line.
+func BenchmarkTimeline(b *testing.B) {
+	ring := &timeline.Ring{Host: "h", Process: "gate", Size: 8192}
+	for b.Loop() {
+		ring.Add("attempt", "request", "%s on %s, hedge: %v", "m1/s00", "u00-1", false)
+	}
+}
+
+// services returns the documents of the target: 70 leafs a service.
+func services(b *testing.B, n int) []*catalog.Service {
+	var all []*catalog.Service
+	for i := range n {
+		all = append(all, service(b, fmt.Sprintf("service-%04d", i), 25))
+	}
+	return all
+}
+
+func service(b *testing.B, name string, slots int) *catalog.Service {
+	spec := catalog.ServiceSpec{
+		Name: name, Goal: "coverage", MinReplicas: 1, Canary: "never",
+		Kinds: []catalog.KindSpec{{Name: "search", Urgency: "urgent", Idempotent: true, Scatter: "all", DeadlineMilliseconds: 150}},
+		Maps:  []catalog.MapSpec{{Name: "m1"}},
+	}
+	for i := range leafs {
+		u := catalog.UpstreamSpec{Name: fmt.Sprintf("u%02d", i), Address: fmt.Sprintf("10.0.0.%d:8080", i), DataCenter: "attiki-1", Slots: slots, Connections: 50}
+		spec.Upstreams = append(spec.Upstreams, u)
+		if i%3 == 2 {
+			names := []string{spec.Upstreams[i-2].Name, spec.Upstreams[i-1].Name, u.Name}
+			spec.Maps[0].Shards = append(spec.Maps[0].Shards, catalog.ShardSpec{Name: fmt.Sprintf("s%02d", i/3), Weight: 1, Upstreams: names})
+		}
+	}
+	s, err := catalog.CompileService(spec)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return s
+}
+
+// BenchmarkCatalog is one change put in force among 700 services of 70 leafs.
+func BenchmarkCatalog(b *testing.B) {
+	for _, n := range []int{70, 350, 700} {
+		b.Run(fmt.Sprintf("%d-services", n), func(b *testing.B) {
+			before := Heap()
+			base := catalog.Empty().With("first", services(b, n), nil)
+			heap := Heap() - before
+			changed := service(b, "service-0000", 7)
+			next := base.With("second", []*catalog.Service{changed}, nil)
+			stop := CPU(b)
+			for b.Loop() {
+				_, err := catalog.Assemble(next.Head(), base, func(string) ([]byte, error) { return changed.Document(), nil })
+				if err != nil {
+					b.Fatal(err)
+				}
+			}
+			stop()
+			b.ReportMetric(float64(heap)/float64(n*leafs), "heap-B/leaf")
+			b.ReportMetric(float64(len(base.Head().Encode())), "head-B")
+			b.ReportMetric(float64(len(changed.Document())), "document-B")
+			runtime.KeepAlive(base)
+		})
+	}
+}
+
+// BenchmarkGroupMemory is the memory of the state of one owned group.
+func BenchmarkGroupMemory(b *testing.B) {
+	const groups = 1000
+	definition := service(b, "s", 2).Groups()[0]
+	for b.Loop() {
+		before := Heap()
+		kept := make([]*shard.Group, 0, groups)
+		for range groups {
+			kept = append(kept, shard.NewGroup(definition, shard.DefaultOptions(), nil, time.Now()))
+		}
+		b.ReportMetric(float64(Heap()-before)/groups, "heap-B/group")
+		runtime.KeepAlive(kept)
+	}
+}
+
+func member(i int) roster.Member {
+	return roster.NewMember(fmt.Sprintf("host-%04d", i), "attiki-1", "10.0.0.1:7200", "10.0.0.1:7100", 1_700_000_000_000_000, roster.Alive)
+}
+
+// BenchmarkRosterMemory is the memory of the view of a fleet.
+func BenchmarkRosterMemory(b *testing.B) {
+	const members = 2400
+	for b.Loop() {
+		before := Heap()
+		r := roster.New(member(0), 1)
+		o := roster.NewOwnership()
+		for i := range members {
+			r.Step(time.Now(), roster.Heard{Sender: member(i)})
+			o.Add(member(i).Host())
+		}
+		b.ReportMetric(float64(Heap()-before), "heap-B")
+		runtime.KeepAlive(r)
+		runtime.KeepAlive(o)
+	}
+}
+
+// BenchmarkExchange is one membership message with its rumours, and its size.
+func BenchmarkExchange(b *testing.B) {
+	r := roster.New(member(0), 1)
+	for i := range 2400 {
+		r.Step(time.Now(), roster.Heard{Sender: member(i)})
+	}
+	for len(r.Rumours()) > 0 {
+	}
+	size := 0
+	for n := 0; b.Loop(); n++ {
+		request := &wire.ExchangeRequest{Revision: 1}
+		for _, m := range append(r.Rumours(), member(0)) {
+			request.Rumours = append(request.Rumours, &wire.Member{
+				Host: m.Host(), DataCenter: m.DataCenter(), GateAddress: m.GateAddress(), EntryAddress: m.EntryAddress(),
+				Incarnation: m.Incarnation(), State: string(m.State()),
+			})
+		}
+		data, err := proto.Marshal(request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = max(size, len(data))
+		if err := proto.Unmarshal(data, request); err != nil {
+			b.Fatal(err)
+		}
+		if n%8 == 0 {
+			// One change for every eight messages: somewhat more than the target.
+			r.Step(time.Now(), roster.Heard{Sender: member(n%2400).With(roster.Alive, uint64(1_700_000_000_000_001+n))})
+		}
+		r.Step(time.Now(), roster.Tick{})
+	}
+	b.ReportMetric(float64(size), "most-B/message")
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -29,7 +29,7 @@
 	listPeriod   = 2 * time.Second
 	reportPeriod = time.Second
 	// TakeoverTime is how long a new owner uses one slot of each upstream
-	// only: longer than a lost owner takes to be known as dead everywhere.
+	// only: longer than the views of the members differ after a change.
 	TakeoverTime = 3 * time.Second
 	// pauseLimit is the gap between ticks that shows that this process was
 	// paused and may have lost what it owned.
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -182,8 +182,12 @@
 	// state is a state of query.chart.json.
 	state   chart.State
 	startAt time.Time
+	// index holds the position of each shard in the plan, by path.
+	index map[string]int
 	// outcomes has an entry for each shard of the plan that ended.
 	outcomes map[string]ShardReplied
+	// planned and answered are sums of weights.
+	planned, answered int
 	// reroutes counts, by shard, how often its gate was lost.
 	reroutes map[string]int
 	repins   int
@@ -240,7 +244,13 @@
 
 func (q *Query) begin(plan Plan) {
 	q.plan = plan
-	q.outcomes = make(map[string]ShardReplied)
+	q.index = make(map[string]int, len(plan.Parts))
+	q.outcomes = make(map[string]ShardReplied, len(plan.Parts))
+	q.planned, q.answered = 0, 0
+	for i, p := range plan.Parts {
+		q.index[p.Path] = i
+		q.planned += p.Weight
+	}
 	q.enough = time.Time{}
 	if q.terms.Canary && len(plan.Parts) > 1 && !q.ran {
 		q.fire("begin-canary")
@@ -364,8 +374,8 @@
 }
 
 func (q *Query) part(path string) (Part, bool) {
-	i := slices.IndexFunc(q.plan.Parts, func(p Part) bool { return p.Path == path })
-	if i < 0 {
+	i, planned := q.index[path]
+	if !planned {
 		return Part{}, false
 	}
 	return q.plan.Parts[i], true
@@ -389,6 +399,9 @@
 		e.Reason = shard.ReasonMismatch
 	}
 	q.outcomes[e.Path] = e
+	if e.Outcome == shard.Answered {
+		q.answered += part.Weight
+	}
 	q.progress(now, e)
 }
 
@@ -416,14 +429,7 @@
 }
 
 func (q *Query) answeredShare() float64 {
-	planned, answered := 0, 0
-	for _, p := range q.plan.Parts {
-		planned += p.Weight
-		if q.outcomes[p.Path].Outcome == shard.Answered {
-			answered += p.Weight
-		}
-	}
-	return float64(answered) / float64(planned)
+	return float64(q.answered) / float64(q.planned)
 }
 
 func (q *Query) gateLost(now time.Time, e GateLost) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -16,9 +16,11 @@
 	// ProbeTimeout is how long a direct or an indirect probe may take.
 	ProbeTimeout = 200 * time.Millisecond
 	// SuspicionTime is how long a suspect has to contradict.
-	SuspicionTime = 2 * time.Second
+	SuspicionTime = 3 * time.Second
 	// TombstoneTime is how long the dead are remembered.
 	TombstoneTime = 2 * time.Minute
+	// accusePeriod is how often a suspect is probed by who suspected it first.
+	accusePeriod = 250 * time.Millisecond
 	// maxRumours bounds the rumours on one message.
 	maxRumours = 8
 	// indirectProbes is how many others are asked to probe a silent member.
@@ -93,8 +95,13 @@
 	suspectedAt map[string]time.Time
 	deadAt      map[string]time.Time
 	nextProbe   time.Time
+	// accused holds when this host probes a member again that it suspects
+	// itself, so that the member hears of it and can contradict.
+	accused map[string]time.Time
 	// order is a random permutation; each round probes every member once.
-	order   []string
+	order []string
+	// known holds all members but this host, in no certain order.
+	known   []string
 	actions []Action
 }
 
@@ -107,6 +114,7 @@
 		rumours:     make(map[string]int),
 		suspectedAt: make(map[string]time.Time),
 		deadAt:      make(map[string]time.Time),
+		accused:     make(map[string]time.Time),
 	}
 	r.members[self.host] = r.self
 	r.rumours[self.host] = r.rumourLimit()
@@ -217,7 +225,8 @@
 }
 
 func (r *Roster) set(now time.Time, old, m Member) {
-	r.members[m.host] = m
+	r.put(m)
+	delete(r.accused, m.host)
 	r.rumours[m.host] = r.rumourLimit()
 	delete(r.suspectedAt, m.host)
 	delete(r.deadAt, m.host)
@@ -249,7 +258,7 @@
 		switch {
 		case h.host == r.self.host:
 		case !known:
-			r.members[h.host] = h.With(Listed, 0)
+			r.put(h.With(Listed, 0))
 		case h.state == Leaving && old.state == Alive:
 			r.fire(now, h.host, "leave")
 		}
@@ -266,23 +275,65 @@
 	case !e.Indirect:
 		r.askOthers(now, m)
 	case m.state == Alive:
-		r.fire(now, e.Host, "suspect")
+		r.accuse(now, e.Host)
+	}
+}
+
+// accuse makes a member suspect and probes it again soon.
+func (r *Roster) accuse(now time.Time, host string) {
+	r.fire(now, host, "suspect")
+	if r.members[host].state == Suspect {
+		r.accused[host] = now.Add(accusePeriod)
 	}
 }
 
 func (r *Roster) askOthers(now time.Time, target Member) {
-	var others []Member
-	for _, m := range r.Members() {
-		if m.state == Alive && m.host != r.self.host && m.host != target.host {
-			others = append(others, m)
-		}
+	if target.state == Suspect || target.state == Dead {
+		return
 	}
-	r.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others := r.someAlive(indirectProbes, target.host)
 	if len(others) == 0 {
-		r.fire(now, target.host, "suspect")
+		r.accuse(now, target.host)
 		return
 	}
-	r.actions = append(r.actions, ProbeThrough{Target: target, Via: others[:min(len(others), indirectProbes)]})
+	r.actions = append(r.actions, ProbeThrough{Target: target, Via: others})
+}
+
+// put keeps a member.
+func (r *Roster) put(m Member) {
+	if _, ok := r.members[m.host]; !ok {
+		r.known = append(r.known, m.host)
+	}
+	r.members[m.host] = m
+}
+
+// forget drops a member.
+func (r *Roster) forget(host string) {
+	delete(r.members, host)
+	delete(r.deadAt, host)
+	delete(r.rumours, host)
+	if i := slices.Index(r.known, host); i >= 0 {
+		r.known = slices.Delete(r.known, i, i+1)
+	}
+}
+
+// someAlive draws up to n members that are alive, starting at a random place.
+func (r *Roster) someAlive(n int, except string) []Member {
+	var drawn []Member
+	if len(r.known) == 0 {
+		return nil
+	}
+	first := r.random.IntN(len(r.known))
+	for i := range r.known {
+		m := r.members[r.known[(first+i)%len(r.known)]]
+		if m.state == Alive && m.host != except {
+			drawn = append(drawn, m)
+		}
+		if len(drawn) == n {
+			break
+		}
+	}
+	return drawn
 }
 
 func (r *Roster) tick(now time.Time) {
@@ -293,9 +344,13 @@
 	}
 	for h, at := range r.deadAt {
 		if now.Sub(at) >= TombstoneTime {
-			delete(r.members, h)
-			delete(r.deadAt, h)
-			delete(r.rumours, h)
+			r.forget(h)
+		}
+	}
+	for h, at := range r.accused {
+		if !now.Before(at) {
+			r.accused[h] = now.Add(accusePeriod)
+			r.actions = append(r.actions, Probe{Target: r.members[h]})
 		}
 	}
 	if now.Before(r.nextProbe) && !r.bootstrap() {
@@ -318,7 +373,7 @@
 				return m, true
 			}
 		}
-		r.order = slices.Sorted(maps.Keys(r.members))
+		r.order = append(r.order[:0], r.known...)
 		r.random.Shuffle(len(r.order), func(i, j int) { r.order[i], r.order[j] = r.order[j], r.order[i] })
 	}
 	return Member{}, false
