Fuzz targets, one time line over all processes, explain

Messages carry hybrid logical clock stamps, so an attempt never stands before the admission that caused it, whatever the hosts' clocks say. foxtailctl explain tells the way of one request. Real connections through a proxy that swallows them: idle ones are given up, and calls that must not run twice use fresh ones.

--- a/internal/command/ctlcmd.go
+++ b/internal/command/ctlcmd.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"slices"
 	"strings"
@@ -18,7 +16,6 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
 	"github.com/foxtailshelf/foxtailshelf/internal/operator"
 	"github.com/foxtailshelf/foxtailshelf/internal/peer"
-	"github.com/foxtailshelf/foxtailshelf/internal/timeline"
 )
 
 const ctlHelp = `
@@ -36,15 +33,15 @@
   foxtailctl do "show upstreams where service = screening and drain = true"
   foxtailctl do --dry-run "drain upstream s1-a of screening"
   foxtailctl do --revision 12 "drain upstream s1-a of screening"
-  foxtailctl timeline --operations 127.0.0.1:7401,127.0.0.1:7301 --request r-17
+  foxtailctl timeline --operations 127.0.0.1:7401,127.0.0.1:7301 --kind member
+  foxtailctl explain r-17 --operations 127.0.0.1:7401,127.0.0.1:7301
 
 Exit codes: 0 done, 1 failed, 2 bad input, 3 stale revision, 4 unsafe without
 --confirm, 5 accepted but not confirmed by every host, 6 fate unknown.`
 
 const (
 	// confirmTime is how long hosts may take to put a change in force.
-	confirmTime  = 18 * time.Second
-	fetchTimeout = 3 * time.Second
+	confirmTime = 18 * time.Second
 	// defaultStore and defaultHosts are used if nothing else is given.
 	defaultStore = "127.0.0.1:8500"
 	defaultHosts = "127.0.0.1:8501"
@@ -60,6 +57,7 @@
 	statement    string
 	operations   string
 	request      string
+	kind         string
 	out          io.Writer
 }
 
@@ -80,8 +78,14 @@
 	events.Description = "Merge the events of several processes."
 	events.String(&c.operations, "o", "operations", "Operations addresses, separated by commas.")
 	events.String(&c.request, "", "request", "Only the events of this request.")
+	events.String(&c.kind, "k", "kind", "Only the events of this kind.")
 	parser.AttachSubcommand(do, 1)
 	parser.AttachSubcommand(events, 1)
+	explain := flaggy.NewSubcommand("explain")
+	explain.Description = "Tell what became of one request, and why."
+	explain.AddPositionalValue(&c.request, "request", 1, true, "The request id.")
+	explain.String(&c.operations, "o", "operations", "Operations addresses, separated by commas.")
+	parser.AttachSubcommand(explain, 1)
 	if err := parser.ParseArgs(arguments); err != nil {
 		return report(os.Stderr, "foxtailctl", &ExitError{Code: ExitUsage, Err: err})
 	}
@@ -90,6 +94,8 @@
 		return report(os.Stderr, "foxtailctl", c.do(context.Background()))
 	case events.Used:
 		return report(os.Stderr, "foxtailctl", c.timeline(context.Background()))
+	case explain.Used:
+		return report(os.Stderr, "foxtailctl", c.explain(context.Background()))
 	default:
 		return report(os.Stderr, "foxtailctl", &ExitError{Code: ExitUsage, Err: errors.New("no command; see foxtailctl --help")})
 	}
@@ -220,31 +226,6 @@
 	return printTable(c.out, table, c.plain)
 }
 
-// timeline merges the events of several processes.
-func (c *control) timeline(ctx context.Context) error {
-	if c.operations == "" {
-		return &ExitError{Code: ExitUsage, Err: errors.New("--operations must be given")}
-	}
-	var events []timeline.Event
-	var faults []error
-	for address := range strings.SplitSeq(c.operations, ",") {
-		part, err := fetchEvents(ctx, address, c.request)
-		faults = append(faults, err)
-		events = append(events, part...)
-	}
-	slices.SortStableFunc(events, func(a, b timeline.Event) int {
-		if a.Stamp.Before(b.Stamp) {
-			return -1
-		}
-		return 1
-	})
-	for _, e := range events {
-		at := time.UnixMicro(e.Stamp.Micros).UTC().Format("15:04:05.000000")
-		_, _ = fmt.Fprintf(c.out, "%s.%d\t%s/%s\t%s\t%s\t%s\n", at, e.Stamp.Count, e.Host, e.Process, e.Kind, e.Request, e.Detail)
-	}
-	return errors.Join(faults...)
-}
-
 func askHost(ctx context.Context, gates peer.Gates, h hostlist.Host) operator.HostState {
 	state := operator.HostState{Host: h.Name, DataCenter: h.DataCenter, State: h.State}
 	reply, err := gates.Exchange(ctx, h.GateAddress, emptyExchange())
@@ -256,25 +237,6 @@
 	return state
 }
 
-func fetchEvents(ctx context.Context, address, request string) ([]timeline.Event, error) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	call, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/events?request="+request, nil)
-	if err != nil {
-		return nil, fmt.Errorf("build call: %w", err)
-	}
-	response, err := http.DefaultClient.Do(call)
-	if err != nil {
-		return nil, fmt.Errorf("read events: %w", err)
-	}
-	defer response.Body.Close()
-	var events []timeline.Event
-	if err := json.NewDecoder(response.Body).Decode(&events); err != nil {
-		return nil, fmt.Errorf("decode events of %s: %w", address, err)
-	}
-	return events, nil
-}
-
 func publishError(err error) error {
 	var stale *operator.StaleError
 	var uncertain *operator.UncertainError
--- /dev/null
+++ b/internal/command/timelinecmd.go
@@ -0,0 +1,94 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/timeline"
+)
+
+const fetchTimeout = 3 * time.Second
+
+// timeline prints the events of several processes in one order.
+func (c *control) timeline(ctx context.Context) error {
+	events, err := c.fetchAll(ctx)
+	if c.kind != "" {
+		events = slices.DeleteFunc(events, func(e timeline.Event) bool { return e.Kind != c.kind })
+	}
+	for _, e := range events {
+		c.printEvent(e)
+	}
+	return err
+}
+
+// explain prints the way of one request and sums it up.
+func (c *control) explain(ctx context.Context) error {
+	events, err := c.fetchAll(ctx)
+	if len(events) == 0 {
+		return errors.Join(err, fmt.Errorf("no process remembers request %q", c.request))
+	}
+	counts := make(map[string]int)
+	var pinned, answered timeline.Event
+	for _, e := range events {
+		c.printEvent(e)
+		counts[e.Kind]++
+		switch e.Kind {
+		case "pinned":
+			pinned = e
+		case "answered":
+			answered = e
+		}
+	}
+	_, _ = fmt.Fprintf(c.out, "\nsent %d times; pinned: %s\n", counts["admitted"], pinned.Detail)
+	_, _ = fmt.Fprintf(c.out, "%d attempts on upstreams, %d shards ended, %d gates lost\n", counts["attempt"], counts["shard-done"], counts["gate-lost"])
+	_, _ = fmt.Fprintf(c.out, "last answer by %s: %s\n", answered.Host, answered.Detail)
+	return err
+}
+
+// fetchAll returns the events of all named processes; those that do not answer
+// are reported, and the others still shown.
+func (c *control) fetchAll(ctx context.Context) ([]timeline.Event, error) {
+	if c.operations == "" {
+		return nil, &ExitError{Code: ExitUsage, Err: errors.New("--operations must be given")}
+	}
+	var parts [][]timeline.Event
+	var faults []error
+	for address := range strings.SplitSeq(c.operations, ",") {
+		part, err := fetchEvents(ctx, address, c.request)
+		faults = append(faults, err)
+		parts = append(parts, part)
+	}
+	return timeline.Merge(parts...), errors.Join(faults...)
+}
+
+func (c *control) printEvent(e timeline.Event) {
+	at := time.UnixMicro(e.Stamp.Micros).UTC().Format("15:04:05.000000")
+	_, _ = fmt.Fprintf(c.out, "%s.%d\t%s/%s\t%s\t%s\t%s\n", at, e.Stamp.Count, e.Host, e.Process, e.Kind, e.Request, e.Detail)
+}
+
+func fetchEvents(ctx context.Context, address, request string) ([]timeline.Event, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	target := "http://" + address + "/v1/events?request=" + url.QueryEscape(request)
+	call, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, fmt.Errorf("build call: %w", err)
+	}
+	response, err := http.DefaultClient.Do(call)
+	if err != nil {
+		return nil, fmt.Errorf("read events: %w", err)
+	}
+	defer response.Body.Close()
+	var events []timeline.Event
+	if err := json.NewDecoder(response.Body).Decode(&events); err != nil {
+		return nil, fmt.Errorf("decode events of %s: %w", address, err)
+	}
+	return events, nil
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -12,6 +12,7 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/query"
 	"github.com/foxtailshelf/foxtailshelf/internal/shard"
 	"github.com/foxtailshelf/foxtailshelf/internal/snapshot"
+	"github.com/foxtailshelf/foxtailshelf/internal/timeline"
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
 )
 
@@ -203,7 +204,9 @@
 
 func (n *run) message(plan query.Plan, shards []string) *wire.ScatterRequest {
 	r := n.request
+	stamp := n.entry.Timeline.Now()
 	return &wire.ScatterRequest{
+		Stamp:     &wire.Stamp{Micros: stamp.Micros, Count: stamp.Count},
 		RequestId: r.id, Nonce: plan.Nonce, Service: r.service.Name(), Kind: r.kind.Name(),
 		Version: &wire.Version{Number: plan.Version.Number(), Map: plan.Version.Map()},
 		Urgency: int32(r.kind.Urgency()), DeadlineMicros: time.Until(r.deadline).Microseconds(),
@@ -232,6 +235,7 @@
 		if reply.GetShard() == "" {
 			return
 		}
+		n.entry.Timeline.Witness(timeline.Stamp{Micros: reply.GetStamp().GetMicros(), Count: reply.GetStamp().GetCount()})
 		delete(waiting, reply.GetShard())
 		n.board.note(time.Now(), reply.GetShard(), reply.GetWaitMicros(), reply.GetVersions())
 		n.post(decodeReply(reply))
--- a/internal/gate/owner.go
+++ b/internal/gate/owner.go
@@ -255,11 +255,11 @@
 	reply.Body = o.bodies[c.Winner]
 	delete(o.bodies, c.Winner)
 	o.gate.Metrics.completed(o.service, c)
+	stamp := o.gate.Timeline.Add("shard-done", p.request.GetRequestId(), "%s: %s %s after %d attempts", p.shardPath, c.Outcome, c.Reason, c.Attempts)
+	reply.Stamp = &wire.Stamp{Micros: stamp.Micros, Count: stamp.Count}
 	fingerprint := p.request.GetFingerprint()
-	requestID := p.request.GetRequestId()
 	return func() {
 		o.gate.finished(fingerprint, c.Outcome == shard.Answered)
-		o.gate.Timeline.Add("shard-done", requestID, "%s: %s %s after %d attempts", p.shardPath, c.Outcome, c.Reason, c.Attempts)
 		p.deliver(reply)
 	}
 }
--- a/internal/gate/scatter.go
+++ b/internal/gate/scatter.go
@@ -11,6 +11,7 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
 	"github.com/foxtailshelf/foxtailshelf/internal/shard"
 	"github.com/foxtailshelf/foxtailshelf/internal/snapshot"
+	"github.com/foxtailshelf/foxtailshelf/internal/timeline"
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
 )
 
@@ -36,6 +37,7 @@
 	g.init()
 	g.inFlight.Add(1)
 	defer g.inFlight.Done()
+	g.Timeline.Witness(timeline.Stamp{Micros: request.GetStamp().GetMicros(), Count: request.GetStamp().GetCount()})
 	if err := deliver(&wire.ScatterReply{Accepted: true, Revision: g.follower.Current().Revision()}); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/operator/statement_test.go
@@ -0,0 +1,19 @@
+package operator
+
+import (
+	"errors"
+	"testing"
+)
+
+func FuzzParse(f *testing.F) {
+	for _, s := range []string{"show services", `show upstreams where drain = true and service ~ "a b"`, "set kind a of b urgency urgent", "remove upstream a of b", "apply file x"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		_, err := Parse(text)
+		var fault *SyntaxError
+		if err != nil && !errors.As(err, &fault) {
+			t.Fatalf("error of another kind: %v", err)
+		}
+	})
+}
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -3,7 +3,9 @@
 package timeline
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -51,10 +53,10 @@
 	return s.Count < o.Count
 }
 
-// Add records an event.
-func (r *Ring) Add(kind, request, format string, args ...any) {
+// Add records an event and returns its stamp.
+func (r *Ring) Add(kind, request, format string, args ...any) Stamp {
 	if r == nil {
-		return
+		return Stamp{}
 	}
 	detail := fmt.Sprintf(format, args...)
 	r.mu.Lock()
@@ -62,10 +64,11 @@
 	e := Event{Stamp: r.tick(), Host: r.Host, Process: r.Process, Kind: kind, Request: request, Detail: detail}
 	if len(r.events) < r.Size {
 		r.events = append(r.events, e)
-		return
+		return e.Stamp
 	}
 	r.events[r.next] = e
 	r.next = (r.next + 1) % r.Size
+	return e.Stamp
 }
 
 // Events returns the kept events of a request, or all if it is "", oldest
@@ -85,13 +88,28 @@
 
 // Now returns a new stamp for a message.
 func (r *Ring) Now() Stamp {
+	if r == nil {
+		return Stamp{}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.tick()
 }
 
+// Merge puts the events of several processes in one order.
+func Merge(parts ...[]Event) []Event {
+	merged := slices.Concat(parts...)
+	slices.SortStableFunc(merged, func(a, b Event) int {
+		return cmp.Or(cmp.Compare(a.Stamp.Micros, b.Stamp.Micros), cmp.Compare(a.Stamp.Count, b.Stamp.Count))
+	})
+	return merged
+}
+
 // Witness moves the clock past a stamp on a received message.
 func (r *Ring) Witness(s Stamp) {
+	if r == nil {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.last.Before(s) {
--- /dev/null
+++ b/internal/upstream/httpclient_test.go
@@ -0,0 +1,154 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/snapshot"
+)
+
+func serve(t *testing.T, h http.HandlerFunc) *HTTPClient {
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	client := NewHTTPClient(strings.TrimPrefix(server.URL, "http://"), 2, 25)
+	t.Cleanup(client.Close)
+	return client
+}
+
+func TestRunResults(t *testing.T) {
+	call := Call{AttemptID: "a1", Version: snapshot.New(3, "m1"), Left: time.Second, Idempotent: true}
+	for _, test := range []struct {
+		name    string
+		handler http.HandlerFunc
+		check   func(*qt.C, Reply, error)
+	}{
+		{"answered", func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(HeaderAttempt, r.Header.Get(HeaderAttempt))
+			w.Header().Set(HeaderVersion, r.Header.Get(HeaderVersion))
+			w.Header().Set(HeaderMap, r.Header.Get(HeaderMap))
+		}, func(c *qt.C, r Reply, err error) {
+			c.Check(err, qt.IsNil)
+			c.Check(r.Version, qt.Equals, snapshot.New(3, "m1"))
+		}},
+		{"answer to another attempt", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(HeaderAttempt, "a0")
+			w.Header().Set(HeaderVersion, "3")
+		}, func(c *qt.C, _ Reply, err error) { c.Check(err, qt.ErrorMatches, ".*belongs to another attempt") }},
+		{"refused", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(HeaderNotRun, "overload")
+			w.Header().Set(HeaderRetryAfter, "1500")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, func(c *qt.C, _ Reply, err error) {
+			var refused *RefusedError
+			c.Assert(errors.As(err, &refused), qt.IsTrue)
+			c.Check(*refused, qt.Equals, RefusedError{Reason: "overload", RetryAfter: 1500 * time.Microsecond})
+		}},
+		{"broken", func(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }, func(c *qt.C, _ Reply, err error) {
+			var broken *BrokenError
+			c.Check(errors.As(err, &broken), qt.IsTrue, qt.Commentf("%v", err))
+		}},
+		{"failed without a word", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, func(c *qt.C, _ Reply, err error) {
+			c.Check(err, qt.ErrorMatches, ".*status 500")
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			reply, err := serve(t, test.handler).Run(context.Background(), call)
+			test.check(qt.New(t), reply, err)
+		})
+	}
+}
+
+func TestUnreachableIsNotBroken(t *testing.T) {
+	client := NewHTTPClient("127.0.0.1:1", 2, 25)
+	_, err := client.Run(context.Background(), Call{})
+	var unreachable *UnreachableError
+	qt.New(t).Check(errors.As(err, &unreachable), qt.IsTrue)
+}
+
+// TestSilentConnectionsAreGivenUp cuts the path under open connections: bytes
+// are swallowed both ways, while new connections work.
+func TestSilentConnectionsAreGivenUp(t *testing.T) {
+	c := qt.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(HeaderAttempt, r.Header.Get(HeaderAttempt))
+		w.Header().Set(HeaderVersion, "1")
+	}))
+	defer server.Close()
+	proxy := newSwallower(t, strings.TrimPrefix(server.URL, "http://"))
+	client := NewHTTPClient(proxy.address, 2, 25)
+	defer client.Close()
+	run := func(idempotent bool, left time.Duration) error {
+		ctx, cancel := context.WithTimeout(context.Background(), left)
+		defer cancel()
+		_, err := client.Run(ctx, Call{AttemptID: "a", Idempotent: idempotent})
+		return err
+	}
+	c.Assert(run(true, time.Second), qt.IsNil)
+	proxy.swallowOld()
+	c.Check(run(true, 200*time.Millisecond), qt.ErrorIs, context.DeadlineExceeded)
+	c.Check(run(false, time.Second), qt.IsNil, qt.Commentf("calls that must not run twice use fresh connections"))
+	client.Refresh()
+	c.Check(run(true, time.Second), qt.IsNil)
+}
+
+// swallower passes connections on until told to swallow those that are open.
+type swallower struct {
+	address    string
+	generation atomic.Int64
+}
+
+func newSwallower(t *testing.T, target string) *swallower {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &swallower{address: listener.Addr().String()}
+	time.AfterFunc(0, func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			upstream, err := net.Dial("tcp", target)
+			if err != nil {
+				return
+			}
+			born := s.generation.Load()
+			time.AfterFunc(0, func() { s.copy(upstream, conn, born) })
+			time.AfterFunc(0, func() { s.copy(conn, upstream, born) })
+		}
+	})
+	return s
+}
+
+func (s *swallower) copy(to io.WriteCloser, from io.Reader, born int64) {
+	defer to.Close()
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		if s.generation.Load() == born {
+			_, _ = to.Write(buffer[:n])
+		}
+	}
+}
+
+func (s *swallower) swallowOld() { s.generation.Add(1) }
+
+func FuzzDecodeReport(f *testing.F) {
+	f.Add([]byte(`{"versions":[{"number":1,"map":"m1"}],"draining":true}`))
+	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = DecodeReport(data) })
+}
