--- a/internal/fleettest/faults.go
+++ b/internal/fleettest/faults.go
@@ -166,10 +166,7 @@
 // silence makes the open connections of the owner of shard 0 to its upstreams
 // silent; new ones work.
 func silence(f *Fleet) {
-	f.Network.mu.Lock()
-	clients := append([]*remoteUpstream(nil), f.Network.clients...)
-	f.Network.mu.Unlock()
-	for _, c := range clients {
+	for _, c := range f.Network.Clients() {
 		if c.upstream == f.Upstreams[0] || c.upstream == f.Upstreams[1] {
 			c.setSilent(true)
 		}
--- a/internal/fleettest/network.go
+++ b/internal/fleettest/network.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -106,6 +107,13 @@
 	w.nodes[address] = n
 }
 
+// Clients returns all connections to upstreams ever made.
+func (w *Network) Clients() []*remoteUpstream {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.clients)
+}
+
 func (w *Network) track(c *remoteUpstream) *remoteUpstream {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -76,6 +76,7 @@
 	reportedAt           time.Time
 	crashes              int
 	mostRunning          int
+	started              int
 }
 
 // A Ledger counts what upstreams did. The zero value is ready.
@@ -164,6 +165,13 @@
 	return u.crashes
 }
 
+// Started returns how many runs were let in.
+func (u *Upstream) Started() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.started
+}
+
 // MostRunning returns the most runs that ever wanted a slot at once.
 func (u *Upstream) MostRunning() int {
 	u.mu.Lock()
@@ -256,6 +264,7 @@
 		u.random = rand.New(rand.NewPCG(u.Seed, uint64(len(u.Name))))
 	}
 	u.running[call.AttemptID] = stop
+	u.started++
 	u.mostRunning = max(u.mostRunning, len(u.running))
 	return u.slots, nil
 }
