--- /dev/null
+++ b/internal/query/query_test.go
@@ -0,0 +1,107 @@
+package query
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/catalog"
+	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
+	"github.com/foxtailshelf/foxtailshelf/internal/shard"
+	"github.com/foxtailshelf/foxtailshelf/internal/snapshot"
+)
+
+var (
+	start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	v1    = snapshot.New(1, "m1")
+	v2    = snapshot.New(2, "m1")
+	terms = Terms{Deadline: start.Add(time.Second), Goal: catalog.GoalCoverage, Idempotent: true}
+)
+
+func plan(nonce string, v snapshot.Version) Plan {
+	return Plan{Version: v, Nonce: nonce, Parts: []Part{{Path: "m1/a", Name: "a", Weight: 3}, {Path: "m1/b", Name: "b", Weight: 1}}}
+}
+
+func answered(nonce, path string, v snapshot.Version) ShardReplied {
+	return ShardReplied{Nonce: nonce, Path: path, Outcome: shard.Answered, Version: v, Body: []byte(nonce), Attempts: 1}
+}
+
+func refused(path string, reason shard.Reason) ShardReplied {
+	return ShardReplied{Nonce: "n1", Path: path, Outcome: shard.NotRun, Reason: reason, RetryAfter: 70 * time.Millisecond}
+}
+
+// TestAnswers feeds events and checks the answer, at the deadline at the latest.
+func TestAnswers(t *testing.T) {
+	gone := refused("m1/b", shard.ReasonVersionGone)
+	for _, test := range []struct {
+		name     string
+		events   []Event
+		status   Status
+		coverage float64
+		version  snapshot.Version
+	}{
+		{"all answer", []Event{answered("n1", "m1/a", v1), answered("n1", "m1/b", v1)}, Complete, 1, v1},
+		{"one is late", []Event{answered("n1", "m1/a", v1)}, Partial, 0.75, v1},
+		{"the same answer twice", []Event{answered("n1", "m1/a", v1), answered("n1", "m1/a", v1)}, Partial, 0.75, v1},
+		{"an answer to another run", []Event{answered("n0", "m1/a", v1), answered("n1", "m1/b", v1)}, Partial, 0.25, v1},
+		{"an answer of no planned shard", []Event{answered("n1", "m1/z", v1)}, Failed, 0, v1},
+		{"an answer from another version", []Event{answered("n1", "m1/a", v2), answered("n1", "m1/b", v1)}, Partial, 0.25, v1},
+		{"all refused", []Event{refused("m1/a", shard.ReasonOverload), refused("m1/b", shard.ReasonOverload)}, NotRun, 0, v1},
+		{"one refused, one unheard of", []Event{refused("m1/a", shard.ReasonOverload)}, Failed, 0, v1},
+		{"a gate lost before sending, twice more in vain", []Event{
+			GateLost{Nonce: "n1", Paths: []string{"m1/a", "m1/b"}}, GateLost{Nonce: "n1", Paths: []string{"m1/a", "m1/b"}}, GateLost{Nonce: "n1", Paths: []string{"m1/a", "m1/b"}},
+		}, NotRun, 0, v1},
+		{"a version gone, all on the next", []Event{
+			answered("n1", "m1/a", v1), gone, Repinned{plan("n2", v2)}, answered("n1", "m1/a", v1), answered("n2", "m1/a", v2), answered("n2", "m1/b", v2),
+		}, Complete, 1, v2},
+		{"a version gone, no other", []Event{gone, Repinned{}}, Failed, 0, v1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			recorder := &invariant.Recorder{}
+			q, actions := New(start, terms, plan("n1", v1), recorder)
+			for _, e := range append(test.events, Event(Wake{})) {
+				now := start.Add(time.Millisecond)
+				if _, last := e.(Wake); last {
+					now = terms.Deadline
+				}
+				actions = append(actions, q.Step(now, e)...)
+			}
+			var answers []Answer
+			for _, a := range actions {
+				if f, ok := a.(Finish); ok {
+					answers = append(answers, f.Answer)
+				}
+			}
+			c.Assert(answers, qt.HasLen, 1)
+			c.Check(answers[0].Status, qt.Equals, test.status)
+			c.Check(answers[0].Coverage, qt.Equals, test.coverage)
+			c.Check(answers[0].Version, qt.Equals, test.version)
+			c.Check(answers[0].Status == Complete || answers[0].RetryAfter > 0, qt.IsTrue)
+			c.Check(recorder.Violations(), qt.HasLen, 0)
+		})
+	}
+}
+
+func TestCanaryGoesAlone(t *testing.T) {
+	c := qt.New(t)
+	with := terms
+	with.Canary = true
+	q, actions := New(start, with, plan("n1", v1), nil)
+	c.Assert(actions, qt.HasLen, 1)
+	c.Check(actions[0].(Scatter).Parts, qt.HasLen, 1)
+	next := q.Step(start, answered("n1", "m1/a", v1))
+	c.Check(next[0].(Scatter).Parts[0].Path, qt.Equals, "m1/b")
+}
+
+func TestLostBookingIsUnknown(t *testing.T) {
+	c := qt.New(t)
+	once := terms
+	once.Idempotent = false
+	one := plan("n1", v1)
+	one.Parts = one.Parts[:1]
+	q, _ := New(start, once, one, nil)
+	actions := q.Step(start, GateLost{Nonce: "n1", Paths: []string{"m1/a"}, Sent: true})
+	c.Check(actions[len(actions)-1].(Finish).Answer.Status, qt.Equals, Unknown)
+}
