Claims of bookings have an end that allows no second run

Cause: claims were kept for ever. Ways weighed: a lease (its holder may be paused while it lapses), a time in the claim (a caller may send the id again later), ids that tell their time. Choice: ids of UUID version 7 are accepted for 24 hours, their claims are kept by the hour and deleted three hours later by the watching gates; other ids are kept for ever. Bound: clocks may differ by an hour.

--- a/internal/booking/claim.go
+++ b/internal/booking/claim.go
@@ -21,9 +21,6 @@
 
 var claimChart = chart.MustParse(claimChartFile)
 
-// KeyPrefix comes before the service and the request id in the key of a claim.
-const KeyPrefix = "foxtailshelf/claims/"
-
 // maxReads is how often a claim of uncertain fate is read.
 const maxReads = 4
 
@@ -152,11 +149,6 @@
 	return c, c.actions
 }
 
-// Key returns the key of the claim for a request of a service.
-func Key(service, requestID string) string {
-	return KeyPrefix + service + "/" + requestID
-}
-
 // ParseRecord reads the value of a claim.
 func ParseRecord(data []byte) (Record, error) {
 	var r Record
--- a/internal/fleettest/recovery_test.go
+++ b/internal/fleettest/recovery_test.go
@@ -1,6 +1,7 @@
 package fleettest
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -9,7 +10,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/booking"
 	"github.com/foxtailshelf/foxtailshelf/internal/entry"
 	"github.com/foxtailshelf/foxtailshelf/internal/snapshot"
 	"github.com/foxtailshelf/foxtailshelf/internal/standin"
@@ -136,3 +139,27 @@
 		c.Check(complete >= 148, qt.IsTrue, qt.Commentf("%d of 150 complete", complete))
 	})
 }
+
+// TestOldClaimsAreDeleted leaves a claim of more than a day ago and a new one.
+func TestOldClaimsAreDeleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		old := uuid.Must(uuid.NewV7()).String()
+		time.Sleep(28 * time.Hour)
+		f := New(DefaultOptions())
+		f.Start()
+		defer f.Stop()
+		time.Sleep(startTime)
+		_, err := f.Store.CompareAndSwap(context.Background(), booking.Key(Service, old), booking.Record{Phase: booking.PhaseDone}.Encode(), 0)
+		c.Assert(err, qt.IsNil)
+		caller := f.NewCaller()
+		young := entry.RequestDocument{RequestID: uuid.Must(uuid.NewV7()).String(), Kind: Booking, Key: "a"}
+		c.Check(caller.Ask(f.Nodes()[0], young).Answer.Status, qt.Equals, "complete")
+		time.Sleep(70 * time.Minute)
+		c.Check(f.Store.Keys(booking.KeyPrefix), qt.Equals, 1)
+		c.Check(caller.Ask(f.Nodes()[1], young).Answer.FromEarlierRun, qt.IsTrue)
+		again := caller.Ask(f.Nodes()[0], entry.RequestDocument{RequestID: old, Kind: Booking, Key: "a"})
+		c.Check(again.Answer.Status, qt.Equals, "unknown")
+		c.Check(f.Ledger.Runs(Service, old), qt.Equals, 0)
+	})
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -109,6 +109,7 @@
 	group.Go(func() error { return g.tick(ctx) })
 	group.Go(func() error { return g.pollHosts(ctx) })
 	group.Go(func() error { return g.pollReports(ctx) })
+	group.Go(func() error { return g.sweepClaims(ctx) })
 	err := group.Wait()
 	g.stop()
 	return err
--- a/internal/keyvalue/httpstore.go
+++ b/internal/keyvalue/httpstore.go
@@ -63,6 +63,15 @@
 	return s.change(ctx, http.MethodDelete, key, nil, revision)
 }
 
+// DeleteTree implements Store.
+func (s *HTTPStore) DeleteTree(ctx context.Context, prefix string) error {
+	status, data, err := s.call(ctx, http.MethodDelete, escape(prefix)+"?recurse", nil, callTimeout)
+	if err == nil && status != http.StatusOK {
+		err = statusError(status, data)
+	}
+	return err
+}
+
 // Get implements Store.
 func (s *HTTPStore) Get(ctx context.Context, key string) (Entry, error) {
 	return s.read(ctx, key, nil, callTimeout)
--- a/internal/keyvalue/store.go
+++ b/internal/keyvalue/store.go
@@ -25,6 +25,8 @@
 	CompareAndSwap(ctx context.Context, key string, value []byte, revision uint64) (bool, error)
 	// Delete removes the key if it is still at this revision.
 	Delete(ctx context.Context, key string, revision uint64) (bool, error)
+	// DeleteTree removes all keys that start with a prefix.
+	DeleteTree(ctx context.Context, prefix string) error
 	// Watch returns the entry as soon as its revision is not the given one,
 	// or unchanged when wait has passed.
 	Watch(ctx context.Context, key string, revision uint64, wait time.Duration) (Entry, error)
--- a/internal/keyvalue/wrappers.go
+++ b/internal/keyvalue/wrappers.go
@@ -45,6 +45,11 @@
 	return false, &ReadOnlyError{Key: key}
 }
 
+// DeleteTree implements Store.
+func (s *ReadOnlyStore) DeleteTree(_ context.Context, prefix string) error {
+	return &ReadOnlyError{Key: prefix}
+}
+
 // CompareAndSwap implements Store.
 func (s *DryRunStore) CompareAndSwap(context.Context, string, []byte, uint64) (bool, error) {
 	return true, nil
@@ -55,6 +60,11 @@
 	return true, nil
 }
 
+// DeleteTree implements Store.
+func (s *DryRunStore) DeleteTree(context.Context, string) error {
+	return nil
+}
+
 // CompareAndSwap implements Store.
 func (s *RecordingStore) CompareAndSwap(ctx context.Context, key string, value []byte, revision uint64) (bool, error) {
 	ok, err := s.Store.CompareAndSwap(ctx, key, value, revision)
@@ -69,6 +79,13 @@
 	return ok, err
 }
 
+// DeleteTree implements Store.
+func (s *RecordingStore) DeleteTree(ctx context.Context, prefix string) error {
+	err := s.Store.DeleteTree(ctx, prefix)
+	s.record("delete all of %s: %v", prefix, err)
+	return err
+}
+
 // Writes returns a line for each write so far.
 func (s *RecordingStore) Writes() []string {
 	s.mu.Lock()
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -102,6 +102,14 @@
 
 func (s *Store) handleWrite(w http.ResponseWriter, r *http.Request) {
 	key := strings.TrimPrefix(r.URL.Path, "/v1/kv/")
+	if r.Method == http.MethodDelete && r.URL.Query().Has("recurse") {
+		if err := s.DeleteTree(r.Context(), key); err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		reply(w, true)
+		return
+	}
 	revision, err := strconv.ParseUint(r.URL.Query().Get("cas"), 10, 64)
 	if err != nil {
 		http.Error(w, "cas must be given", http.StatusBadRequest)
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync"
 	"time"
 
@@ -56,6 +57,22 @@
 	return s.write(ctx, key, revision, func() { delete(s.entries, key) })
 }
 
+// DeleteTree implements keyvalue.Store.
+func (s *Store) DeleteTree(ctx context.Context, prefix string) error {
+	if err := s.begin(ctx, true); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			delete(s.entries, key)
+		}
+	}
+	s.wake()
+	return s.lost()
+}
+
 // Get implements keyvalue.Store.
 func (s *Store) Get(ctx context.Context, key string) (keyvalue.Entry, error) {
 	if err := s.begin(ctx, false); err != nil {
@@ -70,6 +87,19 @@
 	return e, nil
 }
 
+// Keys returns how many keys start with a prefix.
+func (s *Store) Keys(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for key := range s.entries {
+		if strings.HasPrefix(key, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
 // SetFaults replaces the faults; waiting watches fail if the service is down.
 func (s *Store) SetFaults(f StoreFaults) {
 	s.mu.Lock()
