--- a/internal/capacitytest/capacity_test.go
+++ b/internal/capacitytest/capacity_test.go
@@ -26,8 +26,6 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
 
-const leafs = 70
-
 // echo answers each shard of a scatter at once.
 type echo struct{ peer.Handler }
 
@@ -136,32 +134,11 @@
 func services(b *testing.B, n int) []*catalog.Service {
 	var all []*catalog.Service
 	for i := range n {
-		all = append(all, service(b, fmt.Sprintf("service-%04d", i), 25))
+		all = append(all, Service(b, fmt.Sprintf("service-%04d", i), 25))
 	}
 	return all
 }
 
-func service(b *testing.B, name string, slots int) *catalog.Service {
-	spec := catalog.ServiceSpec{
-		Name: name, Goal: "coverage", MinReplicas: 1, Canary: "never",
-		Kinds: []catalog.KindSpec{{Name: "search", Urgency: "urgent", Idempotent: true, Scatter: "all", DeadlineMilliseconds: 150}},
-		Maps:  []catalog.MapSpec{{Name: "m1"}},
-	}
-	for i := range leafs {
-		u := catalog.UpstreamSpec{Name: fmt.Sprintf("u%02d", i), Address: fmt.Sprintf("10.0.0.%d:8080", i), DataCenter: "attiki-1", Slots: slots, Connections: 50}
-		spec.Upstreams = append(spec.Upstreams, u)
-		if i%3 == 2 {
-			names := []string{spec.Upstreams[i-2].Name, spec.Upstreams[i-1].Name, u.Name}
-			spec.Maps[0].Shards = append(spec.Maps[0].Shards, catalog.ShardSpec{Name: fmt.Sprintf("s%02d", i/3), Weight: 1, Upstreams: names})
-		}
-	}
-	s, err := catalog.CompileService(spec)
-	if err != nil {
-		b.Fatal(err)
-	}
-	return s
-}
-
 // BenchmarkCatalog is one change put in force among 700 services of 70 leafs.
 func BenchmarkCatalog(b *testing.B) {
 	for _, n := range []int{70, 350, 700} {
@@ -169,7 +146,7 @@
 			before := Heap()
 			base := catalog.Empty().With("first", services(b, n), nil)
 			heap := Heap() - before
-			changed := service(b, "service-0000", 7)
+			changed := Service(b, "service-0000", 7)
 			next := base.With("second", []*catalog.Service{changed}, nil)
 			stop := CPU(b)
 			for b.Loop() {
@@ -190,7 +167,7 @@
 // BenchmarkGroupMemory is the memory of the state of one owned group.
 func BenchmarkGroupMemory(b *testing.B) {
 	const groups = 1000
-	definition := service(b, "s", 2).Groups()[0]
+	definition := Service(b, "s", 2).Groups()[0]
 	for b.Loop() {
 		before := Heap()
 		kept := make([]*shard.Group, 0, groups)
--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -30,10 +30,9 @@
 
 // A Service is the checked, immutable form of a ServiceSpec.
 type Service struct {
-	spec      ServiceSpec
-	kinds     map[string]Kind
-	upstreams map[string]UpstreamSpec
-	maps      map[string]*Map
+	spec  ServiceSpec
+	kinds map[string]Kind
+	maps  map[string]*Map
 	// groups partition the upstreams: two upstreams that ever serve the
 	// same shard are in the same group.
 	groups []*Group
@@ -202,11 +201,10 @@
 
 func compile(spec ServiceSpec) *Service {
 	s := &Service{
-		spec:      spec,
-		kinds:     make(map[string]Kind),
-		upstreams: make(map[string]UpstreamSpec),
-		maps:      make(map[string]*Map),
-		groupOf:   make(map[string]*Group),
+		spec:    spec,
+		kinds:   make(map[string]Kind),
+		maps:    make(map[string]*Map),
+		groupOf: make(map[string]*Group),
 	}
 	for _, k := range spec.Kinds {
 		urgency, err := ParseUrgency(k.Urgency)
@@ -218,9 +216,6 @@
 			deadline: time.Duration(k.DeadlineMilliseconds) * time.Millisecond,
 		}
 	}
-	for _, u := range spec.Upstreams {
-		s.upstreams[u.Name] = u
-	}
 	for _, m := range spec.Maps {
 		s.maps[m.Name] = compileMap(m)
 	}
@@ -240,8 +235,8 @@
 // compileGroups joins upstreams that serve a common shard (union-find).
 func (s *Service) compileGroups() {
 	parent := make(map[string]string)
-	for name := range s.upstreams {
-		parent[name] = name
+	for _, u := range s.spec.Upstreams {
+		parent[u.Name] = u.Name
 	}
 	var root func(string) string
 	root = func(name string) string {
--- /dev/null
+++ b/internal/gate/reassign_test.go
@@ -0,0 +1,73 @@
+package gate
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/capacitytest"
+	"github.com/foxtailshelf/foxtailshelf/internal/catalog"
+	"github.com/foxtailshelf/foxtailshelf/internal/follow"
+	"github.com/foxtailshelf/foxtailshelf/internal/roster"
+	"github.com/foxtailshelf/foxtailshelf/internal/shard"
+	"github.com/foxtailshelf/foxtailshelf/internal/standin"
+	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
+)
+
+// BenchmarkMemberChange is what a gate does when one of 2,400 members changes,
+// with the groups of a number of services of 70 leafs.
+func BenchmarkMemberChange(b *testing.B) {
+	for _, services := range []int{70, 700} {
+		b.Run(fmt.Sprintf("%d-services", services), func(b *testing.B) {
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			store := &standin.Store{}
+			publish(b, store, services)
+			g := &Gate{
+				Self:  roster.NewMember("host-0000", "attiki-1", "gate", "entry", 1, roster.Alive),
+				Store: store, Options: shard.DefaultOptions(), Log: log,
+				NewClient: func(catalog.UpstreamSpec) upstream.Client { return &standin.Upstream{Slots: 2} },
+			}
+			g.init()
+			for i := 1; i < 2400; i++ {
+				g.rosterStep(roster.Heard{Sender: fleetMember(i, 1)})
+			}
+			if err := g.follower.Touch(context.Background()); err != nil {
+				b.Fatal(err)
+			}
+			time.Sleep(200 * time.Millisecond)
+			stop := capacitytest.CPU(b)
+			incarnation := uint64(1)
+			for b.Loop() {
+				incarnation++
+				g.rosterStep(roster.Heard{Sender: fleetMember(7, incarnation).With(roster.Dead, incarnation)})
+				incarnation++
+				g.rosterStep(roster.Heard{Sender: fleetMember(7, incarnation)})
+			}
+			stop()
+		})
+	}
+}
+
+func fleetMember(i int, incarnation uint64) roster.Member {
+	return roster.NewMember(fmt.Sprintf("host-%04d", i), "attiki-1", "gate", "entry", incarnation, roster.Alive)
+}
+
+func publish(b *testing.B, store *standin.Store, services int) {
+	var all []*catalog.Service
+	for i := range services {
+		s := capacitytest.Service(b, fmt.Sprintf("service-%04d", i), 2)
+		all = append(all, s)
+		if _, err := store.CompareAndSwap(context.Background(), follow.DocumentPrefix+catalog.Hash(s.Document()), s.Document(), 0); err != nil {
+			b.Fatal(err)
+		}
+	}
+	head := catalog.Empty().With("first", all, nil).Head()
+	if _, err := store.CompareAndSwap(context.Background(), follow.HeadKey, head.Encode(), 0); err != nil {
+		b.Fatal(err)
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -27,7 +27,7 @@
 	indirectProbes = 3
 	// rumourFactor times the logarithm of the fleet is how often one rumour
 	// is passed on.
-	rumourFactor = 3
+	rumourFactor = 2
 )
 
 // An Event is something that happened to a Roster.
