--- a/internal/catalog/servicespec.go
+++ b/internal/catalog/servicespec.go
@@ -39,11 +39,12 @@
 
 // An UpstreamSpec is one server that holds replicas.
 type UpstreamSpec struct {
-	Name        string `json:"name" validate:"required,kebab,max=64"`
-	Address     string `json:"address" validate:"required,hostname_port"`
-	DataCenter  string `json:"data-center" validate:"required,kebab,max=64"`
-	Slots       int    `json:"slots" validate:"min=1,max=1024"`
-	Connections int    `json:"connections" validate:"min=1,max=65536"`
+	Name       string `json:"name" validate:"required,kebab,max=64"`
+	Address    string `json:"address" validate:"required,hostname_port"`
+	DataCenter string `json:"data-center" validate:"required,kebab,max=64"`
+	Slots      int    `json:"slots" validate:"min=1,max=1024"`
+	// Connections is the upstream's limit; some are kept for cancellations.
+	Connections int `json:"connections" validate:"min=4,max=65536"`
 	// Drain is set by operators before they take the upstream away.
 	Drain bool `json:"drain,omitempty"`
 }
--- /dev/null
+++ b/internal/operator/publisher_test.go
@@ -0,0 +1,73 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/catalog"
+	"github.com/foxtailshelf/foxtailshelf/internal/standin"
+)
+
+func letters(slots int) *catalog.Service {
+	s, err := catalog.CompileService(catalog.ServiceSpec{
+		Name: "letters", Goal: "latency", MinReplicas: 1, Canary: "never",
+		Kinds:     []catalog.KindSpec{{Name: "lookup", Urgency: "prompt", Idempotent: true, Scatter: "key", DeadlineMilliseconds: 300}},
+		Upstreams: []catalog.UpstreamSpec{{Name: "a", Address: "127.0.0.1:1", DataCenter: "attiki-1", Slots: slots, Connections: 50}},
+		Maps:      []catalog.MapSpec{{Name: "m1", Shards: []catalog.ShardSpec{{Name: "all", Weight: 1, Upstreams: []string{"a"}}}}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return s
+}
+
+// TestPublish lets two operators start from the same revision, under faults of
+// the key-value service.
+func TestPublish(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		faults standin.StoreFaults
+		// accepted is the error of the first, stale of the second.
+		check func(c *qt.C, first, second error)
+	}{
+		{"no fault", standin.StoreFaults{}, oneWins},
+		{"replies lost", standin.StoreFaults{LoseReplies: true}, oneWins},
+		{"slow", standin.StoreFaults{DelayMilliseconds: 1500}, oneWins},
+		{"down", standin.StoreFaults{Down: true}, func(c *qt.C, first, second error) {
+			c.Check(first, qt.IsNotNil)
+			c.Check(second, qt.IsNotNil)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				store := &standin.Store{}
+				publisher := &Publisher{Store: store}
+				base, revision, err := publisher.Read(context.Background())
+				c.Assert(err, qt.IsNil)
+				store.SetFaults(test.faults)
+				publish := func(slots int) error {
+					_, err := publisher.Publish(context.Background(), base, revision, Replace(base, letters(slots)))
+					return err
+				}
+				first, second := publish(1), publish(2)
+				test.check(c, first, second)
+				store.SetFaults(standin.StoreFaults{})
+				now, _, err := publisher.Read(context.Background())
+				c.Assert(err, qt.IsNil)
+				c.Check(now.Revision() == 1, qt.Equals, first == nil)
+			})
+		})
+	}
+}
+
+func oneWins(c *qt.C, first, second error) {
+	c.Check(first, qt.IsNil)
+	var stale *StaleError
+	c.Assert(errors.As(second, &stale), qt.IsTrue, qt.Commentf("%v", second))
+	c.Check(*stale, qt.DeepEquals, StaleError{Base: 0, Current: 1, Changed: []string{"letters"}})
+}
--- a/internal/shard/group_test.go
+++ b/internal/shard/group_test.go
@@ -1,7 +1,9 @@
 package shard
 
 import (
+	"flag"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -20,6 +22,15 @@
 	version = snapshot.New(1, "m1")
 )
 
+// TestMain fixes the seed of the random events unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		_ = seed.Value.Set("17")
+	}
+	os.Exit(m.Run())
+}
+
 func definition(slots ...int) *catalog.Group {
 	spec := catalog.ServiceSpec{
 		Name: "screening", Goal: "coverage", MinReplicas: 1, Canary: "never",
--- a/internal/upstream/httpclient_test.go
+++ b/internal/upstream/httpclient_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -152,3 +153,55 @@
 	f.Add([]byte(`{"versions":[{"number":1,"map":"m1"}],"draining":true}`))
 	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = DecodeReport(data) })
 }
+
+// TestConnectionLimit counts the connections that are open at once while calls
+// of all sorts come, are cancelled and are repeated.
+func TestConnectionLimit(t *testing.T) {
+	c := qt.New(t)
+	const limit = 5
+	var open, most atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(2 * time.Millisecond)
+		w.Header().Set(HeaderAttempt, r.Header.Get(HeaderAttempt))
+		w.Header().Set(HeaderVersion, "1")
+	}))
+	defer server.Close()
+	client := NewHTTPClient(strings.TrimPrefix(server.URL, "http://"), 2, limit)
+	defer client.Close()
+	for _, transport := range []*http.Transport{client.kept, client.fresh, client.control} {
+		dial := transport.DialContext
+		transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dial(ctx, network, address)
+			n := open.Add(1)
+			for old := most.Load(); n > old && !most.CompareAndSwap(old, n); old = most.Load() {
+			}
+			return &countedConn{Conn: conn, open: &open}, err
+		}
+	}
+	var calls sync.WaitGroup
+	for i := range 8 {
+		calls.Go(func() {
+			for range 40 {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				_, _ = client.Run(ctx, Call{AttemptID: "a", Idempotent: i%2 == 0})
+				_, _ = client.Report(ctx)
+				_ = client.Cancel(ctx, "a")
+				cancel()
+			}
+		})
+	}
+	calls.Wait()
+	c.Check(most.Load() <= limit, qt.IsTrue, qt.Commentf("%d connections", most.Load()))
+}
+
+// countedConn lowers a counter when it is closed.
+type countedConn struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
