Reading: two invariants that were named but not asserted, assignments in order

Found by reading: the rule 'own answer' was declared and never checked; the check of the revision stood behind the branch that made it true; events that a chart does not accept were passed over; two assignments could run at once and the older catalog win. Now: attempt ids and nonces are asserted where answers are merged, the gate asserts the order of revisions and assigns under a lock, charts of queries and claims record events they do not accept.

--- a/internal/booking/claim.go
+++ b/internal/booking/claim.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/chart"
+	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
 )
 
 //go:embed claim.chart.json
@@ -145,8 +146,9 @@
 
 // A Claim is the state of one request. It is not safe for concurrent use.
 type Claim struct {
-	nonce  string
-	digest string
+	recorder *invariant.Recorder
+	nonce    string
+	digest   string
 	// state is a state of claim.chart.json.
 	state    chart.State
 	deadline time.Time
@@ -159,8 +161,8 @@
 
 // New returns a claim and its first actions. First is set if the caller says
 // that it never sent the request before.
-func New(nonce, digest string, deadline time.Time, first bool) (*Claim, []Action) {
-	c := &Claim{nonce: nonce, digest: digest, deadline: deadline, state: claimChart.Initial(), free: first}
+func New(nonce, digest string, deadline time.Time, first bool, recorder *invariant.Recorder) (*Claim, []Action) {
+	c := &Claim{recorder: recorder, nonce: nonce, digest: digest, deadline: deadline, state: claimChart.Initial(), free: first}
 	c.emit(Write{Record: c.record(PhaseClaimed, nil)})
 	return c, c.actions
 }
@@ -237,7 +239,9 @@
 }
 
 func (c *Claim) fire(e chart.Event) {
-	c.state = claimChart.NextOrSame(c.state, e)
+	next, err := claimChart.Next(c.state, e)
+	c.recorder.Check(err == nil, invariant.StateChart, "%v", err)
+	c.state = next
 }
 
 // giveUp ends a request that was not run by this claim. The claim may stand in
--- a/internal/command/entrycmd.go
+++ b/internal/command/entrycmd.go
@@ -54,7 +54,6 @@
 		Store: keyvalue.NewHTTPStore(s.Store), Hosts: hostlist.NewHTTPList(s.HostList), Gates: peer.NewClient(),
 		Recorder: p.Recorder(), Timeline: p.Ring(), Metrics: entry.NewMetrics(p.Registry()), Log: p.Log(),
 		AddressTime: time.Duration(s.AddressTimeToLiveMilliseconds) * time.Millisecond,
-		Seed:        uint64(time.Now().UnixMicro()),
 	}
 	p.Leave = e.Leave
 	p.Ready = e.Ready
--- a/internal/entry/book.go
+++ b/internal/entry/book.go
@@ -46,7 +46,7 @@
 	}
 	b := &bookingRun{entry: e, request: r, key: booking.Key(r.service.Name(), r.id)}
 	var actions []booking.Action
-	b.claim, actions = booking.New(uuid.NewString(), fmt.Sprintf("%016x", r.fingerprint), r.deadline, r.first)
+	b.claim, actions = booking.New(uuid.NewString(), fmt.Sprintf("%016x", r.fingerprint), r.deadline, r.first, e.Recorder)
 	b.perform(ctx, actions)
 	return *b.document
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,8 +50,6 @@
 	AddressTime time.Duration
 	// NoAdmission accepts requests that cannot be done by their deadline.
 	NoAdmission bool
-	// Seed is for all random choices.
-	Seed uint64
 
 	follower *follow.Follower
 	group    work.Group
@@ -133,7 +131,7 @@
 		}
 		e.follower = &follow.Follower{
 			Store: e.Store, Gates: e.Gates, Peers: e.gateAddresses, Watches: func() bool { return false },
-			OnChange: func(*catalog.Catalog) {}, Recorder: e.Recorder, Log: e.Log,
+			OnChange: func(*catalog.Catalog) {}, Log: e.Log,
 		}
 	})
 }
--- a/internal/fleettest/configuration_test.go
+++ b/internal/fleettest/configuration_test.go
@@ -13,12 +13,7 @@
 )
 
 func TestCutOffHostRefusesUntilItIsBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		f := New(DefaultOptions())
-		f.Start()
-		defer f.Stop()
-		time.Sleep(startTime)
+	runFleet(t, func(c *qt.C, f *Fleet) {
 		n := f.OwnerOf(0)
 		cutOffOwner(f)
 		time.Sleep(10 * time.Second)
@@ -34,12 +29,7 @@
 }
 
 func TestServiceOutageIsNotACutOff(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		f := New(DefaultOptions())
-		f.Start()
-		defer f.Stop()
-		time.Sleep(startTime)
+	runFleet(t, func(c *qt.C, f *Fleet) {
 		f.Store.SetFaults(standin.StoreFaults{Down: true})
 		time.Sleep(time.Hour)
 		caller := f.NewCaller()
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -218,7 +218,7 @@
 	n.Entry = &entry.Entry{
 		Host: name, DataCenter: "attiki-1", Address: "entry@" + name, LocalGate: "gate@" + name, Store: store, Hosts: hosts,
 		Gates: link, Recorder: f.Recorder, Timeline: n.Ring, Metrics: entry.NewMetrics(prometheus.NewRegistry()), Log: f.log,
-		AddressTime: 2 * time.Second, NoAdmission: f.Options.NoAdmission, Seed: seed,
+		AddressTime: 2 * time.Second, NoAdmission: f.Options.NoAdmission,
 	}
 	f.Network.attach("gate@"+name, n)
 	f.mu.Lock()
--- a/internal/fleettest/fleet_test.go
+++ b/internal/fleettest/fleet_test.go
@@ -14,12 +14,7 @@
 const startTime = 5 * time.Second
 
 func TestCalmFleet(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		f := New(DefaultOptions())
-		f.Start()
-		defer f.Stop()
-		time.Sleep(startTime)
+	runFleet(t, func(c *qt.C, f *Fleet) {
 		caller := f.NewCaller()
 		for _, n := range f.Nodes() {
 			r := caller.Ask(n, entry.RequestDocument{RequestID: "read-" + n.Name, Kind: Search, Query: []byte(`{}`)})
@@ -34,3 +29,15 @@
 		c.Check(caller.Broken, qt.HasLen, 0)
 	})
 }
+
+// runFleet runs a test on a small fleet that has been started, in virtual time.
+func runFleet(t *testing.T, test func(c *qt.C, f *Fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := New(DefaultOptions())
+		f.Start()
+		defer f.Stop()
+		time.Sleep(startTime)
+		test(qt.New(t), f)
+	})
+}
--- a/internal/fleettest/recovery_test.go
+++ b/internal/fleettest/recovery_test.go
@@ -38,12 +38,7 @@
 // TestOverloadLeavesNoBadState asks for 2.5 times the capacity for 10 s, with an
 // upstream lost in the middle, and then looks at the first seconds after.
 func TestOverloadLeavesNoBadState(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		f := New(DefaultOptions())
-		f.Start()
-		defer f.Stop()
-		time.Sleep(startTime)
+	runFleet(t, func(c *qt.C, f *Fleet) {
 		capacity := float64(f.Options.Slots*f.Options.Replicas) / 0.0195
 		before, calm := loaded(f, 1, 0.6*capacity, 5*time.Second)
 		f.Go(func() {
@@ -92,12 +87,7 @@
 // TestSilentConnectionsCostLittle makes all connections to two replicas of each
 // shard silent at once and looks at the requests of the next seconds.
 func TestSilentConnectionsCostLittle(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		f := New(DefaultOptions())
-		f.Start()
-		defer f.Stop()
-		time.Sleep(startTime)
+	runFleet(t, func(c *qt.C, f *Fleet) {
 		loaded(f, 1, 50, 3*time.Second)
 		for _, client := range f.Network.Clients() {
 			client.setSilent(true)
@@ -114,12 +104,7 @@
 // TestOldVersionFinishes changes the version under running queries while both
 // are held: queries on the old one finish, none mixes the two.
 func TestOldVersionFinishes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		f := New(DefaultOptions())
-		f.Start()
-		defer f.Stop()
-		time.Sleep(startTime)
+	runFleet(t, func(c *qt.C, f *Fleet) {
 		f.Go(func() {
 			for n := uint64(2); n < 12; n++ {
 				time.Sleep(300 * time.Millisecond)
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -11,7 +11,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/catalog"
-	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
 	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
 	"github.com/foxtailshelf/foxtailshelf/internal/peer"
 )
@@ -38,7 +37,6 @@
 	Watches func() bool
 	// OnChange is called with each new catalog, in order.
 	OnChange func(*catalog.Catalog)
-	Recorder *invariant.Recorder
 	Log      logrus.FieldLogger
 
 	mu      sync.RWMutex
@@ -135,7 +133,6 @@
 	f.current = c
 	f.remember(c)
 	f.mu.Unlock()
-	f.Recorder.Check(old == nil || c.Revision() > old.Revision(), invariant.RevisionMonotonic, "revision %d", c.Revision())
 	f.Log.WithField("revision", c.Revision()).Info("catalog in force")
 	f.OnChange(c)
 }
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
 	"github.com/foxtailshelf/foxtailshelf/internal/shard"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 )
@@ -29,6 +30,7 @@
 	}
 	startAt := time.Now()
 	reply, err := client.Run(ctx, call)
+	o.gate.Recorder.Check(err != nil || reply.AttemptID == call.AttemptID, invariant.OwnAnswer, "attempt %s got the answer to %s", call.AttemptID, reply.AttemptID)
 	ended := classify(ctx, a, reply, err)
 	if ended.Result == shard.ResultAborted || ended.Result == shard.ResultSilent {
 		tellUpstream(client, call.AttemptID)
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -68,6 +68,11 @@
 	// lastTick is when the clock of this process was last seen to run.
 	lastTick time.Time
 
+	// reassigning keeps an older catalog from being applied after a newer one.
+	reassigning sync.Mutex
+	// assigned is the revision that groups were last assigned by.
+	assigned uint64
+
 	rosterMu  sync.Mutex
 	roster    *roster.Roster
 	ownership *roster.Ownership
@@ -159,7 +164,7 @@
 		g.changes = []roster.Member{g.roster.Self()}
 		g.follower = &follow.Follower{
 			Store: g.Store, Gates: g.Gates, Peers: g.peerAddresses, Watches: g.watches,
-			OnChange: func(*catalog.Catalog) { g.reassign() }, Recorder: g.Recorder, Log: g.Log,
+			OnChange: func(*catalog.Catalog) { g.reassign() }, Log: g.Log,
 		}
 	})
 }
@@ -246,8 +251,13 @@
 
 // reassign brings the owned groups in line with the catalog and the members.
 func (g *Gate) reassign() {
+	g.reassigning.Lock()
+	defer g.reassigning.Unlock()
+	current := g.follower.Current()
+	g.Recorder.Check(current.Revision() >= g.assigned, invariant.RevisionMonotonic, "revision %d after %d", current.Revision(), g.assigned)
+	g.assigned = current.Revision()
 	listed := make(map[string]bool)
-	for _, s := range g.follower.Current().Services() {
+	for _, s := range current.Services() {
 		for _, definition := range s.Groups() {
 			listed[definition.Name()] = true
 			g.assign(s.Name(), definition)
--- a/internal/gate/owner.go
+++ b/internal/gate/owner.go
@@ -50,7 +50,6 @@
 type pending struct {
 	request   *wire.ScatterRequest
 	shardPath string
-	deadline  time.Time
 	deliver   func(*wire.ScatterReply)
 }
 
--- a/internal/gate/scatter.go
+++ b/internal/gate/scatter.go
@@ -158,7 +158,7 @@
 		case o == nil:
 			deliver(refusal(request, path, shard.ReasonNotOwner, minimalRetry))
 		default:
-			p := &pending{request: request, shardPath: path, deadline: deadline, deliver: deliver}
+			p := &pending{request: request, shardPath: path, deliver: deliver}
 			withdrawals = append(withdrawals, o.submit(p, shard.Job{
 				ShardPath: path, Version: decodeVersion(request.GetVersion()), Urgency: catalog.Urgency(request.GetUrgency()).Bounded(),
 				Deadline: deadline, Idempotent: request.GetIdempotent(), Fingerprint: request.GetFingerprint(),
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -20,6 +20,7 @@
 	RefusedNotRun     Rule = "refused-not-run"
 	SingleAttempt     Rule = "single-attempt"
 	RevisionMonotonic Rule = "revision-monotonic"
+	StateChart        Rule = "state-chart"
 )
 
 // A Violation is one broken promise.
--- /dev/null
+++ b/internal/query/answer.go
@@ -0,0 +1,96 @@
+package query
+
+import (
+	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
+	"github.com/foxtailshelf/foxtailshelf/internal/shard"
+)
+
+// finish builds the answer from what is there.
+func (q *Query) finish(reason shard.Reason) {
+	answer := q.answer(reason)
+	q.fire("finish")
+	if len(q.outcomes) < len(q.plan.Parts) {
+		q.emit(CancelRun{Nonce: q.plan.Nonce})
+	}
+	q.emit(Finish{Answer: answer})
+}
+
+func (q *Query) answer(reason shard.Reason) Answer {
+	a := Answer{Version: q.plan.Version, Reason: reason, Attempts: q.attempts}
+	planned, answered := 0, 0
+	for _, p := range q.plan.Parts {
+		planned += p.Weight
+		o, ended := q.outcomes[p.Path]
+		a.Attempts += o.Attempts
+		if !ended || o.Outcome != shard.Answered {
+			a.Missing = append(a.Missing, p)
+			q.explain(&a, o, ended)
+			continue
+		}
+		answered += p.Weight
+		a.Results = append(a.Results, Result{Part: p, Body: o.Body})
+		q.recorder.Check(o.Nonce == q.plan.Nonce, invariant.OwnAnswer, "shard %s: answer to run %s merged into run %s", p.Path, o.Nonce, q.plan.Nonce)
+		q.recorder.Check(o.Version == q.plan.Version, invariant.OneSnapshot, "shard %s answered from %s, the query is pinned to %s", p.Path, o.Version, q.plan.Version)
+	}
+	if planned > 0 {
+		a.Coverage = float64(answered) / float64(planned)
+	}
+	a.Status = q.status(a)
+	if a.Status == Complete {
+		a.Reason, a.RetryAfter = "", 0
+	}
+	if a.Status != Complete && a.RetryAfter == 0 {
+		a.RetryAfter = DefaultRetry
+	}
+	q.recorder.Check((a.Status == Complete) == (len(a.Missing) == 0), invariant.TrueCoverage, "status %s with %d shards missing", a.Status, len(a.Missing))
+	q.recorder.Check(len(a.Results)+len(a.Missing) == len(q.plan.Parts), invariant.ShardOnce, "%d results and %d missing of %d", len(a.Results), len(a.Missing), len(q.plan.Parts))
+	return a
+}
+
+// explain takes the reason and the longest wait from the missing shards.
+func (q *Query) explain(a *Answer, o ShardReplied, ended bool) {
+	if !ended {
+		return
+	}
+	if a.Reason == "" || a.Reason == shard.ReasonDeadline {
+		a.Reason = o.Reason
+	}
+	a.RetryAfter = max(a.RetryAfter, o.RetryAfter)
+}
+
+func (q *Query) status(a Answer) Status {
+	ran := q.ran || q.mayRun()
+	switch {
+	case len(a.Missing) == 0:
+		return Complete
+	case len(a.Results) > 0:
+		return Partial
+	case !ran:
+		return NotRun
+	case q.terms.Idempotent:
+		return Failed
+	default:
+		return Unknown
+	}
+}
+
+// mayRun reports whether a part of the current plan has not been refuted.
+func (q *Query) mayRun() bool {
+	if q.state == stateRepin {
+		return false
+	}
+	for _, p := range q.sentParts() {
+		if o, ended := q.outcomes[p.Path]; !ended || o.Outcome != shard.NotRun {
+			return true
+		}
+	}
+	return false
+}
+
+// sentParts returns the parts that went to gates under the current plan.
+func (q *Query) sentParts() []Part {
+	if q.state == stateCanary {
+		return []Part{q.plan.Parts[q.terms.CanaryIndex%uint64(len(q.plan.Parts))]}
+	}
+	return q.plan.Parts
+}
