Hedges: a late attempt without a token asks again

Cause: 1 of some 350 stragglers met an empty budget once and was then never hedged; of 70 leafs that is p99.9 = 516 ms. Change: an attempt that finds no token asks again every 10 ms, so that tokens go to those that stay late. Also: profiles on the operations address, processor time of real processes.

--- /dev/null
+++ b/internal/command/load_test.go
@@ -0,0 +1,79 @@
+package command
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+var loadTime = flag.Duration("load", 0, "measure real processes under load for this long")
+
+// TestRealLoad measures processor time for each query of 4 shards over real
+// processes: closed loop, 24 callers.
+func TestRealLoad(t *testing.T) {
+	if *loadTime == 0 {
+		t.Skip("measures only with -load")
+	}
+	f := startProcesses(t)
+	f.awaitComplete(0)
+	time.Sleep(4 * time.Second)
+	before := f.processorTimes()
+	var complete, other atomic.Int64
+	var callers sync.WaitGroup
+	end := time.Now().Add(*loadTime)
+	for worker := range 24 {
+		callers.Go(func() {
+			for n := 0; time.Now().Before(end); n++ {
+				if f.ask(worker%fleetHosts, fmt.Sprintf(`{"kind": "search", "query": "%d-%d"}`, worker, n)) == "complete" {
+					complete.Add(1)
+				} else {
+					other.Add(1)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	after := f.processorTimes()
+	queries := complete.Load() + other.Load()
+	t.Logf("%d queries of 4 shards, %d complete, %.0f a second", queries, complete.Load(), float64(queries)/loadTime.Seconds())
+	for _, role := range []string{"entry", "gate"} {
+		t.Logf("%s: %.0f us a query, all %d processes", role, 1e6*(after[role]-before[role])/float64(queries), fleetHosts)
+	}
+}
+
+// processorTimes returns the seconds used by all entries and by all gates.
+func (f *processFleet) processorTimes() map[string]float64 {
+	sums := make(map[string]float64)
+	for role, addresses := range map[string][]string{"entry": f.entryOperations, "gate": f.gateOperations} {
+		for _, address := range addresses {
+			sums[role] += f.metric(address, "process_cpu_seconds_total")
+		}
+	}
+	return sums
+}
+
+func (f *processFleet) metric(address, name string) float64 {
+	response, err := http.Get("http://" + address + "/metrics")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	for lines := bufio.NewScanner(response.Body); lines.Scan(); {
+		if value, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
+			number, err := strconv.ParseFloat(value, 64)
+			if err != nil {
+				f.t.Fatal(err)
+			}
+			return number
+		}
+	}
+	f.t.Fatalf("%s has no metric %s", address, name)
+	return 0
+}
--- a/internal/command/process_test.go
+++ b/internal/command/process_test.go
@@ -19,11 +19,12 @@
 
 // processFleet is a fleet of real processes on loopback.
 type processFleet struct {
-	t                              *testing.T
-	dir                            string
-	store, hosts, upstream         string
-	entries, gates, gateOperations []string
-	processes                      map[string]*exec.Cmd
+	t                               *testing.T
+	dir                             string
+	store, hosts, upstream          string
+	entries, gates                  []string
+	entryOperations, gateOperations []string
+	processes                       map[string]*exec.Cmd
 }
 
 const fleetHosts = 3
@@ -39,7 +40,7 @@
 	var listed []string
 	for i := range fleetHosts {
 		f.entries, f.gates = append(f.entries, freeAddress(t)), append(f.gates, freeAddress(t))
-		f.gateOperations = append(f.gateOperations, freeAddress(t))
+		f.gateOperations, f.entryOperations = append(f.gateOperations, freeAddress(t)), append(f.entryOperations, freeAddress(t))
 		listed = append(listed, fmt.Sprintf(`{"name": "host-%d", "data-center": "attiki-1", "entry-address": %q, "gate-address": %q}`, i, f.entries[i], f.gates[i]))
 	}
 	f.write("catalog.jsonc", f.catalog())
@@ -52,7 +53,7 @@
 		f.write(fmt.Sprintf("gate-%d.jsonc", i), fmt.Sprintf(`{%s, "listen": %q, "entry-address": %q, "operations-listen": %q, "hedge-percent": 3, "warm-milliseconds": 1000}`,
 			common, f.gates[i], f.entries[i], f.gateOperations[i]))
 		f.write(fmt.Sprintf("entry-%d.jsonc", i), fmt.Sprintf(`{%s, "listen": %q, "operations-listen": %q, "gate": %q, "address-time-to-live-milliseconds": 1000}`,
-			common, f.entries[i], freeAddress(t), f.gates[i]))
+			common, f.entries[i], f.entryOperations[i], f.gates[i]))
 		f.launch("foxtail-gate", fmt.Sprintf("gate-%d", i))
 		f.launch("foxtail-entry", fmt.Sprintf("entry-%d", i))
 	}
--- a/internal/fleettest/policies_test.go
+++ b/internal/fleettest/policies_test.go
@@ -79,10 +79,21 @@
 		{"stragglers-90", 0.9, stragglers, hedging},
 		{"overload-150", 1.5, stragglers, []policy{direct, admitAll, owned}},
 		{"replica-lost-60", 0.6, func(f *Fleet) { stragglers(f); f.Upstreams[0].SetFaults(standin.UpstreamFaults{Down: true}) }, []policy{direct, owned}},
+		{"target-60", 0.6, stragglers, []policy{
+			{"70 shards, hedge from the queue's head", target},
+			{"70 shards, no hedge", func(o *Options) { target(o); o.Gate.Hedge = shard.HedgeNever }},
+			{"70 shards, goal latency", func(o *Options) { target(o); o.Goal = catalog.GoalLatency }},
+		}},
 		{"shard-slow-60", 0.6, func(f *Fleet) { stragglers(f); slowShard(1.5)(f) }, []policy{direct, noHedge, owned, byLatency}},
 	}
 }
 
+// target is a service of 70 shards on more hosts, as a part of the fleet that
+// is aimed at.
+func target(o *Options) {
+	o.Hosts, o.Shards, o.Slots = 24, 70, 4
+}
+
 // deployments are the sizes of both users' search services.
 var deployments = []struct {
 	name  string
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"os"
 	"os/signal"
 	"syscall"
@@ -141,6 +142,8 @@
 	router.Handle("/metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
 	router.HandleFunc("/v1/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintln(w, "ok") })
 	router.HandleFunc("/v1/readyz", p.handleReady)
+	router.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	router.HandleFunc("/debug/pprof/heap", pprof.Handler("heap").ServeHTTP)
 	router.HandleFunc("/v1/events", func(w http.ResponseWriter, r *http.Request) {
 		writeJSON(w, p.ring.Events(r.URL.Query().Get("request")))
 	})
--- a/internal/shard/dispatch.go
+++ b/internal/shard/dispatch.go
@@ -232,6 +232,8 @@
 		return
 	}
 	if !g.extra.Spend() {
+		// Most late attempts end soon; those that do not are tried again.
+		a.hedgeAt = now.Add(hedgeRetry)
 		return
 	}
 	a.job.hedged = true
--- a/internal/shard/options.go
+++ b/internal/shard/options.go
@@ -41,6 +41,8 @@
 const (
 	// maxAttempts bounds the attempts of one job.
 	maxAttempts = 3
+	// hedgeRetry is the pause until a late attempt asks for a token again.
+	hedgeRetry = 10 * time.Millisecond
 	// minSamples is how many attempts an estimate needs.
 	minSamples = 50
 	// slowFactor is how much slower than the best a slow replica is.
