--- a/internal/fleettest/faults.go
+++ b/internal/fleettest/faults.go
@@ -154,10 +154,9 @@
 // version of it in place of the first.
 func repartition(f *Fleet) {
 	f.Go(func() {
-		f.Publish(f.WithSecondMap())
+		f.PublishUntil(f.WithSecondMap())
 		for !f.InForce("m2") {
 			time.Sleep(100 * time.Millisecond)
-			f.Publish(f.WithSecondMap())
 		}
 		f.SetVersions(snapshot.New(2, "m2"))
 	})
--- a/internal/fleettest/fleet.go
+++ b/internal/fleettest/fleet.go
@@ -190,6 +190,30 @@
 	_, _ = publisher.Publish(context.Background(), base, revision, change)
 }
 
+// PublishUntil puts a document in force, however often it takes.
+func (f *Fleet) PublishUntil(spec catalog.ServiceSpec) {
+	for {
+		f.Publish(spec)
+		publisher := &operator.Publisher{Store: f.Store}
+		current, _, err := publisher.Read(context.Background())
+		if err == nil {
+			if s, ok := current.Service(spec.Name); ok && len(s.Spec().Maps) == len(spec.Maps) {
+				return
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// Revision returns the newest revision in the key-value service.
+func (f *Fleet) Revision() (uint64, error) {
+	current, _, err := (&operator.Publisher{Store: f.Store}).Read(context.Background())
+	if err != nil {
+		return 0, err
+	}
+	return current.Revision(), nil
+}
+
 // AddNode starts one host.
 func (f *Fleet) AddNode(name string) *Node {
 	f.mu.Lock()
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -40,11 +40,18 @@
 
 	mu     sync.Mutex
 	last   Stamp
-	events []Event
+	events []entry
 	// next is where the next event goes once the ring is full.
 	next int
 }
 
+// entry is an event whose detail is put into words only when it is read.
+type entry struct {
+	event  Event
+	format string
+	args   []any
+}
+
 // Before reports whether s comes before o.
 func (s Stamp) Before(o Stamp) bool {
 	if s.Micros != o.Micros {
@@ -53,22 +60,23 @@
 	return s.Count < o.Count
 }
 
-// Add records an event and returns its stamp.
+// Add records an event and returns its stamp. The arguments must not change
+// afterwards.
 func (r *Ring) Add(kind, request, format string, args ...any) Stamp {
 	if r == nil {
 		return Stamp{}
 	}
-	detail := fmt.Sprintf(format, args...)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := Event{Stamp: r.tick(), Host: r.Host, Process: r.Process, Kind: kind, Request: request, Detail: detail}
+	stamp := r.tick()
+	e := entry{event: Event{Stamp: stamp, Host: r.Host, Process: r.Process, Kind: kind, Request: request}, format: format, args: args}
 	if len(r.events) < r.Size {
 		r.events = append(r.events, e)
-		return e.Stamp
+		return stamp
 	}
 	r.events[r.next] = e
 	r.next = (r.next + 1) % r.Size
-	return e.Stamp
+	return stamp
 }
 
 // Events returns the kept events of a request, or all if it is "", oldest
@@ -79,8 +87,9 @@
 	var events []Event
 	for i := range r.events {
 		e := r.events[(r.next+i)%len(r.events)]
-		if request == "" || e.Request == request {
-			events = append(events, e)
+		if request == "" || e.event.Request == request {
+			e.event.Detail = fmt.Sprintf(e.format, e.args...)
+			events = append(events, e.event)
 		}
 	}
 	return events
