--- /dev/null
+++ b/internal/peer/client_test.go
@@ -0,0 +1,108 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/silencetest"
+	"github.com/foxtailshelf/foxtailshelf/internal/wire"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
+)
+
+// counter answers each shard of a scatter once and counts the requests. With
+// mute set it accepts requests and then shows no sign of life.
+type counter struct {
+	Handler
+	requests atomic.Int64
+	mute     bool
+}
+
+func (c *counter) Scatter(ctx context.Context, r *wire.ScatterRequest, deliver func(*wire.ScatterReply) error) error {
+	c.requests.Add(1)
+	if err := deliver(&wire.ScatterReply{Accepted: true}); err != nil {
+		return err
+	}
+	if c.mute {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	for _, path := range r.GetShards() {
+		if err := deliver(&wire.ScatterReply{Shard: path}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *counter) Survey(context.Context, *wire.SurveyRequest) (*wire.SurveyReply, error) {
+	return &wire.SurveyReply{}, nil
+}
+
+// connect returns a client and an address whose connections can be silenced.
+func connect(t *testing.T, handler Handler) (*Client, *silencetest.Proxy) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group work.Group
+	group.Go(func() { _ = Serve(ctx, listener, handler) })
+	client := NewClient()
+	t.Cleanup(func() {
+		client.Close()
+		cancel()
+		group.Wait()
+	})
+	return client, silencetest.NewProxy(t, listener.Addr().String())
+}
+
+func TestSilentConnection(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		c := qt.New(t)
+		handler := &counter{}
+		client, proxy := connect(t, handler)
+		scatter := func() (replies int, err error) {
+			err = client.Scatter(context.Background(), proxy.Address(), &wire.ScatterRequest{Idempotent: idempotent, Shards: []string{"a", "b"}}, func(r *wire.ScatterReply) {
+				if r.GetShard() != "" {
+					replies++
+				}
+			})
+			return replies, err
+		}
+		replies, err := scatter()
+		c.Assert(err, qt.IsNil)
+		c.Check(replies, qt.Equals, 2)
+		proxy.SilenceOpen()
+		startAt := time.Now()
+		replies, err = scatter()
+		c.Assert(err, qt.IsNil)
+		c.Check(replies, qt.Equals, 2)
+		c.Check(time.Since(startAt) < 2*SilenceTimeout, qt.IsTrue)
+		c.Check(handler.requests.Load(), qt.Equals, int64(2), qt.Commentf("idempotent %v", idempotent))
+	}
+}
+
+func TestGateThatGoesSilentIsLost(t *testing.T) {
+	c := qt.New(t)
+	client, proxy := connect(t, &counter{mute: true})
+	startAt := time.Now()
+	err := client.Scatter(context.Background(), proxy.Address(), &wire.ScatterRequest{Shards: []string{"a"}}, func(*wire.ScatterReply) {})
+	var unreachable *UnreachableError
+	c.Assert(errors.As(err, &unreachable), qt.IsTrue)
+	c.Check(unreachable.Sent, qt.IsTrue)
+	c.Check(time.Since(startAt) < 2*SilenceTimeout, qt.IsTrue)
+}
+
+func TestGateThatIsNotThere(t *testing.T) {
+	c := qt.New(t)
+	err := NewClient().Scatter(context.Background(), "127.0.0.1:1", &wire.ScatterRequest{}, nil)
+	var unreachable *UnreachableError
+	c.Assert(errors.As(err, &unreachable), qt.IsTrue)
+	c.Check(unreachable.Sent, qt.IsFalse)
+}
--- a/internal/upstream/httpclient_test.go
+++ b/internal/upstream/httpclient_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -15,6 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/silencetest"
 	"github.com/foxtailshelf/foxtailshelf/internal/snapshot"
 )
 
@@ -85,8 +85,8 @@
 		w.Header().Set(HeaderVersion, "1")
 	}))
 	defer server.Close()
-	proxy := newSwallower(t, strings.TrimPrefix(server.URL, "http://"))
-	client := NewHTTPClient(proxy.address, 2, 25)
+	proxy := silencetest.NewProxy(t, strings.TrimPrefix(server.URL, "http://"))
+	client := NewHTTPClient(proxy.Address(), 2, 25)
 	defer client.Close()
 	run := func(idempotent bool, left time.Duration) error {
 		ctx, cancel := context.WithTimeout(context.Background(), left)
@@ -95,60 +95,13 @@
 		return err
 	}
 	c.Assert(run(true, time.Second), qt.IsNil)
-	proxy.swallowOld()
+	proxy.SilenceOpen()
 	c.Check(run(true, 200*time.Millisecond), qt.ErrorIs, context.DeadlineExceeded)
 	c.Check(run(false, time.Second), qt.IsNil, qt.Commentf("calls that must not run twice use fresh connections"))
 	client.Refresh()
 	c.Check(run(true, time.Second), qt.IsNil)
 }
 
-// swallower passes connections on until told to swallow those that are open.
-type swallower struct {
-	address    string
-	generation atomic.Int64
-}
-
-func newSwallower(t *testing.T, target string) *swallower {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	s := &swallower{address: listener.Addr().String()}
-	time.AfterFunc(0, func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			upstream, err := net.Dial("tcp", target)
-			if err != nil {
-				return
-			}
-			born := s.generation.Load()
-			time.AfterFunc(0, func() { s.copy(upstream, conn, born) })
-			time.AfterFunc(0, func() { s.copy(conn, upstream, born) })
-		}
-	})
-	return s
-}
-
-func (s *swallower) copy(to io.WriteCloser, from io.Reader, born int64) {
-	defer to.Close()
-	buffer := make([]byte, 4096)
-	for {
-		n, err := from.Read(buffer)
-		if err != nil {
-			return
-		}
-		if s.generation.Load() == born {
-			_, _ = to.Write(buffer[:n])
-		}
-	}
-}
-
-func (s *swallower) swallowOld() { s.generation.Add(1) }
-
 func FuzzDecodeReport(f *testing.F) {
 	f.Add([]byte(`{"versions":[{"number":1,"map":"m1"}],"draining":true}`))
 	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = DecodeReport(data) })
