A paused gate: every owner sees the pause before it decides

Cause, by reading: the pause was noted and then handed to one owner after the other; another step could start attempts at full slots in between. The end of what is in flight was waited for with a wait group that grew meanwhile. Connections of replaced upstreams stayed open until they were idle for long. Change: a count of pauses that each owner compares under its own lock, which also takes a global lock off the path of each attempt; work.Flight; connections given up. TestPausedOwnerIsCautious fails without the comparison.

--- a/internal/capacitytest/cpu.go
+++ b/internal/capacitytest/cpu.go
@@ -42,7 +42,7 @@
 }
 
 // Service returns a service of 70 leafs in shards of three.
-func Service(b *testing.B, name string, slots int) *catalog.Service {
+func Service(b testing.TB, name string, slots int) *catalog.Service {
 	spec := catalog.ServiceSpec{
 		Name: name, Goal: "coverage", MinReplicas: 1, Canary: "never",
 		Kinds: []catalog.KindSpec{{Name: "search", Urgency: "urgent", Idempotent: true, Scatter: "all", DeadlineMilliseconds: 150}},
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -64,7 +64,7 @@
 	lastBroken map[string]time.Time
 	leaving    bool
 	newsAt     time.Time
-	inFlight   sync.WaitGroup
+	inFlight   work.Flight
 	start      sync.Once
 }
 
@@ -84,13 +84,8 @@
 	e.mu.Unlock()
 	e.refreshView(ctx)
 	sleep(ctx, withdrawTime+e.AddressTime)
-	done := make(chan struct{})
-	e.group.Go(func() {
-		e.inFlight.Wait()
-		close(done)
-	})
 	select {
-	case <-done:
+	case <-e.inFlight.Idle():
 	case <-ctx.Done():
 	}
 }
--- a/internal/entry/httpapi.go
+++ b/internal/entry/httpapi.go
@@ -59,8 +59,7 @@
 // Serve runs one decoded request; it is what the handler does.
 func (e *Entry) Serve(ctx context.Context, service string, d RequestDocument) (AnswerDocument, error) {
 	e.init()
-	e.inFlight.Add(1)
-	defer e.inFlight.Done()
+	defer e.inFlight.Begin()()
 	startAt := time.Now()
 	if reason := e.Ready(); reason != "" {
 		return e.notReady(service, d, reason), nil
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -65,8 +66,12 @@
 	// owners has an entry for each group in use here.
 	owners map[string]*owner
 	ledger *quarantine.Ledger
-	// lastTick is when the clock of this process was last seen to run.
-	lastTick time.Time
+
+	// lastTick is when the clock of this process was last seen to run, in
+	// nanoseconds since 1970.
+	lastTick atomic.Int64
+	// pauses counts how often this process was found to have been paused.
+	pauses atomic.Int64
 
 	// reassigning keeps an older catalog from being applied after a newer one.
 	reassigning sync.Mutex
@@ -82,7 +87,7 @@
 	firstChange uint64
 	isolation   isolation
 
-	inFlight sync.WaitGroup
+	inFlight work.Flight
 	start    sync.Once
 }
 
@@ -128,13 +133,8 @@
 	g.rosterStep(roster.Leave{})
 	g.announce(ctx)
 	wait(ctx, leaveTime)
-	done := make(chan struct{})
-	g.group.Go(func() {
-		g.inFlight.Wait()
-		close(done)
-	})
 	select {
-	case <-done:
+	case <-g.inFlight.Idle():
 	case <-ctx.Done():
 	}
 }
@@ -156,7 +156,7 @@
 	g.start.Do(func() {
 		g.owners = make(map[string]*owner)
 		g.ledger = quarantine.NewLedger()
-		g.lastTick = time.Now()
+		g.lastTick.Store(time.Now().UnixNano())
 		g.roster = roster.New(g.Self, g.Seed)
 		g.ownership = roster.NewOwnership()
 		g.ownership.Add(g.Self.Host())
@@ -284,25 +284,16 @@
 }
 
 // checkPause is called before every decision: a process that was paused goes
-// on with one slot of each upstream until it is sure what it owns.
+// on with one slot of each upstream until it is sure what it owns. Each owner
+// sees the count of pauses before it decides.
 func (g *Gate) checkPause(now time.Time) {
-	g.mu.Lock()
-	paused := now.Sub(g.lastTick) > pauseLimit
-	g.lastTick = now
-	var owners []*owner
-	if paused {
-		for _, o := range g.owners {
-			owners = append(owners, o)
-		}
-	}
-	g.mu.Unlock()
-	if !paused {
-		return
-	}
-	g.Timeline.Add("paused", "", "the process was paused")
-	for _, o := range owners {
-		o.cautious(now.Add(TakeoverTime))
+	last := g.lastTick.Load()
+	if now.UnixNano()-last > int64(pauseLimit) {
+		// Counted before the tick is noted, so that no owner misses it.
+		g.pauses.Add(1)
+		g.Timeline.Add("paused", "", "the process was paused")
 	}
+	g.lastTick.Store(now.UnixNano())
 }
 
 // pollReports asks the load endpoints of owned upstreams, and forgets groups
--- a/internal/gate/reassign_test.go
+++ b/internal/gate/gate_test.go
@@ -4,9 +4,13 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/capacitytest"
@@ -16,6 +20,7 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/shard"
 	"github.com/foxtailshelf/foxtailshelf/internal/standin"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
+	"github.com/foxtailshelf/foxtailshelf/internal/wire"
 )
 
 // BenchmarkMemberChange is what a gate does when one of 2,400 members changes,
@@ -71,3 +76,38 @@
 		b.Fatal(err)
 	}
 }
+
+// TestPausedOwnerIsCautious lets the clock jump between two ticks and counts the
+// attempts that the next step starts.
+func TestPausedOwnerIsCautious(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		stand := &standin.Upstream{Slots: 8, RunTime: func(*rand.Rand) time.Duration { return time.Minute }}
+		g := &Gate{
+			Self: fleetMember(0, 1), Store: &standin.Store{}, Options: shard.DefaultOptions(), Log: log,
+			Metrics: NewMetrics(prometheus.NewRegistry()), NewClient: func(catalog.UpstreamSpec) upstream.Client { return stand },
+		}
+		g.init()
+		s := capacitytest.Service(t, "s", 8)
+		o := g.use("s", s.Groups()[0], true)
+		for until := time.Now().Add(TakeoverTime); time.Now().Before(until); time.Sleep(tickPeriod) {
+			g.checkPause(time.Now())
+		}
+		submit := func(n int) {
+			for range n {
+				o.submit(&pending{request: &wire.ScatterRequest{}, shardPath: "m1/s00", deliver: func(*wire.ScatterReply) {}},
+					shard.Job{ShardPath: "m1/s00", Deadline: time.Now().Add(30 * time.Second)})
+			}
+			synctest.Wait()
+		}
+		submit(6)
+		c.Check(stand.Started(), qt.Equals, 6)
+		g.lastTick.Add(-int64(2 * pauseLimit))
+		submit(10)
+		c.Check(stand.Started(), qt.Equals, 6, qt.Commentf("after a pause nothing may start beyond one slot of each upstream"))
+		time.Sleep(time.Minute)
+		g.stop()
+	})
+}
--- a/internal/gate/owner.go
+++ b/internal/gate/owner.go
@@ -42,6 +42,8 @@
 	owned   bool
 	usedAt  time.Time
 	closed  bool
+	// pauses is how many pauses of the process the group knows of.
+	pauses int64
 	// known is closed once the upstreams had time to report.
 	known chan struct{}
 }
@@ -84,16 +86,6 @@
 	return o
 }
 
-// cautious limits the group to one slot of each upstream until a time.
-func (o *owner) cautious(until time.Time) {
-	o.mu.Lock()
-	owned := o.owned
-	o.mu.Unlock()
-	if owned {
-		o.step(shard.Owned{FullFrom: until})
-	}
-}
-
 func (o *owner) close() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -153,11 +145,15 @@
 	for _, spec := range definition.Upstreams() {
 		old, known := former[spec.Name]
 		if !known || old.Address != spec.Address || old.Slots != spec.Slots || old.Connections != spec.Connections {
+			if client, ok := o.clients[spec.Name]; ok {
+				client.Refresh()
+			}
 			o.clients[spec.Name] = o.gate.NewClient(spec)
 		}
 		delete(former, spec.Name)
 	}
 	for name := range former {
+		o.clients[name].Refresh()
 		delete(o.clients, name)
 	}
 	o.mu.Unlock()
@@ -209,15 +205,39 @@
 }
 
 func (o *owner) stepLocked(now time.Time, event shard.Event) []followUp {
+	follow := o.decide(now, o.pauseEvent(now))
+	follow = append(follow, o.decide(now, event)...)
+	if wake, ok := o.group.NextWake(); ok {
+		o.timer.Reset(wake.Sub(now))
+	}
+	return follow
+}
+
+// pauseEvent returns the caution that is due after a pause of the process, or
+// nil.
+func (o *owner) pauseEvent(now time.Time) shard.Event {
+	pauses := o.gate.pauses.Load()
+	if pauses == o.pauses {
+		return nil
+	}
+	o.pauses = pauses
+	if !o.owned {
+		return nil
+	}
+	return shard.Owned{FullFrom: now.Add(TakeoverTime)}
+}
+
+// decide lets the group take one event and does what it decided.
+func (o *owner) decide(now time.Time, event shard.Event) []followUp {
+	if event == nil {
+		return nil
+	}
 	var follow []followUp
 	for _, a := range o.group.Step(now, event) {
 		if f := o.perform(now, a); f != nil {
 			follow = append(follow, f)
 		}
 	}
-	if wake, ok := o.group.NextWake(); ok {
-		o.timer.Reset(wake.Sub(now))
-	}
 	return follow
 }
 
--- a/internal/gate/scatter.go
+++ b/internal/gate/scatter.go
@@ -35,8 +35,7 @@
 // Scatter implements peer.Handler.
 func (g *Gate) Scatter(ctx context.Context, request *wire.ScatterRequest, deliver func(*wire.ScatterReply) error) error {
 	g.init()
-	g.inFlight.Add(1)
-	defer g.inFlight.Done()
+	defer g.inFlight.Begin()()
 	g.Timeline.Witness(timeline.Stamp{Micros: request.GetStamp().GetMicros(), Count: request.GetStamp().GetCount()})
 	if err := deliver(&wire.ScatterReply{Accepted: true, Revision: g.follower.Current().Revision()}); err != nil {
 		return err
