A lost connection is not a restart

Cause: one reset connection made its upstream start anew with one slot and took five seconds to give back the others; and a connection that the server closed as idle just when it was used again looked like a crash. Change: an upstream that answers a fresh connection within 250 ms and does not call itself cold keeps all its slots; idle connections are closed after 4 s, before common servers do. The revision in force is a metric. Failing first: TestLostConnectionIsNotARestart (1 slot instead of 4).

--- a/internal/command/entrycmd.go
+++ b/internal/command/entrycmd.go
@@ -56,6 +56,7 @@
 		AddressTime: time.Duration(s.AddressTimeToLiveMilliseconds) * time.Millisecond,
 	}
 	p.Leave = e.Leave
+	p.Revision = func() uint64 { return e.Catalog().Revision() }
 	p.Ready = e.Ready
 	p.State = func() any { return e.State() }
 	return p.Run(e.Run, process.HTTPTask(s.Listen, e.Handler()))
--- a/internal/command/gatecmd.go
+++ b/internal/command/gatecmd.go
@@ -58,6 +58,7 @@
 	}
 	g := newGate(s, p)
 	p.Leave = g.Leave
+	p.Revision = func() uint64 { return g.Catalog().Revision() }
 	p.State = func() any { return g.State() }
 	p.Ready = func() string {
 		if !g.Ready() {
--- a/internal/gate/owner.go
+++ b/internal/gate/owner.go
@@ -349,10 +349,10 @@
 func (o *owner) probe(name string, client upstream.Client) {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
-	answered := false
+	ended := shard.ProbeEnded{Upstream: name}
 	if client != nil {
-		_, err := client.Report(ctx)
-		answered = err == nil
+		report, err := client.Report(ctx)
+		ended.Answered, ended.Cold = err == nil, report.Cold
 	}
-	o.step(shard.ProbeEnded{Upstream: name, Answered: answered})
+	o.step(ended)
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -49,6 +49,8 @@
 	Ready func() string
 	// State returns what the operations endpoint shows as the state.
 	State func() any
+	// Revision returns the revision of the configuration in force; may be nil.
+	Revision func() uint64
 	// Leave stops gracefully before the context of Run's tasks ends.
 	Leave func(context.Context)
 
@@ -107,6 +109,11 @@
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
 	tasks = append(tasks, HTTPTask(p.OperationsAddress, p.operations()))
+	if p.Revision != nil {
+		p.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "foxtailshelf_revision", Help: "Revision of the configuration in force.",
+		}, func() float64 { return float64(p.Revision()) }))
+	}
 	for _, task := range tasks {
 		group.Go(func() error { return task(ctx) })
 	}
--- a/internal/shard/group.go
+++ b/internal/shard/group.go
@@ -443,8 +443,13 @@
 		r.probeAt = now.Add(r.probePause)
 		return
 	}
-	r.fire(now, "found")
-	r.mean = 0
+	if !e.Cold && now.Sub(r.since) < blinkTime {
+		// Only connections were lost: too short for a restart.
+		r.fire(now, "resumed")
+	} else {
+		r.fire(now, "found")
+		r.mean = 0
+	}
 	if r.spec.Drain {
 		r.fire(now, "drain")
 	}
--- a/internal/shard/group_test.go
+++ b/internal/shard/group_test.go
@@ -156,6 +156,33 @@
 	c.Check(started(g.Step(start.Add(time.Second), Wake{})), qt.HasLen, 2)
 }
 
+func TestLostConnectionIsNotARestart(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		after time.Duration
+		cold  bool
+		want  int
+	}{
+		{"back at once", 10 * time.Millisecond, false, 4},
+		{"back at once, but cold", 10 * time.Millisecond, true, 1},
+		{"back after a restart", time.Second, false, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			g := newTestGroup(nil, 4)
+			first := started(g.Step(start, Submit{newJob(1, catalog.Urgent, 10*time.Second)}))
+			g.Step(start, AttemptEnded{Attempt: first[0].Attempt, Result: ResultBroken})
+			now := start.Add(test.after)
+			g.Step(now, ProbeEnded{Upstream: "u0", Answered: true, Cold: test.cold})
+			count := 0
+			for id := range JobID(6) {
+				count += len(started(g.Step(now, Submit{newJob(id+2, catalog.Urgent, 20*time.Second)})))
+			}
+			c.Check(count, qt.Equals, test.want)
+		})
+	}
+}
+
 // TestRandomEvents drives a group with random events in any order and checks
 // that each job is completed exactly once, and nothing is left over.
 func TestRandomEvents(t *testing.T) {
--- a/internal/shard/messages.go
+++ b/internal/shard/messages.go
@@ -120,6 +120,8 @@
 type ProbeEnded struct {
 	Upstream string
 	Answered bool
+	// Cold is what the upstream says of itself.
+	Cold bool
 }
 
 // Quarantine ends all jobs of a request that crashes upstreams.
--- a/internal/shard/options.go
+++ b/internal/shard/options.go
@@ -58,6 +58,8 @@
 	// connection without an answer is checked.
 	minSilence    = 500 * time.Millisecond
 	silenceFactor = 4
+	// blinkTime is how long an upstream may be lost and still be warm.
+	blinkTime = 250 * time.Millisecond
 	// goneTime is how long "version gone" outweighs reports.
 	goneTime = 5 * time.Second
 	// shedPause is used for upstreams that shed load and give no time.
--- a/internal/upstream/httpclient.go
+++ b/internal/upstream/httpclient.go
@@ -39,7 +39,9 @@
 	// controlConnections are kept free for reports and cancellations.
 	controlConnections = 2
 	dialTimeout        = 500 * time.Millisecond
-	idleTimeout        = 30 * time.Second
+	// idleTimeout is shorter than that of common servers, so that they do not
+	// close a connection just as it is used again.
+	idleTimeout = 4 * time.Second
 )
 
 // An HTTPClient is the Client for the HTTP protocol of upstreams.
