--- a/internal/booking/lifetime_test.go
+++ b/internal/booking/lifetime_test.go
@@ -38,3 +38,8 @@
 		c.Check(Expired(id, time.Now()), qt.IsFalse)
 	}
 }
+
+func FuzzParseRecord(f *testing.F) {
+	f.Add([]byte(`{"nonce":"n","phase":"done","digest":"d","part":{"shard":"s","body":"eA=="}}`))
+	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = ParseRecord(data) })
+}
--- a/internal/command/standincmd.go
+++ b/internal/command/standincmd.go
@@ -1,10 +1,14 @@
 package command
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"os"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/foxtailshelf/foxtailshelf/internal/catalog"
 	"github.com/foxtailshelf/foxtailshelf/internal/hostlist"
 	"github.com/foxtailshelf/foxtailshelf/internal/process"
@@ -70,7 +74,7 @@
 		process.HTTPTask(s.Store, (&standin.Store{}).Handler()),
 		process.HTTPTask(s.HostList, hosts.Handler()),
 	}
-	upstreams, err := standinUpstreams(s)
+	upstreams, err := standinUpstreams(s, p.Registry())
 	if err != nil {
 		return &ExitError{Code: ExitUsage, Err: err}
 	}
@@ -79,7 +83,7 @@
 }
 
 // standinUpstreams returns a task for each upstream of the catalog file.
-func standinUpstreams(s StandinSettings) ([]process.Task, error) {
+func standinUpstreams(s StandinSettings, registry prometheus.Registerer) ([]process.Task, error) {
 	data, err := os.ReadFile(s.Catalog)
 	if err != nil {
 		return nil, fmt.Errorf("read catalog: %w", err)
@@ -97,12 +101,28 @@
 				Name: u.Name, Slots: u.Slots, RestartTime: standinRestart, WarmTime: standinWarm, Seed: uint64(i), Ledger: ledger,
 			}
 			stand.SetVersions(snapshot.New(s.Version, spec.Maps[0].Name))
-			tasks = append(tasks, process.HTTPTask(u.Address, stand.Handler()))
+			tasks = append(tasks, limitedTask(u, stand, registry))
 		}
 	}
 	return tasks, nil
 }
 
+// limitedTask serves one upstream with its limit of connections.
+func limitedTask(u catalog.UpstreamSpec, stand *standin.Upstream, registry prometheus.Registerer) process.Task {
+	return func(ctx context.Context) error {
+		listener, err := net.Listen("tcp", u.Address)
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		limited := &standin.LimitListener{Listener: listener, Limit: int64(u.Connections)}
+		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "standin_refused_connections_total", Help: "Connections beyond the limit of an upstream.",
+			ConstLabels: prometheus.Labels{"address": u.Address},
+		}, func() float64 { return float64(limited.Refused()) }))
+		return process.ServeHTTP(ctx, limited, stand.Handler())
+	}
+}
+
 func standinHosts(list []StandinHostSettings) []hostlist.Host {
 	var hosts []hostlist.Host
 	for _, h := range list {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -174,25 +174,31 @@
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderSize}
-		group, ctx := errgroup.WithContext(ctx)
-		group.Go(func() error {
-			err := server.Serve(listener)
-			if errors.Is(err, http.ErrServerClosed) {
-				return nil
-			}
-			return fmt.Errorf("serve %s: %w", address, err)
-		})
-		group.Go(func() error {
-			<-ctx.Done()
-			stop, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-			defer cancel()
-			return server.Shutdown(stop)
-		})
-		return group.Wait()
+		return ServeHTTP(ctx, listener, handler)
 	}
 }
 
+// ServeHTTP serves a handler on a listener until the context ends, and then
+// finishes the requests in flight.
+func ServeHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderSize}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		err := server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return fmt.Errorf("serve %s: %w", listener.Addr(), err)
+	})
+	group.Go(func() error {
+		<-ctx.Done()
+		stop, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		return server.Shutdown(stop)
+	})
+	return group.Wait()
+}
+
 func writeJSON(w http.ResponseWriter, document any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(document)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -145,6 +145,9 @@
 done
 echo "answers while two of three hosts left: $(sort "$work/load" | uniq -c | tr '\n' ' ')"
 [ "$(grep -c complete "$work/load")" -eq 60 ]
+refused=$(curl -fsS http://127.0.0.1:7500/metrics | grep '^standin_refused_connections_total' | grep -cv ' 0$' || true)
+echo "upstreams that had to refuse a connection beyond their limit: $refused"
+[ "$refused" -eq 0 ]
 for name in entry-3 gate-3 standin; do
 	kill -TERM "${pids[$name]}"
 	wait "${pids[$name]}"
