Reading the path of a request: wrong gates are passed over, surveys end in time

Found by reading: a gate that said it was the wrong one was asked again at once, since the set of gates to pass over was never filled; a wait for versions could outlast the deadline; a booking that a gate could not even accept stayed claimed for ever.

--- a/internal/entry/board.go
+++ b/internal/entry/board.go
@@ -91,22 +91,23 @@
 	return b.versions.Fresh(now, age, paths)
 }
 
-// survey makes sure that the versions of a service are known; it waits only if
-// they are unknown or old.
-func (e *Entry) survey(ctx context.Context, s *catalog.Service, b *board, version snapshot.Version) {
+// survey makes sure that the versions of a service are known. It waits only if
+// they are unknown or old, and reports whether it did.
+func (e *Entry) survey(ctx context.Context, s *catalog.Service, b *board, version snapshot.Version) bool {
 	paths := s.ShardPaths(version.Map())
 	now := time.Now()
 	if len(paths) > 0 && b.fresh(now, paths, surveyAfter) {
-		return
+		return false
 	}
 	done := e.startSurvey(s, b, false)
 	if len(paths) > 0 && b.fresh(now, paths, surveyBefore) {
-		return
+		return false
 	}
 	select {
 	case <-done:
 	case <-ctx.Done():
 	}
+	return true
 }
 
 // surveyAnew asks the owners to ask their upstreams, and waits.
@@ -156,7 +157,7 @@
 	byOwner := make(map[roster.Member][]*catalog.Group)
 	now := time.Now()
 	for _, g := range groups {
-		if m, ok := e.view.owner(g.Name(), now, nil); ok {
+		if m, ok := e.view.owner(g.Name(), now); ok {
 			byOwner[m] = append(byOwner[m], g)
 		}
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -39,9 +39,7 @@
 	events   chan query.Event
 	cancel   map[string]context.CancelFunc
 	contexts map[string]context.Context
-	// lost holds the gates that could not be reached for this request.
-	lost   map[string]bool
-	answer *query.Answer
+	answer   *query.Answer
 }
 
 // serve runs a request and returns its answer, at the deadline at the latest.
@@ -56,7 +54,7 @@
 	}
 	n := &run{
 		entry: e, request: r, board: b, events: make(chan query.Event, 4*len(plan.Parts)),
-		cancel: make(map[string]context.CancelFunc), contexts: make(map[string]context.Context), lost: make(map[string]bool),
+		cancel: make(map[string]context.CancelFunc), contexts: make(map[string]context.Context),
 	}
 	return n.loop(ctx, plan)
 }
@@ -70,13 +68,15 @@
 
 // plan pins a request to a version, other than one that is gone.
 func (e *Entry) plan(ctx context.Context, r *request, b *board, gone snapshot.Version) (query.Plan, *query.Answer) {
-	if gone.IsZero() {
-		known, _ := b.choose(r.service)
-		e.survey(ctx, r.service, b, known)
-	} else {
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	version, ok := b.choose(r.service)
+	if !gone.IsZero() {
 		e.surveyAnew(ctx, r.service, b)
+		version, ok = b.choose(r.service)
+	} else if e.survey(ctx, r.service, b, version) {
+		version, ok = b.choose(r.service)
 	}
-	version, ok := b.choose(r.service)
 	if !ok || version == gone {
 		return query.Plan{}, &query.Answer{Status: query.NotRun, Reason: shard.ReasonNoReplica, RetryAfter: surveyAfter}
 	}
@@ -188,7 +188,7 @@
 			n.post(query.GateLost{Nonce: s.Plan.Nonce, Paths: []string{p.Path}})
 			continue
 		}
-		m, ok := n.entry.view.owner(group.Name(), now, n.lost)
+		m, ok := n.entry.view.owner(group.Name(), now)
 		if !ok {
 			n.post(query.GateLost{Nonce: s.Plan.Nonce, Paths: []string{p.Path}})
 			continue
@@ -238,7 +238,11 @@
 		n.entry.Timeline.Witness(timeline.Stamp{Micros: reply.GetStamp().GetMicros(), Count: reply.GetStamp().GetCount()})
 		delete(waiting, reply.GetShard())
 		n.board.note(time.Now(), reply.GetShard(), reply.GetWaitMicros(), reply.GetVersions())
-		n.post(decodeReply(reply))
+		replied := decodeReply(reply)
+		if replied.Reason.IsRouting() {
+			n.entry.view.avoid(host, time.Now())
+		}
+		n.post(replied)
 	})
 	if len(waiting) == 0 || ctx.Err() != nil {
 		return
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -86,20 +86,17 @@
 	return members
 }
 
-// owner returns the gate to send a group's requests to, passing over hosts
-// that were just found unreachable and those in except.
-func (v *view) owner(group string, now time.Time, except map[string]bool) (roster.Member, bool) {
+// owner returns the gate to send a group's requests to, passing over hosts that
+// were just found to be of no use.
+func (v *view) owner(group string, now time.Time) (roster.Member, bool) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	host := v.ownership.Owner(group)
-	if except[host] || now.Before(v.avoided[host]) {
+	if now.Before(v.avoided[host]) {
 		without := make(map[string]bool)
 		for h, until := range v.avoided {
 			without[h] = now.Before(until)
 		}
-		for h := range except {
-			without[h] = true
-		}
 		host = v.ownership.OwnerWithout(group, without)
 	}
 	m, ok := v.members[host]
--- a/internal/gate/scatter.go
+++ b/internal/gate/scatter.go
@@ -37,11 +37,15 @@
 	g.init()
 	defer g.inFlight.Begin()()
 	g.Timeline.Witness(timeline.Stamp{Micros: request.GetStamp().GetMicros(), Count: request.GetStamp().GetCount()})
+	replies := make(chan *wire.ScatterReply, len(request.GetShards()))
 	if err := deliver(&wire.ScatterReply{Accepted: true, Revision: g.follower.Current().Revision()}); err != nil {
+		for _, path := range request.GetShards() {
+			replies <- refusal(request, path, shard.ReasonWithdrawn, minimalRetry)
+		}
+		g.keepOutcome(request, replies, len(request.GetShards()))
 		return err
 	}
 	g.awaitKnown(ctx, request.GetService(), request.GetShards())
-	replies := make(chan *wire.ScatterReply, len(request.GetShards()))
 	withdrawals := g.submitAll(request, func(r *wire.ScatterReply) { replies <- r })
 	outstanding := len(request.GetShards())
 	err := relay(ctx, replies, &outstanding, deliver)
--- a/internal/query/messages.go
+++ b/internal/query/messages.go
@@ -114,12 +114,11 @@
 // An Action is what the driver must do.
 type Action interface{ isAction() }
 
-// Scatter sends the request to the gates that own these shards. Reroute is set
-// if their owners of last time could not be reached.
+// Scatter sends the request to the gates that own these shards now; a gate that
+// was lost, or refused because it is the wrong one, is passed over.
 type Scatter struct {
-	Plan    Plan
-	Parts   []Part
-	Reroute bool
+	Plan  Plan
+	Parts []Part
 }
 
 // Repin asks for a plan on a version other than Gone.
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -172,7 +172,7 @@
 		q.repin(e)
 		return
 	}
-	if e.Outcome == shard.NotRun && isRouting(e.Reason) && q.reroute(now, part) {
+	if e.Outcome == shard.NotRun && e.Reason.IsRouting() && q.reroute(now, part) {
 		return
 	}
 	if e.Outcome == shard.Answered && e.Version != q.plan.Version {
@@ -244,7 +244,7 @@
 		return false
 	}
 	q.reroutes[p.Path]++
-	q.emit(Scatter{Plan: q.plan, Parts: []Part{p}, Reroute: true})
+	q.emit(Scatter{Plan: q.plan, Parts: []Part{p}})
 	return true
 }
 
@@ -273,7 +273,3 @@
 	}
 	q.begin(e.Plan)
 }
-
-func isRouting(r shard.Reason) bool {
-	return r == shard.ReasonNotOwner || r == shard.ReasonStopping || r == shard.ReasonCutOff
-}
--- a/internal/shard/messages.go
+++ b/internal/shard/messages.go
@@ -194,6 +194,11 @@
 func (ProbeUpstream) isAction() {}
 func (ReportCrash) isAction()   {}
 
+// IsRouting reports whether another gate may be of use.
+func (r Reason) IsRouting() bool {
+	return r == ReasonNotOwner || r == ReasonStopping || r == ReasonCutOff
+}
+
 // String implements fmt.Stringer.
 func (o Outcome) String() string {
 	switch o {
