--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -23,6 +23,8 @@
 	watchWait      = 10 * time.Second
 	retryPause     = 500 * time.Millisecond
 	idlePause      = 250 * time.Millisecond
+	// warnPeriod is the least time between two warnings.
+	warnPeriod     = time.Minute
 	bootstrapPeers = 5
 )
 
@@ -47,6 +49,8 @@
 	storeContact time.Time
 	// applying makes sure that OnChange sees revisions in order.
 	applying sync.Mutex
+	// warned is when a warning was last logged.
+	warned   time.Time
 	hintOnce sync.Once
 	hints    chan hint
 }
@@ -150,7 +154,7 @@
 		if f.Ready() {
 			return
 		}
-		f.Log.WithError(storeErr).Warn("no source of the catalog yet")
+		f.warn(storeErr, "no source of the catalog yet")
 		sleep(ctx, retryPause)
 	}
 }
@@ -220,7 +224,7 @@
 			f.fetch(ctx, h.address)
 		case err := <-done:
 			if err != nil && ctx.Err() == nil {
-				f.Log.WithError(err).Warn("catalog watch failed")
+				f.warn(err, "catalog watch failed")
 				sleep(ctx, retryPause)
 			}
 			return
@@ -259,6 +263,19 @@
 	return nil
 }
 
+// warn logs a warning, but not every time during a long outage.
+func (f *Follower) warn(err error, message string) {
+	f.mu.Lock()
+	due := time.Since(f.warned) >= warnPeriod
+	if due {
+		f.warned = time.Now()
+	}
+	f.mu.Unlock()
+	if due {
+		f.Log.WithError(err).Warn(message)
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-time.After(d):
--- a/internal/follow/spread.go
+++ b/internal/follow/spread.go
@@ -73,7 +73,7 @@
 		err = f.fetchFrom(ctx, address, base, never)
 	}
 	if err != nil {
-		f.Log.WithError(err).WithField("address", address).Warn("catalog of a peer not taken")
+		f.warn(fmt.Errorf("peer %s: %w", address, err), "catalog of a peer not taken")
 	}
 }
 
