--- a/internal/command/ctlcmd.go
+++ b/internal/command/ctlcmd.go
@@ -20,7 +20,7 @@
 
 const ctlHelp = `
 Statements:
-  show services|kinds|upstreams|shards|hosts|changes [where COLUMN =|!=|~ VALUE [and ...]]
+  show services|kinds|upstreams|shards|hosts|changes|requests [where COLUMN =|!=|~ VALUE [and ...]]
   apply file FILE                          create or replace services
   drain upstream NAME of SERVICE           give it no new work
   resume upstream NAME of SERVICE
@@ -33,6 +33,7 @@
   foxtailctl do "show upstreams where service = screening and drain = true"
   foxtailctl do --dry-run "drain upstream s1-a of screening"
   foxtailctl do --revision 12 "drain upstream s1-a of screening"
+  foxtailctl do --operations 127.0.0.1:7301 "show requests where answered ~ partial"
   foxtailctl timeline --operations 127.0.0.1:7401,127.0.0.1:7301 --kind member
   foxtailctl explain r-17 --operations 127.0.0.1:7401,127.0.0.1:7301
 
@@ -73,6 +74,7 @@
 	do.AddPositionalValue(&c.statement, "statement", 1, true, "The statement, in quotes.")
 	do.Bool(&c.dryRun, "n", "dry-run", "Print what would change, and change nothing.")
 	do.Bool(&c.confirm, "", "confirm", "Accept that shards are left unable to answer.")
+	do.String(&c.operations, "o", "operations", "Operations addresses of entries, for show requests.")
 	do.Int(&c.revision, "r", "revision", "Refuse the change unless the catalog is at this revision.")
 	events := flaggy.NewSubcommand("timeline")
 	events.Description = "Merge the events of several processes."
@@ -213,13 +215,17 @@
 	if err != nil {
 		return err
 	}
-	var hosts []operator.HostState
-	if show.Table == "hosts" {
-		if hosts, err = c.hostStates(ctx); err != nil {
-			return err
-		}
+	var state operator.State
+	switch show.Table {
+	case "hosts":
+		state.Hosts, err = c.hostStates(ctx)
+	case "requests":
+		state.Requests, err = c.requestStates(ctx)
+	}
+	if err != nil {
+		return err
 	}
-	table, err := show.Read(current, hosts)
+	table, err := show.Read(current, state)
 	if err != nil {
 		return &ExitError{Code: ExitUsage, Err: err}
 	}
--- a/internal/command/timelinecmd.go
+++ b/internal/command/timelinecmd.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/operator"
 	"github.com/foxtailshelf/foxtailshelf/internal/timeline"
 )
 
@@ -52,6 +53,26 @@
 	return err
 }
 
+// requestStates returns the requests that the named processes remember, in the
+// order in which they were first admitted.
+func (c *control) requestStates(ctx context.Context) ([]operator.RequestState, error) {
+	events, err := c.fetchAll(ctx)
+	var states []operator.RequestState
+	index := make(map[string]int)
+	for _, e := range events {
+		key := e.Request + " " + e.Host
+		i, known := index[key]
+		switch {
+		case e.Kind == "admitted" && !known:
+			index[key] = len(states)
+			states = append(states, operator.RequestState{Request: e.Request, Entry: e.Host, Admitted: e.Detail})
+		case e.Kind == "answered" && known:
+			states[i].Answered = e.Detail
+		}
+	}
+	return states, err
+}
+
 // fetchAll returns the events of all named processes; those that do not answer
 // are reported, and the others still shown.
 func (c *control) fetchAll(ctx context.Context) ([]timeline.Event, error) {
--- a/internal/operator/table.go
+++ b/internal/operator/table.go
@@ -24,6 +24,21 @@
 	Answered   bool
 }
 
+// A RequestState is one request that an entry remembers.
+type RequestState struct {
+	Request string
+	Entry   string
+	// Admitted and Answered are in the words of the time line.
+	Admitted string
+	Answered string
+}
+
+// State is what the hosts said, as far as a statement needs it.
+type State struct {
+	Hosts    []HostState
+	Requests []RequestState
+}
+
 // A ColumnError names a column that a table does not have.
 type ColumnError struct {
 	Column string
@@ -42,7 +57,7 @@
 }
 
 // Read returns the table of a show statement.
-func (s *Show) Read(c *catalog.Catalog, hosts []HostState) (*Table, error) {
+func (s *Show) Read(c *catalog.Catalog, state State) (*Table, error) {
 	var t *Table
 	switch s.Table {
 	case "services":
@@ -54,7 +69,9 @@
 	case "shards":
 		t = shards(c)
 	case "hosts":
-		t = hostTable(hosts)
+		t = hostTable(state.Hosts)
+	case "requests":
+		t = requestTable(state.Requests)
 	default:
 		t = changes(c)
 	}
@@ -123,6 +140,14 @@
 	return t
 }
 
+func requestTable(requests []RequestState) *Table {
+	t := &Table{columns: []string{"request", "entry", "admitted", "answered"}}
+	for _, r := range requests {
+		t.add(r.Request, r.Entry, r.Admitted, r.Answered)
+	}
+	return t
+}
+
 func services(c *catalog.Catalog) *Table {
 	t := &Table{columns: []string{"service", "goal", "canary", "min-replicas", "kinds", "upstreams", "maps"}}
 	for _, s := range c.Services() {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -122,6 +122,7 @@
 
 echo "== state and time line"
 "${ctl[@]}" --plain do "show upstreams where service = booking-site"
+"${ctl[@]}" --plain do --operations 127.0.0.1:7301,127.0.0.1:7302,127.0.0.1:7303 "show requests where answered ~ complete"
 lines=$("${ctl[@]}" timeline --request demo-query \
 	--operations 127.0.0.1:7301,127.0.0.1:7302,127.0.0.1:7303,127.0.0.1:7401,127.0.0.1:7402,127.0.0.1:7403)
 grep -E 'admitted|pinned|answered' <<<"$lines"
