--- a/internal/command/ctlcmd.go
+++ b/internal/command/ctlcmd.go
@@ -20,7 +20,7 @@
 
 const ctlHelp = `
 Statements:
-  show services|kinds|upstreams|shards|hosts|changes|requests [where COLUMN =|!=|~ VALUE [and ...]]
+  show services|kinds|upstreams|shards|hosts|changes|requests|settings [where COLUMN =|!=|~ VALUE [and ...]]
   apply file FILE                          create or replace services
   drain upstream NAME of SERVICE           give it no new work
   resume upstream NAME of SERVICE
@@ -74,7 +74,7 @@
 	do.AddPositionalValue(&c.statement, "statement", 1, true, "The statement, in quotes.")
 	do.Bool(&c.dryRun, "n", "dry-run", "Print what would change, and change nothing.")
 	do.Bool(&c.confirm, "", "confirm", "Accept that shards are left unable to answer.")
-	do.String(&c.operations, "o", "operations", "Operations addresses of entries, for show requests.")
+	do.String(&c.operations, "o", "operations", "Operations addresses, for show requests and show settings.")
 	do.Int(&c.revision, "r", "revision", "Refuse the change unless the catalog is at this revision.")
 	events := flaggy.NewSubcommand("timeline")
 	events.Description = "Merge the events of several processes."
@@ -221,6 +221,8 @@
 		state.Hosts, err = c.hostStates(ctx)
 	case "requests":
 		state.Requests, err = c.requestStates(ctx)
+	case "settings":
+		state.Settings, err = c.settingStates(ctx)
 	}
 	if err != nil {
 		return err
--- a/internal/command/gatecmd.go
+++ b/internal/command/gatecmd.go
@@ -52,7 +52,7 @@
 	if err := settings.Load(path, &s); err != nil {
 		return &ExitError{Code: ExitUsage, Err: err}
 	}
-	p := &process.Process{Name: "gate", Host: s.Host, OperationsAddress: s.OperationsListen, LogLevel: s.LogLevel}
+	p := &process.Process{Name: "gate", Host: s.Host, OperationsAddress: s.OperationsListen, LogLevel: s.LogLevel, Settings: s}
 	if err := p.Init(); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
--- a/internal/command/standincmd.go
+++ b/internal/command/standincmd.go
@@ -62,7 +62,7 @@
 	if err := settings.Load(path, &s); err != nil {
 		return &ExitError{Code: ExitUsage, Err: err}
 	}
-	p := &process.Process{Name: "standin", Host: "standin", OperationsAddress: s.OperationsListen, LogLevel: s.LogLevel}
+	p := &process.Process{Name: "standin", Host: "standin", OperationsAddress: s.OperationsListen, LogLevel: s.LogLevel, Settings: s}
 	if err := p.Init(); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
--- a/internal/command/timelinecmd.go
+++ b/internal/command/timelinecmd.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/url"
 	"slices"
@@ -94,22 +95,44 @@
 	_, _ = fmt.Fprintf(c.out, "%s.%d\t%s/%s\t%s\t%s\t%s\n", at, e.Stamp.Count, e.Host, e.Process, e.Kind, e.Request, e.Detail)
 }
 
+// settingStates returns the settings of the named processes.
+func (c *control) settingStates(ctx context.Context) ([]operator.SettingState, error) {
+	if c.operations == "" {
+		return nil, &ExitError{Code: ExitUsage, Err: errors.New("--operations must be given")}
+	}
+	var states []operator.SettingState
+	var faults []error
+	for address := range strings.SplitSeq(c.operations, ",") {
+		var settings map[string]any
+		faults = append(faults, fetch(ctx, "http://"+address+"/v1/settings", &settings))
+		for _, name := range slices.Sorted(maps.Keys(settings)) {
+			states = append(states, operator.SettingState{Process: address, Setting: name, Value: fmt.Sprint(settings[name])})
+		}
+	}
+	return states, errors.Join(faults...)
+}
+
 func fetchEvents(ctx context.Context, address, request string) ([]timeline.Event, error) {
+	var events []timeline.Event
+	err := fetch(ctx, "http://"+address+"/v1/events?request="+url.QueryEscape(request), &events)
+	return events, err
+}
+
+// fetch reads one JSON document.
+func fetch(ctx context.Context, target string, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	target := "http://" + address + "/v1/events?request=" + url.QueryEscape(request)
 	call, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
-		return nil, fmt.Errorf("build call: %w", err)
+		return fmt.Errorf("build call: %w", err)
 	}
 	response, err := http.DefaultClient.Do(call)
 	if err != nil {
-		return nil, fmt.Errorf("read events: %w", err)
+		return fmt.Errorf("read state: %w", err)
 	}
 	defer response.Body.Close()
-	var events []timeline.Event
-	if err := json.NewDecoder(response.Body).Decode(&events); err != nil {
-		return nil, fmt.Errorf("decode events of %s: %w", address, err)
+	if err := json.NewDecoder(response.Body).Decode(out); err != nil {
+		return fmt.Errorf("decode %s: %w", target, err)
 	}
-	return events, nil
+	return nil
 }
--- a/internal/operator/statement.go
+++ b/internal/operator/statement.go
@@ -22,7 +22,7 @@
 
 // A Show reads a table.
 type Show struct {
-	Table string       `parser:"@('services'|'kinds'|'upstreams'|'shards'|'hosts'|'changes'|'requests')"`
+	Table string       `parser:"@('services'|'kinds'|'upstreams'|'shards'|'hosts'|'changes'|'requests'|'settings')"`
 	Where []*Condition `parser:"('where' @@ ('and' @@)*)?"`
 }
 
--- a/internal/operator/table.go
+++ b/internal/operator/table.go
@@ -33,10 +33,18 @@
 	Answered string
 }
 
+// A SettingState is one setting of one process.
+type SettingState struct {
+	Process string
+	Setting string
+	Value   string
+}
+
 // State is what the hosts said, as far as a statement needs it.
 type State struct {
 	Hosts    []HostState
 	Requests []RequestState
+	Settings []SettingState
 }
 
 // A ColumnError names a column that a table does not have.
@@ -72,6 +80,8 @@
 		t = hostTable(state.Hosts)
 	case "requests":
 		t = requestTable(state.Requests)
+	case "settings":
+		t = settingTable(state.Settings)
 	default:
 		t = changes(c)
 	}
@@ -148,6 +158,14 @@
 	return t
 }
 
+func settingTable(settings []SettingState) *Table {
+	t := &Table{columns: []string{"process", "setting", "value"}}
+	for _, s := range settings {
+		t.add(s.Process, s.Setting, s.Value)
+	}
+	return t
+}
+
 func services(c *catalog.Catalog) *Table {
 	t := &Table{columns: []string{"service", "goal", "canary", "min-replicas", "kinds", "upstreams", "maps"}}
 	for _, s := range c.Services() {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -49,6 +49,8 @@
 	Ready func() string
 	// State returns what the operations endpoint shows as the state.
 	State func() any
+	// Settings is the settings document, shown to operators.
+	Settings any
 	// Revision returns the revision of the configuration in force; may be nil.
 	Revision func() uint64
 	// Leave stops gracefully before the context of Run's tasks ends.
@@ -149,6 +151,7 @@
 	router.Handle("/metrics", promhttp.HandlerFor(p.registry, promhttp.HandlerOpts{}))
 	router.HandleFunc("/v1/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintln(w, "ok") })
 	router.HandleFunc("/v1/readyz", p.handleReady)
+	router.HandleFunc("/v1/settings", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Settings) })
 	router.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	router.HandleFunc("/debug/pprof/heap", pprof.Handler("heap").ServeHTTP)
 	router.HandleFunc("/v1/events", func(w http.ResponseWriter, r *http.Request) {
