Reading the whole change: one place for message conversions; the whole catalog is sent when asked

Found by reading: a peer whose difference did not lead to the right head asked anew from revision 0, but a process that had started before the first change answered with a difference to the empty catalog, which was then laid over the asker's own and failed again. The conversions of members, versions and stamps stood in gate and entry; they are in peer. One function for an answer without parts; one check for a closed connection.

--- a/internal/entry/board.go
+++ b/internal/entry/board.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/catalog"
+	"github.com/foxtailshelf/foxtailshelf/internal/peer"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/snapshot"
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
@@ -48,7 +49,7 @@
 	}
 	replicas := make(map[snapshot.Version]int)
 	for _, v := range versions {
-		replicas[snapshot.New(v.GetVersion().GetNumber(), v.GetVersion().GetMap())] = int(v.GetReplicas())
+		replicas[peer.DecodeVersion(v.GetVersion())] = int(v.GetReplicas())
 	}
 	hint := waitHint{at: now}
 	for u, micros := range waitMicros {
--- a/internal/entry/book.go
+++ b/internal/entry/book.go
@@ -39,10 +39,7 @@
 // book runs a non-idempotent request at most once.
 func (e *Entry) book(ctx context.Context, r *request) AnswerDocument {
 	if booking.Expired(r.id, time.Now()) {
-		return AnswerDocument{
-			RequestID: r.id, Status: string(query.Unknown), Reason: "the request id is too old, or ahead of the clock",
-			RetryAfterMilliseconds: comeBack.Milliseconds(), Results: []ResultDocument{}, Missing: []string{},
-		}
+		return refusalDocument(r.id, query.Unknown, "the request id is too old, or ahead of the clock", comeBack)
 	}
 	b := &bookingRun{entry: e, request: r, key: booking.Key(r.service.Name(), r.id)}
 	var actions []booking.Action
--- a/internal/entry/httpapi.go
+++ b/internal/entry/httpapi.go
@@ -78,10 +78,7 @@
 // notReady refuses a request. Whether it ran when it was sent before cannot be
 // known here, so only what may run twice or was never sent is called not run.
 func (e *Entry) notReady(service string, d RequestDocument, reason string) AnswerDocument {
-	answer := AnswerDocument{
-		RequestID: d.RequestID, Status: string(query.Unknown), Reason: reason,
-		RetryAfterMilliseconds: viewPeriod.Milliseconds(), Results: []ResultDocument{}, Missing: []string{},
-	}
+	answer := refusalDocument(d.RequestID, query.Unknown, reason, viewPeriod)
 	if s, ok := e.follower.Current().Service(service); ok {
 		kind, known := s.Kind(d.Kind)
 		if known && kind.Idempotent() {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -189,6 +189,14 @@
 	return &BadRequestError{Status: statusBadRequest, Field: "body", Problem: fmt.Sprintf("is not JSON at byte %d", offset)}
 }
 
+// refusalDocument returns an answer without any part.
+func refusalDocument(id string, status query.Status, reason string, after time.Duration) AnswerDocument {
+	return AnswerDocument{
+		RequestID: id, Status: string(status), Reason: reason, RetryAfterMilliseconds: roundUp(after),
+		Results: []ResultDocument{}, Missing: []string{},
+	}
+}
+
 // fingerprint names what a request does, whatever its id and deadline.
 func fingerprint(service string, d RequestDocument) uint64 {
 	h := xxhash.New()
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -12,7 +12,6 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/query"
 	"github.com/foxtailshelf/foxtailshelf/internal/shard"
 	"github.com/foxtailshelf/foxtailshelf/internal/snapshot"
-	"github.com/foxtailshelf/foxtailshelf/internal/timeline"
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
 )
 
@@ -204,11 +203,10 @@
 
 func (n *run) message(plan query.Plan, shards []string) *wire.ScatterRequest {
 	r := n.request
-	stamp := n.entry.Timeline.Now()
 	return &wire.ScatterRequest{
-		Stamp:     &wire.Stamp{Micros: stamp.Micros, Count: stamp.Count},
+		Stamp:     peer.EncodeStamp(n.entry.Timeline.Now()),
 		RequestId: r.id, Nonce: plan.Nonce, Service: r.service.Name(), Kind: r.kind.Name(),
-		Version: &wire.Version{Number: plan.Version.Number(), Map: plan.Version.Map()},
+		Version: peer.EncodeVersion(plan.Version),
 		Urgency: int32(r.kind.Urgency()), DeadlineMicros: time.Until(r.deadline).Microseconds(),
 		Idempotent: r.kind.Idempotent(), Fingerprint: r.fingerprint, Body: r.body, Shards: shards,
 		Revision: n.entry.follower.Current().Revision(), ClaimKey: r.claimKey, Claim: r.claim,
@@ -235,7 +233,7 @@
 		if reply.GetShard() == "" {
 			return
 		}
-		n.entry.Timeline.Witness(timeline.Stamp{Micros: reply.GetStamp().GetMicros(), Count: reply.GetStamp().GetCount()})
+		n.entry.Timeline.Witness(peer.DecodeStamp(reply.GetStamp()))
 		delete(waiting, reply.GetShard())
 		n.board.note(time.Now(), reply.GetShard(), reply.GetWaitMicros(), reply.GetVersions())
 		replied := decodeReply(reply)
@@ -277,7 +275,7 @@
 func decodeReply(r *wire.ScatterReply) query.ShardReplied {
 	return query.ShardReplied{
 		Nonce: r.GetNonce(), Path: r.GetShard(), Outcome: outcomes[r.GetOutcome()], Reason: shard.Reason(r.GetReason()),
-		Version: snapshot.New(r.GetVersion().GetNumber(), r.GetVersion().GetMap()), Body: r.GetBody(),
+		Version: peer.DecodeVersion(r.GetVersion()), Body: r.GetBody(),
 		RetryAfter: time.Duration(r.GetRetryAfterMicros()) * time.Microsecond, Attempts: int(r.GetAttempts()),
 	}
 }
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/foxtailshelf/foxtailshelf/internal/chart"
 	"github.com/foxtailshelf/foxtailshelf/internal/hostlist"
+	"github.com/foxtailshelf/foxtailshelf/internal/peer"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
 )
@@ -49,8 +49,7 @@
 	if reply.GetFull() {
 		v.dropMissing(reply.GetRumours())
 	}
-	for _, m := range reply.GetRumours() {
-		member := roster.NewMember(m.GetHost(), m.GetDataCenter(), m.GetGateAddress(), m.GetEntryAddress(), m.GetIncarnation(), chart.State(m.GetState()))
+	for _, member := range peer.DecodeMembers(reply.GetRumours()) {
 		v.members[member.Host()] = member
 		v.ownership.Apply(member)
 	}
--- a/internal/follow/spread.go
+++ b/internal/follow/spread.go
@@ -55,6 +55,9 @@
 
 // remember keeps a catalog; the caller holds the lock.
 func (f *Follower) remember(c *catalog.Catalog) {
+	if c.Revision() == never {
+		return
+	}
 	f.past = append(f.past, c)
 	if len(f.past) > maxPast {
 		f.past = slices.Delete(f.past, 0, 1)
@@ -64,11 +67,7 @@
 // fetch takes the catalog of a peer if it is newer.
 func (f *Follower) fetch(ctx context.Context, address string) {
 	base := f.Current()
-	have := base.Revision()
-	if !f.Ready() {
-		have = never
-	}
-	err := f.fetchFrom(ctx, address, base, have)
+	err := f.fetchFrom(ctx, address, base, base.Revision())
 	if errors.Is(err, errDifference) {
 		err = f.fetchFrom(ctx, address, base, never)
 	}
@@ -77,7 +76,7 @@
 	}
 }
 
-// never is a revision that no catalog has: a peer then sends everything.
+// never is the revision before the first change: to it, a peer sends everything.
 const never = 0
 
 func (f *Follower) fetchFrom(ctx context.Context, address string, base *catalog.Catalog, have uint64) error {
--- a/internal/gate/membership.go
+++ b/internal/gate/membership.go
@@ -8,8 +8,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/foxtailshelf/foxtailshelf/internal/chart"
 	"github.com/foxtailshelf/foxtailshelf/internal/hostlist"
+	"github.com/foxtailshelf/foxtailshelf/internal/peer"
 	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
@@ -25,9 +25,9 @@
 // Exchange implements peer.Handler.
 func (g *Gate) Exchange(ctx context.Context, request *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
 	g.init()
-	heard := roster.Heard{Rumours: decodeMembers(request.GetRumours())}
+	heard := roster.Heard{Rumours: peer.DecodeMembers(request.GetRumours())}
 	if request.GetSender() != nil {
-		heard.Sender = decodeMember(request.GetSender())
+		heard.Sender = peer.DecodeMember(request.GetSender())
 		g.follower.Hint(request.GetRevision(), request.GetSender().GetGateAddress())
 	}
 	g.rosterStep(heard)
@@ -37,16 +37,16 @@
 	g.acceptNotices(request.GetNotices())
 	reply := &wire.ExchangeReply{Notices: g.notices(), Revision: g.follower.Current().Revision(), CutOff: g.CutOff()}
 	if request.GetProbe() != nil {
-		reply.ProbeAnswered = g.exchange(ctx, decodeMember(request.GetProbe()))
+		reply.ProbeAnswered = g.exchange(ctx, peer.DecodeMember(request.GetProbe()))
 	}
 	g.rosterMu.Lock()
 	defer g.rosterMu.Unlock()
-	reply.Sender = encodeMember(g.roster.Self())
+	reply.Sender = peer.EncodeMember(g.roster.Self())
 	if request.GetAllMembers() {
 		g.addView(request, reply)
 		return reply, nil
 	}
-	reply.Rumours = encodeMembers(g.roster.Rumours())
+	reply.Rumours = peer.EncodeMembers(g.roster.Rumours())
 	return reply, nil
 }
 
@@ -56,10 +56,10 @@
 	known := request.GetView()
 	if request.GetViewIncarnation() != g.roster.Self().Incarnation() || known < g.firstChange || known > reply.GetView() {
 		reply.Full = true
-		reply.Rumours = encodeMembers(g.roster.Members())
+		reply.Rumours = peer.EncodeMembers(g.roster.Members())
 		return
 	}
-	reply.Rumours = encodeMembers(g.changes[known-g.firstChange+1:])
+	reply.Rumours = peer.EncodeMembers(g.changes[known-g.firstChange+1:])
 }
 
 // entryMoved takes what the entry of this host says of itself.
@@ -101,7 +101,7 @@
 	request := g.exchangeRequest(nil)
 	if target.State() == roster.Suspect || target.State() == roster.Dead {
 		// The target must hear what is said of it, to contradict.
-		request.Rumours = append(request.Rumours, encodeMember(target))
+		request.Rumours = append(request.Rumours, peer.EncodeMember(target))
 	}
 	reply, err := g.Gates.Exchange(ctx, target.GateAddress(), request)
 	if err != nil || reply.GetSender().GetHost() != target.Host() {
@@ -112,7 +112,7 @@
 }
 
 func (g *Gate) absorb(reply *wire.ExchangeReply) {
-	g.rosterStep(roster.Heard{Sender: decodeMember(reply.GetSender()), Rumours: decodeMembers(reply.GetRumours())})
+	g.rosterStep(roster.Heard{Sender: peer.DecodeMember(reply.GetSender()), Rumours: peer.DecodeMembers(reply.GetRumours())})
 	g.acceptNotices(reply.GetNotices())
 	g.follower.Hint(reply.GetRevision(), reply.GetSender().GetGateAddress())
 }
@@ -121,8 +121,8 @@
 	request := &wire.ExchangeRequest{Notices: g.notices(), Revision: g.follower.Current().Revision(), Probe: probe}
 	g.rosterMu.Lock()
 	defer g.rosterMu.Unlock()
-	request.Sender = encodeMember(g.roster.Self())
-	request.Rumours = encodeMembers(g.roster.Rumours())
+	request.Sender = peer.EncodeMember(g.roster.Self())
+	request.Rumours = peer.EncodeMembers(g.roster.Rumours())
 	return request
 }
 
@@ -170,7 +170,7 @@
 	answers := make(chan bool, len(p.Via))
 	for _, via := range p.Via {
 		g.group.Go(func() {
-			reply, err := g.Gates.Exchange(ctx, via.GateAddress(), g.exchangeRequest(encodeMember(p.Target)))
+			reply, err := g.Gates.Exchange(ctx, via.GateAddress(), g.exchangeRequest(peer.EncodeMember(p.Target)))
 			answers <- err == nil && reply.GetProbeAnswered()
 		})
 	}
@@ -251,33 +251,6 @@
 	return slices.Contains(names[:min(len(names), watchersPerDataCenter)], g.Self.Host())
 }
 
-func decodeMember(m *wire.Member) roster.Member {
-	return roster.NewMember(m.GetHost(), m.GetDataCenter(), m.GetGateAddress(), m.GetEntryAddress(), m.GetIncarnation(), chart.State(m.GetState()))
-}
-
-func decodeMembers(members []*wire.Member) []roster.Member {
-	decoded := make([]roster.Member, 0, len(members))
-	for _, m := range members {
-		decoded = append(decoded, decodeMember(m))
-	}
-	return decoded
-}
-
-func encodeMember(m roster.Member) *wire.Member {
-	return &wire.Member{
-		Host: m.Host(), DataCenter: m.DataCenter(), GateAddress: m.GateAddress(), EntryAddress: m.EntryAddress(),
-		Incarnation: m.Incarnation(), State: string(m.State()),
-	}
-}
-
-func encodeMembers(members []roster.Member) []*wire.Member {
-	encoded := make([]*wire.Member, 0, len(members))
-	for _, m := range members {
-		encoded = append(encoded, encodeMember(m))
-	}
-	return encoded
-}
-
 func listedMembers(hosts []hostlist.Host) []roster.Member {
 	members := make([]roster.Member, 0, len(hosts))
 	for _, h := range hosts {
--- a/internal/gate/owner.go
+++ b/internal/gate/owner.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/catalog"
+	"github.com/foxtailshelf/foxtailshelf/internal/peer"
 	"github.com/foxtailshelf/foxtailshelf/internal/shard"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
@@ -268,14 +269,14 @@
 	reply.Nonce = p.request.GetNonce()
 	reply.Outcome = outcomes[c.Outcome]
 	reply.Reason = string(c.Reason)
-	reply.Version = encodeVersion(c.Version)
+	reply.Version = peer.EncodeVersion(c.Version)
 	reply.RetryAfterMicros = c.RetryAfter.Microseconds()
 	reply.Attempts = int32(c.Attempts)
 	reply.Body = o.bodies[c.Winner]
 	delete(o.bodies, c.Winner)
 	o.gate.Metrics.completed(o.service, c)
 	stamp := o.gate.Timeline.Add("shard-done", p.request.GetRequestId(), "%s: %s %s after %d attempts", p.shardPath, c.Outcome, c.Reason, c.Attempts)
-	reply.Stamp = &wire.Stamp{Micros: stamp.Micros, Count: stamp.Count}
+	reply.Stamp = peer.EncodeStamp(stamp)
 	fingerprint := p.request.GetFingerprint()
 	return func() {
 		o.gate.finished(fingerprint, c.Outcome == shard.Answered)
@@ -298,7 +299,7 @@
 		report.WaitMicros = append(report.WaitMicros, o.group.Wait(now, u).Microseconds())
 	}
 	for v, n := range o.group.Versions(now, shardPath) {
-		report.Versions = append(report.Versions, &wire.ShardVersion{Version: encodeVersion(v), Replicas: int32(n)})
+		report.Versions = append(report.Versions, &wire.ShardVersion{Version: peer.EncodeVersion(v), Replicas: int32(n)})
 	}
 	return report
 }
--- a/internal/gate/scatter.go
+++ b/internal/gate/scatter.go
@@ -10,8 +10,6 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/peer"
 	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
 	"github.com/foxtailshelf/foxtailshelf/internal/shard"
-	"github.com/foxtailshelf/foxtailshelf/internal/snapshot"
-	"github.com/foxtailshelf/foxtailshelf/internal/timeline"
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
 )
 
@@ -36,7 +34,7 @@
 func (g *Gate) Scatter(ctx context.Context, request *wire.ScatterRequest, deliver func(*wire.ScatterReply) error) error {
 	g.init()
 	defer g.inFlight.Begin()()
-	g.Timeline.Witness(timeline.Stamp{Micros: request.GetStamp().GetMicros(), Count: request.GetStamp().GetCount()})
+	g.Timeline.Witness(peer.DecodeStamp(request.GetStamp()))
 	replies := make(chan *wire.ScatterReply, len(request.GetShards()))
 	if err := deliver(&wire.ScatterReply{Accepted: true, Revision: g.follower.Current().Revision()}); err != nil {
 		for _, path := range request.GetShards() {
@@ -163,7 +161,7 @@
 		default:
 			p := &pending{request: request, shardPath: path, deliver: deliver}
 			withdrawals = append(withdrawals, o.submit(p, shard.Job{
-				ShardPath: path, Version: decodeVersion(request.GetVersion()), Urgency: catalog.Urgency(request.GetUrgency()).Bounded(),
+				ShardPath: path, Version: peer.DecodeVersion(request.GetVersion()), Urgency: catalog.Urgency(request.GetUrgency()).Bounded(),
 				Deadline: deadline, Idempotent: request.GetIdempotent(), Fingerprint: request.GetFingerprint(),
 				Suspect: verdict == quarantine.Suspect,
 			}))
@@ -172,14 +170,6 @@
 	return withdrawals
 }
 
-func decodeVersion(v *wire.Version) snapshot.Version {
-	return snapshot.New(v.GetNumber(), v.GetMap())
-}
-
-func encodeVersion(v snapshot.Version) *wire.Version {
-	return &wire.Version{Number: v.Number(), Map: v.Map()}
-}
-
 // pathSafe returns an id that can stand in a URL path.
 func pathSafe(id string) string {
 	return strings.ReplaceAll(id, "/", ".")
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -116,10 +116,8 @@
 func (c *Client) give(address string, conn *drpcconn.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	select {
-	case <-conn.Closed():
+	if isClosed(conn) {
 		return
-	default:
 	}
 	if c.closed || len(c.idle[address]) >= maxIdle {
 		_ = conn.Close()
--- /dev/null
+++ b/internal/peer/convert.go
@@ -0,0 +1,60 @@
+package peer
+
+import (
+	"github.com/foxtailshelf/foxtailshelf/internal/chart"
+	"github.com/foxtailshelf/foxtailshelf/internal/roster"
+	"github.com/foxtailshelf/foxtailshelf/internal/snapshot"
+	"github.com/foxtailshelf/foxtailshelf/internal/timeline"
+	"github.com/foxtailshelf/foxtailshelf/internal/wire"
+)
+
+// DecodeMember returns the member of a message.
+func DecodeMember(m *wire.Member) roster.Member {
+	return roster.NewMember(m.GetHost(), m.GetDataCenter(), m.GetGateAddress(), m.GetEntryAddress(), m.GetIncarnation(), chart.State(m.GetState()))
+}
+
+// DecodeMembers returns the members of a message.
+func DecodeMembers(members []*wire.Member) []roster.Member {
+	decoded := make([]roster.Member, 0, len(members))
+	for _, m := range members {
+		decoded = append(decoded, DecodeMember(m))
+	}
+	return decoded
+}
+
+// DecodeStamp returns the stamp of a message.
+func DecodeStamp(s *wire.Stamp) timeline.Stamp {
+	return timeline.Stamp{Micros: s.GetMicros(), Count: s.GetCount()}
+}
+
+// DecodeVersion returns the version of a message.
+func DecodeVersion(v *wire.Version) snapshot.Version {
+	return snapshot.New(v.GetNumber(), v.GetMap())
+}
+
+// EncodeMember returns the message of a member.
+func EncodeMember(m roster.Member) *wire.Member {
+	return &wire.Member{
+		Host: m.Host(), DataCenter: m.DataCenter(), GateAddress: m.GateAddress(), EntryAddress: m.EntryAddress(),
+		Incarnation: m.Incarnation(), State: string(m.State()),
+	}
+}
+
+// EncodeMembers returns the messages of members.
+func EncodeMembers(members []roster.Member) []*wire.Member {
+	encoded := make([]*wire.Member, 0, len(members))
+	for _, m := range members {
+		encoded = append(encoded, EncodeMember(m))
+	}
+	return encoded
+}
+
+// EncodeStamp returns the message of a stamp.
+func EncodeStamp(s timeline.Stamp) *wire.Stamp {
+	return &wire.Stamp{Micros: s.Micros, Count: s.Count}
+}
+
+// EncodeVersion returns the message of a version.
+func EncodeVersion(v snapshot.Version) *wire.Version {
+	return &wire.Version{Number: v.Number(), Map: v.Map()}
+}
