--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,59 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/pool"
+	"github.com/foxtailshelf/foxtailshelf/internal/routing"
+	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
+)
+
+const (
+	// loserTime is how long an attempt goes on whose answer is not needed any
+	// more: most end within it, and their connection is kept.
+	loserTime = 60 * time.Millisecond
+	// askAgain is the pause until a late or waiting part asks for an upstream or
+	// an extra attempt again.
+	askAgain = 4 * time.Millisecond
+	// waitShare is the share of the target for which a part waits for an
+	// upstream before it is given up.
+	waitShare = 0.25
+	// retrySoon and retryLater are what callers are told if upstreams are busy,
+	// and if none is left.
+	retrySoon  = 100 * time.Millisecond
+	retryLater = 500 * time.Millisecond
+)
+
+// A Dispatcher runs requests. Its exported fields are set before use. It is
+// safe for concurrent use.
+type Dispatcher struct {
+	Exchanger upstream.Exchanger
+	// Pool returns the pool of a service, never nil.
+	Pool func(service string) *pool.Pool
+	// Class returns the times of a route's requests, never nil.
+	Class func(route *routing.Route) *pool.Class
+	// Blocked returns how much longer a request may not run because it crashes
+	// upstreams; zero if it may.
+	Blocked func(fingerprint uint64) time.Duration
+	// OnCrash is told when an upstream died while it ran requests.
+	OnCrash func(pool.Crash)
+	// OnDecision is told what became of each request.
+	OnDecision func(Decision)
+	// CallerAllowance is the part of a target that the way to the caller takes.
+	CallerAllowance time.Duration
+	Group           *work.Group
+}
+
+// Run runs a request on a route of one version of the configuration.
+func (d *Dispatcher) Run(ctx context.Context, request *Request, route *routing.Route, version uint64) Answer {
+	f := newFlight(d, request, route)
+	answer := f.run(ctx)
+	d.OnDecision(Decision{
+		RequestID: request.ID, Route: route.Name(), Version: version, Status: answer.Status, Reason: answer.Reason,
+		Parts: len(f.parts), Missing: answer.Missing, Attempts: f.attempts, Late: f.late, Retried: f.retried,
+		LastFailure: f.lastFailure, Took: time.Since(f.started),
+	})
+	return answer
+}
--- /dev/null
+++ b/internal/dispatch/message.go
@@ -0,0 +1,86 @@
+// Package dispatch runs the requests of callers on upstreams: it places the
+// first attempts, asks other upstreams for what is late or failed, and puts the
+// answer together.
+package dispatch
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
+)
+
+// The reasons of answers that are not an upstream's.
+const (
+	ReasonNone        Reason = ""
+	ReasonDeadline    Reason = "deadline"
+	ReasonNoUpstream  Reason = "no-upstream"
+	ReasonBusy        Reason = "busy"
+	ReasonFailed      Reason = "failed"
+	ReasonQuarantined Reason = "quarantined"
+	ReasonCallerGone  Reason = "caller-gone"
+)
+
+// A Reason explains an answer that no upstream gave.
+type Reason string
+
+// A Request is what a caller sent.
+type Request struct {
+	// ID is the caller's id of this attempt of its own.
+	ID     string
+	Method string
+	// Target is the path and the query as the caller sent them.
+	Target string
+	Host   string
+	// Header holds the fields that are passed on.
+	Header http.Header
+	Body   []byte
+	// Left is how long the caller waits; zero if it does not say.
+	Left time.Duration
+}
+
+// An Answer is what the caller gets.
+type Answer struct {
+	Status int
+	// Response is the one upstream's answer; nil if there is none to pass on.
+	Response *upstream.Response
+	// Gathered is set if the answer was put together from parts.
+	Gathered bool
+	// Signatures are those of the parts that are in the answer.
+	Signatures []string
+	// Missing is how many parts are not in the answer.
+	Missing int
+	Body    []byte
+	// RetryAfter is when to come back; zero if it is not said.
+	RetryAfter time.Duration
+	Reason     Reason
+}
+
+// A Decision is one line about what became of a request.
+type Decision struct {
+	RequestID string
+	Route     string
+	Version   uint64
+	Status    int
+	Reason    Reason
+	// Parts, Missing and Attempts count the shards asked, those not in the
+	// answer, and all attempts.
+	Parts, Missing, Attempts int
+	// Late and Retried count the extra attempts for late and failed ones.
+	Late, Retried int
+	// LastFailure is what went wrong last, with the upstream.
+	LastFailure string
+	Took        time.Duration
+}
+
+func (r *Request) fingerprint() uint64 {
+	h := xxhash.New()
+	for _, s := range []string{r.Method, r.Host, r.Target} {
+		_, _ = h.WriteString(s)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(r.Body)
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/host/configuration.go
@@ -0,0 +1,165 @@
+package host
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
+	"github.com/foxtailshelf/foxtailshelf/internal/pool"
+	"github.com/foxtailshelf/foxtailshelf/internal/routing"
+)
+
+const (
+	// ratioShare and slackShare are what this program uses of the bound on extra
+	// attempts, so that the windows of several hosts together stay below it.
+	ratioShare = 0.85
+	slackShare = 0.75
+	// connectionShare is what is used of the connections of an upstream; the
+	// rest is for hosts that join and for connections that are being closed.
+	connectionShare = 0.8
+	// fleetMemory is how long the largest fleet is remembered: a host that is cut
+	// off sees few others, but they still have their share.
+	fleetMemory = time.Minute
+	// minFleet is the smallest fleet that a host assumes.
+	minFleet = 3
+)
+
+// meaning is what a key meant at a revision.
+type meaning struct {
+	revision uint64
+	Meaning
+}
+
+// recordsChanged takes all keys of the store after a change.
+func (h *Host) recordsChanged(records []keyvalue.Change, revision uint64) {
+	now := time.Now()
+	var peers []string
+	h.mu.Lock()
+	h.specs = h.specs[:0]
+	known := make(map[string]meaning, len(records))
+	for _, r := range records {
+		m := h.translate(r)
+		known[r.Key()] = m
+		if m.Table != nil {
+			h.adopt(m.Table)
+		}
+		if m.Upstream != nil {
+			h.specs = append(h.specs, *m.Upstream)
+		}
+		if m.PeerAddress != "" && m.PeerAddress != h.Self.GateAddress() {
+			peers = append(peers, m.PeerAddress)
+		}
+	}
+	h.meanings = known
+	h.mu.Unlock()
+	h.updateInventory(now)
+	h.fleet.Listed(listed(peers))
+	h.announceReadiness()
+	h.group.Go(func() { h.fleet.Tell(context.Background()) })
+	h.Log.WithField("revision", revision).Debug("keys of the store changed")
+}
+
+// adopt puts a configuration in force unless a newer one is; the caller holds
+// the lock.
+func (h *Host) adopt(t *routing.Table) {
+	if h.table != nil && t.Version() <= h.table.Version() {
+		return
+	}
+	h.table = t
+	h.Metrics.version.Set(float64(t.Version()))
+	h.Log.WithField("version", t.Version()).Info("configuration in force")
+	services := t.Services()
+	for name := range h.pools {
+		if !slices.Contains(services, name) {
+			services = append(services, name)
+		}
+	}
+	h.configure(services)
+}
+
+// announceReadiness tells the other hosts where callers reach this one.
+func (h *Host) announceReadiness() {
+	address := ""
+	if h.Ready() == "" {
+		address = h.Settings.CallerListen
+	}
+	h.fleet.Moved(address)
+}
+
+// configure gives pools their upstreams; the caller holds the lock.
+func (h *Host) configure(services []string) {
+	for _, s := range services {
+		h.poolLocked(s).Configure(h.inventory.Of(s), h.policy(s))
+	}
+}
+
+// fleetSize returns the largest fleet seen lately; the caller holds the lock.
+func (h *Host) fleetSize() int {
+	now, size := time.Now(), max(minFleet, h.fleet.Size())
+	if size >= h.largest || now.Sub(h.largestAt) > fleetMemory {
+		h.largest, h.largestAt = size, now
+	}
+	return h.largest
+}
+
+// policy returns this host's share of what is allowed at a service; the caller
+// holds the lock.
+func (h *Host) policy(service string) pool.Policy {
+	size := float64(h.fleetSize())
+	connections := 0
+	if h.table != nil {
+		connections = h.table.Service(service).Connections
+	}
+	return pool.Policy{
+		ExtraRatio:  h.Settings.ExtraRatio * ratioShare,
+		ExtraBurst:  h.Settings.ExtraSlack * slackShare / size,
+		Connections: max(1, int(connectionShare*float64(connections)/size)),
+	}
+}
+
+// poolLocked returns the pool of a service; the caller holds the lock.
+func (h *Host) poolLocked(service string) *pool.Pool {
+	p, ok := h.pools[service]
+	if !ok {
+		p = &pool.Pool{DataCenter: h.Settings.DataCenter, Idle: h.Connections.Idle}
+		p.Configure(h.inventory.Of(service), h.policy(service))
+		h.pools[service] = p
+	}
+	return p
+}
+
+// translate returns what a key means; the caller holds the lock.
+func (h *Host) translate(r keyvalue.Change) meaning {
+	if m, ok := h.meanings[r.Key()]; ok && m.revision == r.Revision() {
+		return m
+	}
+	m, err := h.Translator.Translate(r)
+	if err != nil {
+		h.Metrics.badRecords.Inc()
+		h.Log.WithError(err).WithField("key", r.Key()).Warn("key of the store passed over")
+	}
+	return meaning{revision: r.Revision(), Meaning: m}
+}
+
+// updateInventory takes the upstreams that the store names now.
+func (h *Host) updateInventory(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.table == nil {
+		return
+	}
+	h.configure(h.inventory.Update(now, h.specs))
+}
+
+// fleetChanged shares what is allowed anew after the size of the fleet changed.
+func (h *Host) fleetChanged() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	services := make([]string, 0, len(h.pools))
+	for s := range h.pools {
+		services = append(services, s)
+	}
+	h.configure(services)
+}
+
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,252 @@
+// Package host is the program of one host: it faces callers and upstreams in
+// one process, and agrees with the other hosts on who is there and which
+// configuration is in force.
+package host
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/dispatch"
+	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
+	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
+	"github.com/foxtailshelf/foxtailshelf/internal/membership"
+	"github.com/foxtailshelf/foxtailshelf/internal/mirror"
+	"github.com/foxtailshelf/foxtailshelf/internal/peer"
+	"github.com/foxtailshelf/foxtailshelf/internal/pool"
+	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
+	"github.com/foxtailshelf/foxtailshelf/internal/roster"
+	"github.com/foxtailshelf/foxtailshelf/internal/routing"
+	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
+)
+
+const (
+	// callerAllowance is the part of a target that the way to the caller and
+	// back takes: a few milliseconds each way, and the caller's own handling.
+	callerAllowance = 9 * time.Millisecond
+	// upkeepPeriod is how often idle connections and lapsed upstreams are
+	// looked through.
+	upkeepPeriod = time.Second
+	// noConfigurationRetry is what callers are told before there is a
+	// configuration.
+	noConfigurationRetry = 300 * time.Millisecond
+)
+
+// A Meaning is what one key of the store means. At most one field is set.
+type Meaning struct {
+	Table    *routing.Table
+	Upstream *inventory.UpstreamSpec
+	// PeerAddress is where a host registered itself.
+	PeerAddress string
+}
+
+// A Translator reads the keys of the store.
+type Translator interface {
+	// Translate returns what a key means; the zero value for nothing.
+	Translate(record keyvalue.Change) (Meaning, error)
+	// PeerKey returns the key under which a host registers itself.
+	PeerKey(address string) string
+}
+
+// A Host is one process. Its exported fields are set before Init.
+type Host struct {
+	Settings    Settings
+	Self        roster.Member
+	Feed        keyvalue.Feed
+	Registry    keyvalue.Registry
+	Hosts       peer.Hosts
+	Translator  Translator
+	Connections *upstream.Connections
+	Metrics     *Metrics
+	Log         logrus.FieldLogger
+	Seed        uint64
+
+	group      work.Group
+	fleet      *membership.Fleet
+	follower   *mirror.Follower
+	dispatcher *dispatch.Dispatcher
+	journal    *journal
+
+	mu sync.RWMutex
+	// table is nil before the first configuration; its version never falls.
+	table *routing.Table
+	// specs are all upstreams that the store names now.
+	specs     []inventory.UpstreamSpec
+	inventory *inventory.Inventory
+	pools     map[string]*pool.Pool
+	classes   map[string]*pool.Class
+	// meanings holds what each key meant, by key and revision.
+	meanings map[string]meaning
+	// largest is the largest fleet seen within fleetMemory before largestAt.
+	largest   int
+	largestAt time.Time
+	stopping  bool
+
+	ledgerMu sync.Mutex
+	ledger   *quarantine.Ledger
+}
+
+// Init must be called before anything else.
+func (h *Host) Init() {
+	h.inventory = inventory.New()
+	h.pools = make(map[string]*pool.Pool)
+	h.classes = make(map[string]*pool.Class)
+	h.meanings = make(map[string]meaning)
+	h.ledger = quarantine.NewLedger()
+	h.journal = &journal{log: h.Log, metrics: h.Metrics}
+	h.fleet = &membership.Fleet{Self: h.Self, Seed: h.Seed, Call: h.call, OnChange: h.memberChanged, Group: &h.group}
+	h.fleet.Init()
+	h.follower = &mirror.Follower{
+		Feed: h.Feed, Fetch: h.fetch, Watches: h.fleet.Watches, OnChange: h.recordsChanged, Log: h.Log,
+	}
+	h.follower.Init()
+	h.dispatcher = &dispatch.Dispatcher{
+		Exchanger: h.Connections, Pool: h.pool, Class: h.class, Blocked: h.blocked, OnCrash: h.crashed,
+		OnDecision: h.journal.decided, CallerAllowance: callerAllowance, Group: &h.group,
+	}
+	h.fleet.Listed(listed(h.Settings.Peers))
+}
+
+// Addresses returns the addresses that callers of a data centre should use:
+// those of their own data centre if there is more than one, or else all.
+func (h *Host) Addresses(dataCenter string) []string {
+	var near, all []string
+	for _, m := range h.fleet.Members() {
+		if m.State() != roster.Alive || m.EntryAddress() == "" {
+			continue
+		}
+		all = append(all, m.EntryAddress())
+		if m.DataCenter() == dataCenter {
+			near = append(near, m.EntryAddress())
+		}
+	}
+	const enough = 2
+	if len(near) >= enough {
+		return near
+	}
+	return all
+}
+
+// Answer runs a request.
+func (h *Host) Answer(ctx context.Context, request *dispatch.Request) dispatch.Answer {
+	table := h.Table()
+	if table == nil {
+		return dispatch.Answer{Status: http.StatusServiceUnavailable, RetryAfter: noConfigurationRetry}
+	}
+	path, _, _ := strings.Cut(request.Target, "?")
+	route := table.Match(request.Host, path)
+	if route == nil {
+		return dispatch.Answer{Status: http.StatusNotFound}
+	}
+	return h.dispatcher.Run(ctx, request, route, table.Version())
+}
+
+// Leave stops taking callers, tells the other hosts and goes on serving until
+// callers have heard of it.
+func (h *Host) Leave(ctx context.Context) {
+	h.mu.Lock()
+	h.stopping = true
+	h.mu.Unlock()
+	h.group.Go(func() { h.fleet.Leave(ctx) })
+	timer := time.NewTimer(h.Settings.ServeTime())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// Ready returns an empty string or why this host is not ready.
+func (h *Host) Ready() string {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	switch {
+	case h.stopping:
+		return "stopping"
+	case h.table == nil:
+		return "no configuration yet"
+	default:
+		return ""
+	}
+}
+
+// Run works until the context ends.
+func (h *Host) Run(ctx context.Context) error {
+	h.group.Go(func() { _ = h.fleet.Run(ctx) })
+	h.group.Go(func() { h.register(ctx) })
+	h.group.Go(func() { h.upkeep(ctx) })
+	return h.follower.Run(ctx)
+}
+
+// Stopping reports whether this host is about to stop.
+func (h *Host) Stopping() bool {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.stopping
+}
+
+// Table returns the configuration in force; nil before the first.
+func (h *Host) Table() *routing.Table {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.table
+}
+
+// class returns the times of a route's requests; another target starts anew.
+func (h *Host) class(r *routing.Route) *pool.Class {
+	key := r.Name() + " " + r.Target().String()
+	h.mu.RLock()
+	c, ok := h.classes[key]
+	h.mu.RUnlock()
+	if ok {
+		return c
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if c, ok = h.classes[key]; !ok {
+		c = pool.NewClass(r.Target(), r.Gathers())
+		h.classes[key] = c
+	}
+	return c
+}
+
+// pool returns the pool of a service.
+func (h *Host) pool(service string) *pool.Pool {
+	h.mu.RLock()
+	p, ok := h.pools[service]
+	h.mu.RUnlock()
+	if ok {
+		return p
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.poolLocked(service)
+}
+
+func (h *Host) upkeep(ctx context.Context) {
+	ticker := time.NewTicker(upkeepPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			h.Connections.Sweep(now)
+			h.updateInventory(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func listed(addresses []string) []roster.Member {
+	members := make([]roster.Member, 0, len(addresses))
+	for _, a := range addresses {
+		members = append(members, roster.NewMember(a, "", a, "", 0, roster.Listed))
+	}
+	return members
+}
--- /dev/null
+++ b/internal/host/state.go
@@ -0,0 +1,26 @@
+package host
+
+// State is what operators see of a host.
+type State struct {
+	Version   uint64   `json:"version"`
+	Revision  uint64   `json:"revision"`
+	AgeMillis int64    `json:"age-milliseconds"`
+	Upstreams int      `json:"upstreams"`
+	Members   []string `json:"members"`
+	Stopping  bool     `json:"stopping"`
+}
+
+// State returns the host as operators see it.
+func (h *Host) State() State {
+	s := State{Revision: h.follower.Revision(), AgeMillis: h.follower.Age().Milliseconds(), Members: []string{}}
+	for _, m := range h.fleet.Members() {
+		s.Members = append(s.Members, m.Host()+" "+string(m.State()))
+	}
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	if h.table != nil {
+		s.Version = h.table.Version()
+	}
+	s.Upstreams, s.Stopping = h.inventory.Len(), h.stopping
+	return s
+}
--- /dev/null
+++ b/internal/membership/fleet.go
@@ -0,0 +1,216 @@
+// Package membership keeps a host's view of the fleet: it drives a
+// roster.Roster with calls to the other hosts.
+package membership
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/roster"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
+)
+
+const (
+	// tickPeriod is how often the roster looks at its timers.
+	tickPeriod = 250 * time.Millisecond
+	// tellFanOut is how many others are told of news at once; they pass it on.
+	tellFanOut = 3
+	// Watchers is how many hosts read the store for all.
+	Watchers = 2
+	// watcherPatience is how old the copy of the store may get before a host
+	// that is not a watcher reads the store as well.
+	watcherPatience = 2400 * time.Millisecond
+	// rankPatience is how much longer each further host waits, so that not all
+	// come at once; maxRank bounds it.
+	rankPatience = 100 * time.Millisecond
+	maxRank      = 10
+)
+
+// A Fleet is a host's view of the others. Its exported fields are set before
+// Init. It is safe for concurrent use.
+type Fleet struct {
+	Self roster.Member
+	Seed uint64
+	// Call exchanges news with a member; via asks it to probe another one, whose
+	// answer is reported.
+	Call func(ctx context.Context, address string, via *roster.Member) (answered bool, err error)
+	// OnChange is told of each change of a member.
+	OnChange func(roster.Changed)
+	Group    *work.Group
+
+	mu     sync.Mutex
+	roster *roster.Roster
+}
+
+// Init must be called before anything else.
+func (f *Fleet) Init() {
+	f.roster = roster.New(f.Self, f.Seed)
+}
+
+// Heard takes the news of a message.
+func (f *Fleet) Heard(sender roster.Member, rumours []roster.Member) {
+	f.step(roster.Heard{Sender: sender, Rumours: rumours})
+}
+
+// Leave says that this host stops on purpose, and tells the others.
+func (f *Fleet) Leave(ctx context.Context) {
+	f.step(roster.Leave{})
+	f.tell(ctx, f.others())
+}
+
+// Listed takes hosts that the platform names.
+func (f *Fleet) Listed(hosts []roster.Member) {
+	f.step(roster.HostsListed{Hosts: hosts})
+}
+
+// Members returns all members, sorted by host.
+func (f *Fleet) Members() []roster.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.Members()
+}
+
+// Moved says where callers reach this host; "" for nowhere.
+func (f *Fleet) Moved(entryAddress string) {
+	f.step(roster.EntryMoved{Address: entryAddress})
+}
+
+// News returns this host's entry and the news for the next message.
+func (f *Fleet) News() (self roster.Member, rumours []roster.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.roster.Self(), f.roster.Rumours()
+}
+
+// Run probes the others until the context ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		f.step(roster.Tick{})
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// Size returns how many hosts there are that take work, at least one.
+func (f *Fleet) Size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(1, f.roster.Owners())
+}
+
+// Tell sends news to a few others, who pass it on.
+func (f *Fleet) Tell(ctx context.Context) {
+	others := f.others()
+	// Each host starts at a place of its own, so that all are told by somebody.
+	f.mu.Lock()
+	start := xxhash.Sum64String(f.roster.Self().Host())
+	f.mu.Unlock()
+	if n := len(others); n > tellFanOut {
+		first := int(start % uint64(n))
+		others = append(others[first:], others[:first]...)[:tellFanOut]
+	}
+	f.tell(ctx, others)
+}
+
+// Watches reports whether this host reads the store itself: a few do, and more
+// if their copy of it, of this age, shows that those few do not reach it.
+func (f *Fleet) Watches(age time.Duration) bool {
+	rank := f.rank()
+	if rank < Watchers {
+		return true
+	}
+	return age > watcherPatience+time.Duration(min(rank-Watchers, maxRank))*rankPatience
+}
+
+// others returns the members that are alive, but not this host.
+func (f *Fleet) others() []roster.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var others []roster.Member
+	for _, m := range f.roster.Members() {
+		if m.Host() != f.Self.Host() && m.Owns() {
+			others = append(others, m)
+		}
+	}
+	return others
+}
+
+// rank returns the place of this host among those that take work, in an order
+// that all agree on.
+func (f *Fleet) rank() int {
+	own := xxhash.Sum64String(f.Self.Host())
+	rank := 0
+	for _, m := range f.others() {
+		if h := xxhash.Sum64String(m.Host()); m.State() == roster.Alive && h < own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func (f *Fleet) tell(ctx context.Context, members []roster.Member) {
+	var group errgroup.Group
+	for _, m := range members {
+		group.Go(func() error {
+			_, err := f.Call(ctx, m.GateAddress(), nil)
+			return err
+		})
+	}
+	// A member that is not reached hears the news from another one.
+	_ = group.Wait()
+}
+
+// step lets the roster decide and does what it decided.
+func (f *Fleet) step(event roster.Event) {
+	f.mu.Lock()
+	actions := slices.Clone(f.roster.Step(time.Now(), event))
+	f.mu.Unlock()
+	for _, a := range actions {
+		switch a := a.(type) {
+		case roster.Probe:
+			f.Group.Go(func() { f.probe(a.Target) })
+		case roster.ProbeThrough:
+			f.Group.Go(func() { f.probeThrough(a) })
+		case roster.Changed:
+			f.OnChange(a)
+		}
+	}
+}
+
+func (f *Fleet) probe(target roster.Member) {
+	ctx, cancel := context.WithTimeout(context.Background(), roster.ProbeTimeout)
+	defer cancel()
+	_, err := f.Call(ctx, target.GateAddress(), nil)
+	f.step(roster.ProbeEnded{Host: target.Host(), Answered: err == nil})
+}
+
+func (f *Fleet) probeThrough(p roster.ProbeThrough) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*roster.ProbeTimeout)
+	defer cancel()
+	answers := make(chan bool, len(p.Via))
+	for _, via := range p.Via {
+		f.Group.Go(func() {
+			answered, err := f.Call(ctx, via.GateAddress(), &p.Target)
+			answers <- err == nil && answered
+		})
+	}
+	answered := false
+	for range p.Via {
+		select {
+		case a := <-answers:
+			answered = answered || a
+		case <-ctx.Done():
+		}
+	}
+	f.step(roster.ProbeEnded{Host: p.Target.Host(), Answered: answered, Indirect: true})
+}
--- /dev/null
+++ b/internal/mirror/mirror.go
@@ -0,0 +1,120 @@
+// Package mirror keeps a copy of the store's keys on each host.
+package mirror
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
+)
+
+// maxRemovals is how many removals are remembered for peers that lag.
+const maxRemovals = 2048
+
+// A Mirror is a copy of keys with the revision up to which it is complete. It
+// is not safe for concurrent use.
+type Mirror struct {
+	records map[string]keyvalue.Change
+	// removals holds the revision at which a key was removed.
+	removals map[string]uint64
+	// forgotten is the highest revision of a removal that was dropped from
+	// removals.
+	forgotten uint64
+	revision  uint64
+}
+
+// New returns an empty Mirror.
+func New() *Mirror {
+	return &Mirror{records: make(map[string]keyvalue.Change), removals: make(map[string]uint64)}
+}
+
+// Apply takes changes that are complete up to a revision; it reports whether
+// anything changed. Older changes of a key than the known one are passed over.
+func (m *Mirror) Apply(changes []keyvalue.Change, revision uint64) bool {
+	changed := false
+	for _, c := range changes {
+		changed = m.apply(c) || changed
+	}
+	m.revision = max(m.revision, revision)
+	return changed
+}
+
+// Difference returns what changed after a revision; whole is set if it is all
+// there is, because removals after that revision are not remembered.
+func (m *Mirror) Difference(have uint64) (changes []keyvalue.Change, whole bool) {
+	whole = have < m.forgotten || have == 0
+	for _, r := range m.records {
+		if whole || r.Revision() > have {
+			changes = append(changes, r)
+		}
+	}
+	if !whole {
+		for k, revision := range m.removals {
+			if revision > have {
+				changes = append(changes, keyvalue.NewRemoval(k, revision))
+			}
+		}
+	}
+	slices.SortFunc(changes, func(a, b keyvalue.Change) int { return cmp.Compare(a.Revision(), b.Revision()) })
+	return changes, whole
+}
+
+// Records returns all keys, sorted.
+func (m *Mirror) Records() []keyvalue.Change {
+	records := make([]keyvalue.Change, 0, len(m.records))
+	for _, r := range m.records {
+		records = append(records, r)
+	}
+	slices.SortFunc(records, func(a, b keyvalue.Change) int { return cmp.Compare(a.Key(), b.Key()) })
+	return records
+}
+
+// Replace takes all keys as of a revision; it reports whether anything
+// changed. Known keys that are missing and not newer are removed.
+func (m *Mirror) Replace(all []keyvalue.Change, revision uint64) bool {
+	listed := make(map[string]bool, len(all))
+	for _, c := range all {
+		listed[c.Key()] = true
+	}
+	changed := false
+	for k, r := range m.records {
+		if !listed[k] && r.Revision() <= revision {
+			m.remove(k, revision)
+			changed = true
+		}
+	}
+	return m.Apply(all, revision) || changed
+}
+
+// Revision returns the revision up to which the copy is complete.
+func (m *Mirror) Revision() uint64 { return m.revision }
+
+func (m *Mirror) apply(c keyvalue.Change) bool {
+	known, ok := m.records[c.Key()]
+	if (ok && known.Revision() >= c.Revision()) || m.removals[c.Key()] >= c.Revision() {
+		return false
+	}
+	if c.Deleted() {
+		m.remove(c.Key(), c.Revision())
+		return ok
+	}
+	delete(m.removals, c.Key())
+	m.records[c.Key()] = c
+	return true
+}
+
+func (m *Mirror) remove(key string, revision uint64) {
+	delete(m.records, key)
+	m.removals[key] = revision
+	if len(m.removals) <= maxRemovals {
+		return
+	}
+	oldest := key
+	for k, r := range m.removals {
+		if r < m.removals[oldest] {
+			oldest = k
+		}
+	}
+	m.forgotten = max(m.forgotten, m.removals[oldest])
+	delete(m.removals, oldest)
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -68,15 +68,15 @@
 
 // Documents implements Gates.
 func (c *Client) Documents(ctx context.Context, address string, request *wire.DocumentsRequest) (*wire.DocumentsReply, error) {
-	return unary(ctx, c, address, func(ctx context.Context, g wire.DRPCGateClient) (*wire.DocumentsReply, error) {
-		return g.Documents(ctx, request)
+	return unary(ctx, c, address, func(ctx context.Context, conn drpc.Conn) (*wire.DocumentsReply, error) {
+		return wire.NewDRPCGateClient(conn).Documents(ctx, request)
 	})
 }
 
 // Exchange implements Gates.
 func (c *Client) Exchange(ctx context.Context, address string, request *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
-	return unary(ctx, c, address, func(ctx context.Context, g wire.DRPCGateClient) (*wire.ExchangeReply, error) {
-		return g.Exchange(ctx, request)
+	return unary(ctx, c, address, func(ctx context.Context, conn drpc.Conn) (*wire.ExchangeReply, error) {
+		return wire.NewDRPCGateClient(conn).Exchange(ctx, request)
 	})
 }
 
@@ -100,8 +100,8 @@
 
 // Survey implements Gates.
 func (c *Client) Survey(ctx context.Context, address string, request *wire.SurveyRequest) (*wire.SurveyReply, error) {
-	return unary(ctx, c, address, func(ctx context.Context, g wire.DRPCGateClient) (*wire.SurveyReply, error) {
-		return g.Survey(ctx, request)
+	return unary(ctx, c, address, func(ctx context.Context, conn drpc.Conn) (*wire.SurveyReply, error) {
+		return wire.NewDRPCGateClient(conn).Survey(ctx, request)
 	})
 }
 
@@ -232,7 +232,7 @@
 	}
 }
 
-func unary[R any](ctx context.Context, c *Client, address string, call func(context.Context, wire.DRPCGateClient) (R, error)) (R, error) {
+func unary[R any](ctx context.Context, c *Client, address string, call func(context.Context, drpc.Conn) (R, error)) (R, error) {
 	var none R
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -240,7 +240,7 @@
 	if err != nil {
 		return none, &UnreachableError{Address: address, Err: err}
 	}
-	reply, err := call(ctx, wire.NewDRPCGateClient(conn))
+	reply, err := call(ctx, conn)
 	if err != nil {
 		_ = conn.Close()
 		c.retire(address)
--- /dev/null
+++ b/internal/peer/hosts.go
@@ -0,0 +1,63 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/wire"
+)
+
+// Hosts reaches the hosts that run entry and gate in one process. It is safe
+// for concurrent use.
+type Hosts interface {
+	Exchange(ctx context.Context, address string, request *wire.ExchangeRequest) (*wire.ExchangeReply, error)
+	Difference(ctx context.Context, address string, request *wire.DifferenceRequest) (*wire.DifferenceReply, error)
+}
+
+// A HostHandler is what a host offers to its peers.
+type HostHandler interface {
+	Exchange(ctx context.Context, request *wire.ExchangeRequest) (*wire.ExchangeReply, error)
+	Difference(ctx context.Context, request *wire.DifferenceRequest) (*wire.DifferenceReply, error)
+}
+
+// A HostClient is the Hosts over drpc.
+type HostClient struct{ client *Client }
+
+var _ Hosts = (*HostClient)(nil)
+
+// NewHostClient returns a HostClient without connections.
+func NewHostClient() *HostClient { return &HostClient{client: NewClient()} }
+
+// Close closes all idle connections.
+func (c *HostClient) Close() { c.client.Close() }
+
+// Difference implements Hosts.
+func (c *HostClient) Difference(ctx context.Context, address string, request *wire.DifferenceRequest) (*wire.DifferenceReply, error) {
+	return unary(ctx, c.client, address, func(ctx context.Context, conn drpc.Conn) (*wire.DifferenceReply, error) {
+		return wire.NewDRPCHostClient(conn).Difference(ctx, request)
+	})
+}
+
+// Exchange implements Hosts.
+func (c *HostClient) Exchange(ctx context.Context, address string, request *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
+	return unary(ctx, c.client, address, func(ctx context.Context, conn drpc.Conn) (*wire.ExchangeReply, error) {
+		return wire.NewDRPCHostClient(conn).Exchange(ctx, request)
+	})
+}
+
+// ServeHost answers calls on a listener until the context ends.
+func ServeHost(ctx context.Context, listener net.Listener, handler HostHandler) error {
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterHost(mux, handler); err != nil {
+		return fmt.Errorf("register host calls: %w", err)
+	}
+	if err := drpcserver.New(mux).Serve(ctx, listener); err != nil {
+		return fmt.Errorf("serve host calls: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/pool/member.go
@@ -0,0 +1,136 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
+	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
+)
+
+const (
+	// slownessWeight is the weight of one attempt in the slowness of a member.
+	slownessWeight = 0.2
+	// failureWeight is the weight of one attempt in the failure rate.
+	failureWeight = 0.15
+	// coldSlowness is assumed of an upstream that has just started.
+	coldSlowness = 1.6
+	// trustTime is how long an estimate holds; after it, it decays by half every
+	// decayTime, so that members that were slow are tried again.
+	trustTime = time.Second
+	decayTime = 700 * time.Millisecond
+	// loadTime is how long a load that an upstream told counts.
+	loadTime = 150 * time.Millisecond
+	// downFirst and downMost bound how long a member that could not be reached
+	// is left alone.
+	downFirst = 200 * time.Millisecond
+	downMost  = 1600 * time.Millisecond
+	// maxSlowness bounds how slow a member is taken for.
+	maxSlowness = 50.0
+	// stuckFactor is how many times the usual time the oldest attempt must
+	// have taken before it tells of the member's present speed.
+	stuckFactor = 1.5
+)
+
+// member is what this host knows of one upstream.
+type member struct {
+	upstream inventory.Upstream
+	// running holds the attempts under way; their order means nothing.
+	running []*Pick
+	// slowness is a moving average of the time of attempts over the usual time.
+	slowness float64
+	// failing is a moving average of the share of attempts without an answer.
+	failing float64
+	// sampled is when slowness and failing last changed.
+	sampled time.Time
+	// load is what the upstream told at loadAt.
+	load   upstream.Load
+	loadAt time.Time
+	// downUntil is when a member that could not be reached is tried again;
+	// downFor is the last pause.
+	downUntil time.Time
+	downFor   time.Duration
+	// leaving is set when the upstream said that it closes its connections
+	// because it stops.
+	leaving bool
+}
+
+func newMember(u inventory.Upstream) *member {
+	return &member{upstream: u, slowness: 1}
+}
+
+// decay returns how much of an estimate still holds, 0 to 1.
+func (m *member) decay(now time.Time) float64 {
+	age := now.Sub(m.sampled) - trustTime
+	if age <= 0 {
+		return 1
+	}
+	share := 1.0
+	for ; age > decayTime; age -= decayTime {
+		share /= 2
+		if share < 0.01 {
+			return 0
+		}
+	}
+	return share * (1 - 0.5*float64(age)/float64(decayTime))
+}
+
+// down reports whether the member is left alone after it could not be reached.
+func (m *member) down(now time.Time) bool {
+	return now.Before(m.downUntil)
+}
+
+// failureRate returns the share of attempts that are expected to fail.
+func (m *member) failureRate(now time.Time) float64 {
+	return m.failing * m.decay(now)
+}
+
+func (m *member) sample(now time.Time, slowness float64, failed bool) {
+	keep := m.decay(now)
+	m.slowness = 1 + (m.slowness-1)*keep
+	m.failing *= keep
+	m.slowness += slownessWeight * (min(slowness, maxSlowness) - m.slowness)
+	failure := 0.0
+	if failed {
+		failure = 1
+	}
+	m.failing += failureWeight * (failure - m.failing)
+	m.sampled = now
+}
+
+// reached notes that the upstream answered.
+func (m *member) reached() {
+	m.downFor = 0
+	m.downUntil = time.Time{}
+}
+
+// slow returns how many times the usual time an attempt takes now.
+func (m *member) slow(now time.Time) float64 {
+	slowness := 1 + (m.slowness-1)*m.decay(now)
+	if now.Before(m.upstream.ColdUntil()) {
+		slowness = max(slowness, coldSlowness)
+	}
+	for _, p := range m.running {
+		age := float64(now.Sub(p.started)) / float64(max(p.usual, time.Microsecond))
+		if age > stuckFactor*slowness {
+			slowness = age
+		}
+	}
+	return min(slowness, maxSlowness)
+}
+
+// unreachable notes that no connection could be made.
+func (m *member) unreachable(now time.Time) {
+	m.downFor = min(max(2*m.downFor, downFirst), downMost)
+	m.downUntil = now.Add(m.downFor)
+}
+
+// queued returns how many attempts wait for a slot, this host's and others'.
+func (m *member) queued(now time.Time) float64 {
+	busy := float64(len(m.running))
+	if now.Sub(m.loadAt) < loadTime {
+		// What the upstream told includes this host's own attempts of then.
+		busy = max(busy, (busy+float64(m.load.Running+m.load.Waiting))/2)
+	}
+	slots := float64(m.upstream.Slots())
+	return max(0, busy+1-slots) / slots
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,282 @@
+// Package pool decides which upstream of a service runs an attempt and when
+// another one is asked as well. It does no I/O, reads no clock and starts no
+// goroutine.
+package pool
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/budget"
+	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
+	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
+)
+
+const (
+	// crossFactor and crossDelay are what an upstream of another data centre
+	// must be faster by: bytes between data centres cost money.
+	crossFactor = 1.15
+	crossDelay  = 2 * time.Millisecond
+	// failureCost is how many usual times a failed attempt costs.
+	failureCost = 4.0
+	// connectCost is assumed for a new connection until one was made.
+	connectCost = 3 * time.Millisecond
+	// connectWeight is the weight of one connection in the average.
+	connectWeight = 0.2
+	// retryReserve is how many extra attempts are kept for retries after a
+	// failure; late attempts leave them alone.
+	retryReserve = 1.5
+	// suspectTime is how long a broken connection and a refused one may be
+	// apart to tell of a crash.
+	suspectTime = time.Second
+)
+
+// A Policy bounds what one host may do with the upstreams of a service.
+type Policy struct {
+	// ExtraRatio is the extra attempts for each request.
+	ExtraRatio float64
+	// ExtraBurst is the most extra attempts beyond the ratio in any window.
+	ExtraBurst float64
+	// Connections is the most attempts at once at one upstream.
+	Connections int
+}
+
+// A Pick is an attempt that was given to an upstream.
+type Pick struct {
+	// Upstream is who runs the attempt.
+	Upstream inventory.Upstream
+
+	member  *member
+	class   *Class
+	usual   time.Duration
+	started time.Time
+	// fingerprint is the request, for telling which one crashes upstreams.
+	fingerprint uint64
+}
+
+// A Crash says that an upstream was gone right after connections broke.
+type Crash struct {
+	Upstream     string
+	Fingerprints []uint64
+}
+
+// A Pool is what this host knows of the upstreams of one service. It is safe
+// for concurrent use.
+type Pool struct {
+	// DataCenter is the data centre of this host.
+	DataCenter string
+	// Idle returns how many unused connections an upstream has.
+	Idle func(upstreamID string) int
+
+	mu      sync.Mutex
+	policy  Policy
+	members []*member
+	extra   *budget.Budget
+	// connecting is a moving average of how long new connections take.
+	connecting time.Duration
+	// broken holds the requests whose connections broke, by upstream.
+	broken map[string]breakage
+}
+
+type breakage struct {
+	at           time.Time
+	fingerprints []uint64
+}
+
+// Configure takes the upstreams that the service has now and the bounds.
+func (p *Pool) Configure(upstreams []inventory.Upstream, policy Policy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.extra == nil {
+		// An empty start keeps hosts that restart within the bound.
+		p.extra = budget.New(policy.ExtraRatio, policy.ExtraBurst)
+		p.extra.Drain()
+		p.connecting = connectCost
+		p.broken = make(map[string]breakage)
+	}
+	if policy != p.policy {
+		p.extra.Resize(policy.ExtraRatio, policy.ExtraBurst)
+	}
+	p.policy = policy
+	old := p.members
+	p.members = make([]*member, 0, len(upstreams))
+	for _, u := range upstreams {
+		i := slices.IndexFunc(old, func(m *member) bool { return m.upstream.SameLifetime(u) })
+		if i < 0 {
+			p.members = append(p.members, newMember(u))
+			continue
+		}
+		old[i].upstream = u
+		p.members = append(p.members, old[i])
+	}
+}
+
+// Earn notes a request for the service.
+func (p *Pool) Earn() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.extra.Earn()
+}
+
+// ExtraFill returns the share of the extra attempts that late ones may still
+// use, 0 to 1.
+func (p *Pool) ExtraFill() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	room := p.policy.ExtraBurst - retryReserve
+	if room <= 0 {
+		return 0
+	}
+	return min(1, max(0, (p.extra.Left()-retryReserve)/room))
+}
+
+// Known reports whether the service has any upstream that may take work.
+func (p *Pool) Known(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.members, func(m *member) bool {
+		return m.upstream.Standing(now) != inventory.Retired && !m.down(now)
+	})
+}
+
+// SpendLate takes an extra attempt for one that is late.
+func (p *Pool) SpendLate() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.extra.Left() >= 1+retryReserve && p.extra.Spend()
+}
+
+// SpendRetry takes an extra attempt for one that failed.
+func (p *Pool) SpendRetry() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.extra.Spend()
+}
+
+// Refund gives back an extra attempt that never arrived.
+func (p *Pool) Refund() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.extra.Refund()
+}
+
+// Choose gives an attempt to the best upstream that is not among the tried
+// ones; nil if there is none.
+func (p *Pool) Choose(now time.Time, c *Class, fingerprint uint64, tried []string) *Pick {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	usual := c.Usual()
+	best := p.best(now, usual, tried, inventory.InService)
+	if best == nil {
+		best = p.best(now, usual, tried, inventory.LastResort)
+	}
+	if best == nil {
+		return nil
+	}
+	pick := &Pick{Upstream: best.upstream, member: best, class: c, usual: usual, started: now, fingerprint: fingerprint}
+	best.running = append(best.running, pick)
+	return pick
+}
+
+// Done notes the end of an attempt. It returns a crash if the end tells of one.
+func (p *Pool) Done(now time.Time, pick *Pick, e upstream.Ending) *Crash {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := pick.member
+	if i := slices.Index(m.running, pick); i >= 0 {
+		m.running = slices.Delete(m.running, i, i+1)
+	}
+	if e.Connected > 0 {
+		p.connecting += time.Duration(connectWeight * float64(e.Connected-p.connecting))
+	}
+	if e.Load != nil {
+		m.load, m.loadAt = *e.Load, now
+	}
+	return p.learn(now, m, pick, e)
+}
+
+func (p *Pool) learn(now time.Time, m *member, pick *Pick, e upstream.Ending) *Crash {
+	took := now.Sub(pick.started) - e.Connected
+	relative := float64(took) / float64(max(pick.usual, time.Microsecond))
+	switch e.Result {
+	case upstream.Answered:
+		m.reached()
+		failed := e.Response.Status >= 500
+		if !failed {
+			pick.class.observe(now, took)
+		}
+		m.sample(now, relative, failed)
+	case upstream.Refused:
+		m.reached()
+		m.sample(now, m.slow(now), true)
+	case upstream.Misdirected:
+		// The upstream is gone; its entry will follow.
+		m.downUntil, m.downFor = now.Add(downMost), downMost
+	case upstream.Unreachable:
+		m.unreachable(now)
+		if e.Refusal {
+			return p.crash(now, m)
+		}
+	case upstream.Broken:
+		m.sample(now, max(relative, m.slow(now)), true)
+		p.noteBroken(now, m, pick.fingerprint)
+	case upstream.Aborted:
+		m.sample(now, max(relative, m.slow(now)), false)
+	}
+	return nil
+}
+
+// best returns the member with the lowest expected time of a standing.
+func (p *Pool) best(now time.Time, usual time.Duration, tried []string, standing inventory.Standing) *member {
+	var best *member
+	lowest := 0.0
+	for _, m := range p.members {
+		if m.upstream.Standing(now) != standing || m.down(now) || slices.Contains(tried, m.upstream.ID()) {
+			continue
+		}
+		if len(m.running) >= max(1, p.policy.Connections) {
+			continue
+		}
+		if s := p.expected(now, m, usual); best == nil || s < lowest {
+			best, lowest = m, s
+		}
+	}
+	return best
+}
+
+// expected returns how long an attempt would take, with what its cost weighs.
+func (p *Pool) expected(now time.Time, m *member, usual time.Duration) float64 {
+	time := float64(usual) * m.slow(now) * (1 + m.queued(now))
+	time += failureCost * m.failureRate(now) * float64(usual)
+	if p.Idle(m.upstream.ID()) == 0 {
+		time += float64(p.connecting)
+	}
+	if m.upstream.DataCenter() != p.DataCenter {
+		time = time*crossFactor + float64(crossDelay)
+	}
+	return time
+}
+
+// crash returns the requests that broke their connection to a member right
+// before it refused another.
+func (p *Pool) crash(now time.Time, m *member) *Crash {
+	b, ok := p.broken[m.upstream.ID()]
+	delete(p.broken, m.upstream.ID())
+	if !ok || now.Sub(b.at) > suspectTime {
+		return nil
+	}
+	return &Crash{Upstream: m.upstream.ID(), Fingerprints: b.fingerprints}
+}
+
+func (p *Pool) noteBroken(now time.Time, m *member, fingerprint uint64) {
+	b := p.broken[m.upstream.ID()]
+	if now.Sub(b.at) > suspectTime {
+		b.fingerprints = nil
+	}
+	b.at = now
+	if !slices.Contains(b.fingerprints, fingerprint) {
+		b.fingerprints = append(b.fingerprints, fingerprint)
+	}
+	p.broken[m.upstream.ID()] = b
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -55,6 +55,8 @@
 	Revision func() uint64
 	// Leave stops gracefully before the context of Run's tasks ends.
 	Leave func(context.Context)
+	// Reload is called when the settings file has changed (SIGHUP); may be nil.
+	Reload func()
 
 	log      *logrus.Logger
 	registry *prometheus.Registry
@@ -128,6 +130,7 @@
 		}
 		return nil
 	})
+	group.Go(func() error { return p.reloads(ctx) })
 	p.Log().Info("started")
 	err := group.Wait()
 	if err != nil && !errors.Is(err, context.Canceled) {
@@ -137,6 +140,23 @@
 	return nil
 }
 
+// reloads calls Reload for each SIGHUP, which must not end the process.
+func (p *Process) reloads(ctx context.Context) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-hangups:
+			if p.Reload != nil {
+				p.Reload()
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 func (p *Process) leave(ctx context.Context) {
 	p.Log().Info("leaving")
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,204 @@
+// Package routing decides which services answer a request.
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// A RouteSpec is a route as operators state it.
+type RouteSpec struct {
+	Name   string
+	Host   string
+	Prefix string
+	// Idempotent requests may run more than once.
+	Idempotent bool
+	// Attempts is the most upstreams that may run one request, for each shard
+	// separately.
+	Attempts int
+	// Timeout is the longest time a caller is kept waiting.
+	Timeout time.Duration
+	// Target is the time within which an answer is on time.
+	Target time.Duration
+	// Priority orders routes; 0 is the most urgent.
+	Priority int
+	// Destinations share the requests by weight; a route with Shards has none.
+	Destinations []Destination
+	// Shards are the services that are all asked.
+	Shards []string
+	// Top is how many records an answer over shards holds.
+	Top int
+	// MinShare is the share of the shards that an answer needs, 0 to 1.
+	MinShare float64
+}
+
+// A Destination is a service and its share of a route.
+type Destination struct {
+	Service string
+	Weight  float64
+}
+
+// A ServiceSpec is a service as operators state it.
+type ServiceSpec struct {
+	Name string
+	// Connections is the most connections that one upstream takes from all
+	// hosts together.
+	Connections int
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	BodyBytes int64
+}
+
+// A Route is a checked route of a Table.
+type Route struct {
+	spec RouteSpec
+	// turn counts the requests of a route with several destinations.
+	turn atomic.Uint64
+	// schedule repeats the destinations in proportion to their weights.
+	schedule []string
+}
+
+// A Table is one version of the configuration. It is immutable.
+type Table struct {
+	version  uint64
+	byHost   map[string][]*Route
+	services map[string]ServiceSpec
+	limits   Limits
+}
+
+// scheduleSize is the length of the schedule of a weighted route.
+const scheduleSize = 1000
+
+// NewTable returns the table of one version.
+func NewTable(version uint64, routes []RouteSpec, services []ServiceSpec, limits Limits) *Table {
+	t := &Table{version: version, byHost: make(map[string][]*Route), services: make(map[string]ServiceSpec), limits: limits}
+	for _, s := range routes {
+		host := strings.ToLower(s.Host)
+		t.byHost[host] = append(t.byHost[host], &Route{spec: s, schedule: schedule(s.Destinations)})
+	}
+	for _, list := range t.byHost {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.spec.Prefix), len(a.spec.Prefix)) })
+	}
+	for _, s := range services {
+		t.services[s.Name] = s
+	}
+	return t
+}
+
+// Limits returns what callers may send.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Match returns the route with the longest prefix of the path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.spec.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns a service; the zero value if it is unknown.
+func (t *Table) Service(name string) ServiceSpec { return t.services[name] }
+
+// Services returns the names of all services that a route may reach, sorted.
+func (t *Table) Services() []string {
+	var names []string
+	for _, list := range t.byHost {
+		for _, r := range list {
+			names = append(names, r.spec.Shards...)
+			for _, d := range r.spec.Destinations {
+				names = append(names, d.Service)
+			}
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// Version returns the version.
+func (t *Table) Version() uint64 { return t.version }
+
+// Attempts returns the most upstreams that may run one request.
+func (r *Route) Attempts() int { return max(1, r.spec.Attempts) }
+
+// Gathers reports whether the route asks several shards.
+func (r *Route) Gathers() bool { return len(r.spec.Shards) > 0 }
+
+// Idempotent reports whether requests may run more than once.
+func (r *Route) Idempotent() bool { return r.spec.Idempotent || r.Gathers() }
+
+// MinParts returns how many shards an answer needs.
+func (r *Route) MinParts() int {
+	n := len(r.spec.Shards)
+	// The tolerance keeps 0.9 of 10 shards at 9 despite binary fractions.
+	const tolerance = 1e-9
+	for k := range n + 1 {
+		if float64(k) >= r.spec.MinShare*float64(n)-tolerance {
+			return max(1, k)
+		}
+	}
+	return max(1, n)
+}
+
+// Name returns the name of the route.
+func (r *Route) Name() string { return r.spec.Name }
+
+// Next returns the services of the next request: one destination, or all
+// shards.
+func (r *Route) Next() []string {
+	if r.Gathers() {
+		return r.spec.Shards
+	}
+	if len(r.schedule) == 0 {
+		return nil
+	}
+	i := int((r.turn.Add(1) - 1) % uint64(len(r.schedule)))
+	return r.schedule[i : i+1]
+}
+
+// Priority returns the rank; 0 is the most urgent.
+func (r *Route) Priority() int { return r.spec.Priority }
+
+// Target returns the time within which an answer is on time.
+func (r *Route) Target() time.Duration { return r.spec.Target }
+
+// Timeout returns the longest time a caller is kept waiting.
+func (r *Route) Timeout() time.Duration { return r.spec.Timeout }
+
+// Top returns how many records an answer over shards holds.
+func (r *Route) Top() int { return r.spec.Top }
+
+// schedule spreads the destinations evenly (smooth weighted round robin), so
+// that any stretch of requests is close to the weights.
+func schedule(destinations []Destination) []string {
+	if len(destinations) == 1 {
+		return []string{destinations[0].Service}
+	}
+	total := 0.0
+	for _, d := range destinations {
+		total += max(0, d.Weight)
+	}
+	if total <= 0 {
+		return nil
+	}
+	credit := make([]float64, len(destinations))
+	turns := make([]string, 0, scheduleSize)
+	for range scheduleSize {
+		best := -1
+		for i, d := range destinations {
+			credit[i] += max(0, d.Weight)
+			if d.Weight > 0 && (best < 0 || credit[i] > credit[best]) {
+				best = i
+			}
+		}
+		credit[best] -= total
+		turns = append(turns, destinations[best].Service)
+	}
+	return turns
+}
--- a/internal/shard/ended.go
+++ b/internal/shard/ended.go
@@ -47,7 +47,7 @@
 	took := now.Sub(a.startAt)
 	switch e.Result {
 	case ResultAnswered:
-		g.latency.add(now, took)
+		g.latency.Add(now, took)
 		r.observe(took, false)
 		r.adapt(took)
 		r.pausedUntil = time.Time{}
--- a/internal/shard/group.go
+++ b/internal/shard/group.go
@@ -8,6 +8,7 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/budget"
 	"github.com/foxtailshelf/foxtailshelf/internal/catalog"
 	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
+	"github.com/foxtailshelf/foxtailshelf/internal/latency"
 	"github.com/foxtailshelf/foxtailshelf/internal/snapshot"
 )
 
@@ -27,7 +28,7 @@
 	attempts map[AttemptID]*attempt
 	queue    queue
 	extra    *budget.Budget
-	latency  *latency
+	latency  *latency.Tracker
 	last     AttemptID
 	starts   int
 	// startShares is the recent share of each urgency in all starts.
@@ -82,7 +83,7 @@
 		jobs:     make(map[JobID]*job),
 		attempts: make(map[AttemptID]*attempt),
 		extra:    budget.New(options.HedgeRatio, options.Burst),
-		latency:  newLatency(1 - options.HedgeRatio*hedgeMargin),
+		latency:  latency.NewTracker(1 - options.HedgeRatio*hedgeMargin),
 	}
 	g.reconfigure(now, definition)
 	return g
@@ -181,7 +182,7 @@
 		return 0
 	}
 	share := max(minShare, 1-g.moreUrgentShare(u))
-	return time.Duration(float64(g.latency.average()) * float64(before) / float64(slots) / share)
+	return time.Duration(float64(g.latency.Average()) * float64(before) / float64(slots) / share)
 }
 
 // moreUrgentShare returns the share of recent starts that were more urgent: a
@@ -210,7 +211,7 @@
 // SilenceAfter returns how long an attempt may run before its connection is
 // checked.
 func (g *Group) SilenceAfter() time.Duration {
-	return max(minSilence, silenceFactor*g.latency.late)
+	return max(minSilence, silenceFactor*g.latency.Late())
 }
 
 func (g *Group) allowed(now time.Time, r *replica) int {
@@ -331,7 +332,7 @@
 		return ReasonVersionGone, minRetryAfter, true
 	case !now.Before(j.Deadline):
 		return ReasonDeadline, retryAfter(wait), true
-	case !g.options.NoAdmission && now.Add(wait+g.latency.average()).After(j.Deadline):
+	case !g.options.NoAdmission && now.Add(wait+g.latency.Average()).After(j.Deadline):
 		return ReasonOverload, retryAfter(wait), true
 	default:
 		return "", 0, false
--- a/internal/shard/options.go
+++ b/internal/shard/options.go
@@ -43,8 +43,6 @@
 	maxAttempts = 3
 	// hedgeRetry is the pause until a late attempt asks for a token again.
 	hedgeRetry = 10 * time.Millisecond
-	// minSamples is how many attempts an estimate needs.
-	minSamples = 50
 	// slowFactor is how much slower than the best a slow replica is.
 	slowFactor = 3
 	// slowProbeEvery is the pause between jobs given to a slow replica.
@@ -77,8 +75,8 @@
 	startWeight = 1.0 / 256
 	// minShare bounds how much more urgent work stretches a wait.
 	minShare = 0.1
-	// initialServiceTime is assumed until attempts were seen.
-	initialServiceTime = 10 * time.Millisecond
+	// meanWeight is the weight of one run in the mean of a replica.
+	meanWeight = 0.1
 )
 
 // DefaultOptions returns the policies that products run with.
