Kept connections to upstreams outlive the deadline of their last request

Ruled out: closings by the upstreams (0 of 400), our own processor time (--no-cpu: 22.2 instead of 22.9 ms). Test: TestKeptConnectionOutlivesTheDeadline fails without the change.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -325,11 +325,11 @@
 		return false
 	}
 	quiet := false
-	err = control.Read(func(descriptor uintptr) bool {
+	// Control works although the deadline of the last request has passed.
+	err = control.Control(func(descriptor uintptr) {
 		var peeked [1]byte
 		_, _, receiveErr := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = errors.Is(receiveErr, syscall.EAGAIN)
-		return true
 	})
 	return err == nil && quiet
 }
