Failing upstreams: a failed attempt costs more while extra attempts are scarce

Slowness does not matter as long as the target is met; a failure without an extra attempt is a missing part. Now a failed attempt costs 0.3 to 1.5 targets, by what is left of the budget. The usual time of a class follows the median slowly, because members' estimates are relative to it (a jump made the sound one look slow, found by TestFailingUpstreams).

--- a/internal/pool/class.go
+++ b/internal/pool/class.go
@@ -18,6 +18,10 @@
 	// minLateness is how many times the usual time an attempt must take at least
 	// to be late.
 	minLateness = 1.4
+	// baselinePeriod and baselineWeight let the usual time follow the median
+	// slowly: members are compared with it, and their estimates must keep up.
+	baselinePeriod = 100 * time.Millisecond
+	baselineWeight = 0.05
 	// singleShare is the share of the target after which a request for one
 	// upstream is late: no other parts wait for it.
 	singleShare = 0.4
@@ -31,6 +35,9 @@
 
 	mu      sync.Mutex
 	tracker *latency.Tracker
+	// baseline is the usual time as of baselineAt; zero if unknown.
+	baseline   time.Duration
+	baselineAt time.Time
 }
 
 // NewClass returns the class of requests with a target; gather is set if each
@@ -68,11 +75,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.tracker.Add(now, took)
+	median := c.tracker.Median()
+	switch {
+	case median == 0 || now.Sub(c.baselineAt) < baselinePeriod:
+		return
+	case c.baseline == 0:
+		c.baseline = median
+	default:
+		c.baseline += time.Duration(baselineWeight * float64(median-c.baseline))
+	}
+	c.baselineAt = now
 }
 
 func (c *Class) usual() time.Duration {
-	if m := c.tracker.Median(); m > 0 {
-		return m
+	if c.baseline > 0 {
+		return c.baseline
 	}
 	return time.Duration(initialShare * float64(c.target))
 }
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -11,7 +11,7 @@
 	// slownessWeight is the weight of one attempt in the slowness of a member.
 	slownessWeight = 0.2
 	// failureWeight is the weight of one attempt in the failure rate.
-	failureWeight = 0.15
+	failureWeight = 0.2
 	// coldSlowness is assumed of an upstream that has just started.
 	coldSlowness = 1.6
 	// trustTime is how long an estimate holds; after it, it decays by half every
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -18,8 +18,11 @@
 	// must be faster by: bytes between data centres cost money.
 	crossFactor = 1.15
 	crossDelay  = 2 * time.Millisecond
-	// failureCost is how many usual times a failed attempt costs.
-	failureCost = 4.0
+	// failureCost is the share of the target that a failed attempt costs while
+	// all extra attempts are left; without any, a failed attempt is a missing
+	// part, and costs scarceCost more.
+	failureCost = 0.3
+	scarceCost  = 1.2
 	// connectCost is assumed for a new connection until one was made.
 	connectCost = 3 * time.Millisecond
 	// connectWeight is the weight of one connection in the average.
@@ -124,6 +127,11 @@
 func (p *Pool) ExtraFill() float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.fill()
+}
+
+// fill is ExtraFill; the caller holds the lock.
+func (p *Pool) fill() float64 {
 	room := p.policy.ExtraBurst - retryReserve
 	if room <= 0 {
 		return 0
@@ -167,9 +175,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	usual := c.Usual()
-	best := p.best(now, usual, tried, inventory.InService)
+	best := p.best(now, c, tried, inventory.InService)
 	if best == nil {
-		best = p.best(now, usual, tried, inventory.LastResort)
+		best = p.best(now, c, tried, inventory.LastResort)
 	}
 	if best == nil {
 		return nil
@@ -228,7 +236,7 @@
 }
 
 // best returns the member with the lowest expected time of a standing.
-func (p *Pool) best(now time.Time, usual time.Duration, tried []string, standing inventory.Standing) *member {
+func (p *Pool) best(now time.Time, c *Class, tried []string, standing inventory.Standing) *member {
 	var best *member
 	lowest := 0.0
 	for _, m := range p.members {
@@ -238,7 +246,7 @@
 		if len(m.running) >= max(1, p.policy.Connections) {
 			continue
 		}
-		if s := p.expected(now, m, usual); best == nil || s < lowest {
+		if s := p.expected(now, m, c); best == nil || s < lowest {
 			best, lowest = m, s
 		}
 	}
@@ -246,9 +254,9 @@
 }
 
 // expected returns how long an attempt would take, with what its cost weighs.
-func (p *Pool) expected(now time.Time, m *member, usual time.Duration) float64 {
-	time := float64(usual) * m.slow(now) * (1 + m.queued(now))
-	time += failureCost * m.failureRate(now) * float64(usual)
+func (p *Pool) expected(now time.Time, m *member, c *Class) float64 {
+	time := float64(c.Usual()) * m.slow(now) * (1 + m.queued(now))
+	time += (failureCost + scarceCost*(1-p.fill())) * m.failureRate(now) * float64(c.target)
 	if p.Idle(m.upstream.ID()) == 0 {
 		time += float64(p.connecting)
 	}
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,258 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
+	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
+)
+
+const (
+	target = 80 * time.Millisecond
+	usual  = 10 * time.Millisecond
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fixture is a pool with three upstreams a, b and c, of which a is near, and a
+// class whose attempts usually take 10 ms.
+type fixture struct {
+	*Pool
+	class *Class
+	now   time.Time
+}
+
+func newFixture(policy Policy) *fixture {
+	f := &fixture{
+		Pool: &Pool{DataCenter: "near", Idle: func(string) int { return 1 }}, class: NewClass(target, true), now: start,
+	}
+	f.list(policy, "a", "b", "c")
+	for range 100 {
+		f.class.observe(f.now, usual)
+		f.now = f.now.Add(10 * time.Millisecond)
+	}
+	return f
+}
+
+func (f *fixture) list(policy Policy, ids ...string) {
+	i := inventory.New()
+	var specs []inventory.UpstreamSpec
+	for _, id := range ids {
+		dataCenter := "far"
+		if id == "a" {
+			dataCenter = "near"
+		}
+		specs = append(specs, inventory.UpstreamSpec{ID: id, Service: "s", Address: id, DataCenter: dataCenter, Slots: 2})
+	}
+	i.Update(f.now, specs)
+	f.Configure(i.Of("s"), policy)
+}
+
+// run gives one attempt to the best upstream and ends it.
+func (f *fixture) run(end func(id string) (upstream.Ending, time.Duration)) string {
+	p := f.Choose(f.now, f.class, 0, nil)
+	if p == nil {
+		return ""
+	}
+	e, took := end(p.Upstream.ID())
+	f.now = f.now.Add(took)
+	f.Done(f.now, p, e)
+	return p.Upstream.ID()
+}
+
+func answered(string) (upstream.Ending, time.Duration) {
+	return upstream.Ending{Result: upstream.Answered, Response: upstream.Response{Status: 200}}, usual
+}
+
+func policy() Policy { return Policy{ExtraRatio: 0.17, ExtraBurst: 6, Connections: 4} }
+
+// TestFailingUpstreams plays upstreams that turn away three of five attempts
+// while one sound upstream is far and slow, and no extra attempt is left: a failed
+// attempt is a missing part then.
+func TestFailingUpstreams(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		most     int
+		slowness time.Duration
+	}{
+		{"sound one is three times slower", 45, 3},
+		{"sound one is hardly slower", 30, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFixture(policy())
+			failing, refused := 0, 0
+			for range 300 {
+				id := f.run(func(id string) (upstream.Ending, time.Duration) {
+					if id == "c" {
+						e, took := answered(id)
+						return e, took * test.slowness
+					}
+					if failing++; failing%5 < 3 {
+						refused++
+						return upstream.Ending{Result: upstream.Refused}, time.Millisecond
+					}
+					return answered(id)
+				})
+				c.Assert(id, qt.Not(qt.Equals), "")
+				f.now = f.now.Add(5 * time.Millisecond)
+			}
+			c.Check(failing <= test.most, qt.IsTrue, qt.Commentf("%d of 300 at failing upstreams, %d refused", failing, refused))
+		})
+	}
+}
+
+// TestStuckUpstreamIsPassedOver leaves an attempt at the best upstream without
+// an answer: the next one goes elsewhere as soon as it takes far too long.
+func TestStuckUpstreamIsPassedOver(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(policy())
+	stuck := f.Choose(f.now, f.class, 0, nil)
+	c.Assert(stuck.Upstream.ID(), qt.Equals, "a")
+	f.now = f.now.Add(3 * usual)
+	c.Check(f.Choose(f.now, f.class, 0, nil).Upstream.ID(), qt.Not(qt.Equals), "a")
+	f.Done(f.now.Add(usual), stuck, upstream.Ending{Result: upstream.Answered, Response: upstream.Response{Status: 200}})
+	f.now = f.now.Add(5 * time.Second)
+	c.Check(f.run(answered), qt.Equals, "a", qt.Commentf("what was slow is tried again"))
+}
+
+// TestUnreachableUpstreamRests leaves an upstream alone that refuses
+// connections, longer each time, and tries it again after that.
+func TestUnreachableUpstreamRests(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(policy())
+	refused := func(string) (upstream.Ending, time.Duration) {
+		return upstream.Ending{Result: upstream.Unreachable, Refusal: true}, time.Millisecond
+	}
+	c.Assert(f.run(refused), qt.Equals, "a")
+	c.Check(f.run(answered), qt.Not(qt.Equals), "a")
+	f.now = f.now.Add(downFirst)
+	c.Assert(f.run(refused), qt.Equals, "a")
+	f.now = f.now.Add(downFirst)
+	c.Check(f.run(answered), qt.Not(qt.Equals), "a", qt.Commentf("the second pause is longer"))
+	for range 2 {
+		f.run(refused)
+	}
+	c.Check(f.Known(f.now), qt.IsFalse)
+	c.Check(f.Choose(f.now, f.class, 0, nil), qt.IsNil)
+}
+
+// TestCrashIsTold tells which requests ran where an upstream died, and nothing
+// if only a connection broke.
+func TestCrashIsTold(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(policy())
+	p := f.Choose(f.now, f.class, 7, nil)
+	c.Check(f.Done(f.now, p, upstream.Ending{Result: upstream.Broken}), qt.IsNil)
+	q := f.Choose(f.now, f.class, 8, []string{"b", "c"})
+	crash := f.Done(f.now.Add(time.Millisecond), q, upstream.Ending{Result: upstream.Unreachable, Refusal: true})
+	c.Assert(crash, qt.IsNotNil)
+	c.Check(*crash, qt.DeepEquals, Crash{Upstream: "a", Fingerprints: []uint64{7}})
+}
+
+// TestExtraAttemptsStayWithinTheBound plays 7 hosts that ask for an extra
+// attempt whenever they may, over many windows, with restarts: in no window of
+// 10 s are there more than the ratio and the slack allow.
+func TestExtraAttemptsStayWithinTheBound(t *testing.T) {
+	const (
+		hosts, ratio, slack = 7, 0.2, 54.0
+		window              = 10 * time.Second
+		step                = 40 * time.Millisecond
+	)
+	c := qt.New(t)
+	policy := Policy{ExtraRatio: ratio * 0.85, ExtraBurst: slack * 0.75 / hosts, Connections: 4}
+	pools := make([]*fixture, hosts)
+	for i := range pools {
+		pools[i] = newFixture(policy)
+	}
+	var requests, extras []time.Duration
+	count := func(times []time.Duration, from, to time.Duration) (n int) {
+		for _, t := range times {
+			if t >= from && t < to {
+				n++
+			}
+		}
+		return n
+	}
+	for at := time.Duration(0); at < 60*time.Second; at += step {
+		for i, p := range pools {
+			p.Earn()
+			requests = append(requests, at)
+			for p.SpendRetry() {
+				extras = append(extras, at)
+			}
+			if int(at/step)%400 == 50*i {
+				pools[i] = newFixture(policy)
+			}
+		}
+	}
+	for from := time.Duration(0); from+window <= 60*time.Second; from += window / 4 {
+		allowed := ratio*float64(count(requests, from, from+window)) + slack
+		c.Assert(float64(count(extras, from, from+window)) <= allowed, qt.IsTrue, qt.Commentf("from %s", from))
+	}
+	c.Check(len(extras) > len(requests)/10, qt.IsTrue)
+}
+
+// TestLateAttemptsLeaveRetriesAlone keeps a reserve for retries.
+func TestLateAttemptsLeaveRetriesAlone(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(Policy{ExtraRatio: 1, ExtraBurst: 4, Connections: 4})
+	for range 4 {
+		f.Earn()
+	}
+	late := 0
+	for f.SpendLate() {
+		late++
+	}
+	c.Check(late, qt.Equals, 2)
+	c.Check(f.ExtraFill() < 0.5, qt.IsTrue)
+	c.Check(f.SpendRetry(), qt.IsTrue)
+}
+
+// TestRandomUse checks under random use that no upstream gets more attempts at
+// once than allowed, and none that was tried, retired or is down.
+func TestRandomUse(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(policy())
+	random := newRandom(1)
+	var running []*Pick
+	count := make(map[string]int)
+	results := []upstream.Result{upstream.Answered, upstream.Refused, upstream.Unreachable, upstream.Broken, upstream.Aborted}
+	for i := range 20_000 {
+		f.now = f.now.Add(time.Duration(random.IntN(5000)) * time.Microsecond)
+		if random.IntN(2) == 0 || len(running) == 0 {
+			tried := []string{string(rune('a' + random.IntN(3)))}
+			if p := f.Choose(f.now, f.class, 0, tried); p != nil {
+				c.Assert(p.Upstream.ID(), qt.Not(qt.Equals), tried[0])
+				running = append(running, p)
+				count[p.Upstream.ID()]++
+			}
+		} else {
+			k := random.IntN(len(running))
+			p := running[k]
+			running = append(running[:k], running[k+1:]...)
+			count[p.Upstream.ID()]--
+			f.Done(f.now, p, upstream.Ending{Result: results[random.IntN(len(results))], Response: upstream.Response{Status: 200}})
+		}
+		for id, n := range count {
+			c.Assert(n <= policy().Connections, qt.IsTrue, qt.Commentf("step %d, upstream %s", i, id))
+		}
+	}
+}
+
+func TestLateAfter(t *testing.T) {
+	c := qt.New(t)
+	class := NewClass(target, true)
+	c.Check(class.LateAfter(1), qt.Equals, 24*time.Millisecond, qt.Commentf("nothing is known yet"))
+	for i := range 1000 {
+		class.observe(start, time.Duration(5+i%20)*time.Millisecond)
+	}
+	c.Check(class.LateAfter(0) > class.LateAfter(1), qt.IsTrue)
+	single := NewClass(target, false)
+	c.Check(single.LateAfter(1), qt.Equals, 32*time.Millisecond)
+	c.Check(fmt.Sprint(class.Usual()), qt.Equals, "13.055ms")
+}
