Extra attempts are counted in a sliding window

The bound itself is over a sliding window; so is the budget now, and the slack of a host that has just started grows over one window.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -30,20 +30,3 @@
 	b.tokens--
 	return true
 }
-
-// Drain takes all tokens.
-func (b *Budget) Drain() { b.tokens = 0 }
-
-// Left returns the tokens that are left.
-func (b *Budget) Left() float64 { return b.tokens }
-
-// Refund gives back a token that was not needed.
-func (b *Budget) Refund() {
-	b.tokens = min(b.burst, b.tokens+1)
-}
-
-// Resize changes the ratio and the burst; tokens above the burst are lost.
-func (b *Budget) Resize(ratio, burst float64) {
-	b.ratio, b.burst = ratio, burst
-	b.tokens = min(b.tokens, burst)
-}
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -62,7 +62,7 @@
 	attemptsCtx, cancel := context.WithCancel(context.Background())
 	defer func() { f.finishLosers(ctx, cancel) }()
 	for _, p := range f.parts {
-		p.pool.Earn()
+		p.pool.Earn(f.started)
 		p.wanted = true
 	}
 	timer := time.NewTimer(time.Until(f.end))
@@ -135,7 +135,7 @@
 		return
 	}
 	extra := p.arrived > 0
-	started := (!extra || p.pool.SpendRetry()) && f.startOrRefund(ctx, now, p, extra)
+	started := (!extra || p.pool.SpendRetry(now)) && f.startOrRefund(ctx, now, p, extra)
 	switch {
 	case started:
 		p.wanted = false
@@ -154,7 +154,7 @@
 		return true
 	}
 	if extra {
-		p.pool.Refund()
+		p.pool.Refund(now)
 	}
 	return false
 }
@@ -180,7 +180,7 @@
 		return
 	}
 	p.lateAt = now.Add(askAgain)
-	if p.pool.SpendLate() && f.startOrRefund(ctx, now, p, true) {
+	if p.pool.SpendLate(now) && f.startOrRefund(ctx, now, p, true) {
 		f.late++
 	}
 }
@@ -197,7 +197,7 @@
 	p.ran++
 	p.arrived++
 	p.running++
-	p.lateAt = now.Add(f.class.LateAfter(p.pool.ExtraFill()))
+	p.lateAt = now.Add(f.class.LateAfter(p.pool.ExtraFill(now)))
 	f.attempts++
 	attempt := &upstream.Attempt{
 		Method: f.request.Method, Target: f.request.Target, Host: f.request.Host, Header: f.request.Header,
@@ -240,7 +240,7 @@
 		p.ran--
 		p.arrived--
 		if e.extra {
-			p.pool.Refund()
+			p.pool.Refund(time.Now())
 		}
 	case upstream.Broken, upstream.Aborted:
 	}
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -89,8 +89,9 @@
 
 // configure gives pools their upstreams; the caller holds the lock.
 func (h *Host) configure(services []string) {
+	now := time.Now()
 	for _, s := range services {
-		h.poolLocked(s).Configure(h.inventory.Of(s), h.policy(s))
+		h.poolLocked(s).Configure(now, h.inventory.Of(s), h.policy(s))
 	}
 }
 
@@ -113,7 +114,8 @@
 	}
 	return pool.Policy{
 		ExtraRatio:  h.Settings.ExtraRatio * ratioShare,
-		ExtraBurst:  h.Settings.ExtraSlack * slackShare / size,
+		ExtraSlack:  h.Settings.ExtraSlack * slackShare / size,
+		Window:      time.Duration(h.Settings.ExtraWindowSeconds * float64(time.Second)),
 		Connections: max(1, int(connectionShare*float64(connections)/size)),
 	}
 }
@@ -123,7 +125,7 @@
 	p, ok := h.pools[service]
 	if !ok {
 		p = &pool.Pool{DataCenter: h.Settings.DataCenter, Idle: h.Connections.Idle}
-		p.Configure(h.inventory.Of(service), h.policy(service))
+		p.Configure(time.Now(), h.inventory.Of(service), h.policy(service))
 		h.pools[service] = p
 	}
 	return p
@@ -162,4 +164,3 @@
 	}
 	h.configure(services)
 }
-
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -23,6 +23,8 @@
 	// service: so many for each request, and so many besides in any window.
 	ExtraRatio float64 `json:"extra-ratio" validate:"min=0,max=1"`
 	ExtraSlack float64 `json:"extra-slack" validate:"min=0,max=100000"`
+	// ExtraWindowSeconds is the length of the windows.
+	ExtraWindowSeconds float64 `json:"extra-window-seconds" validate:"min=0.1,max=3600"`
 	// MostAddressSeconds is the longest time for which callers keep addresses.
 	MostAddressSeconds float64 `json:"most-address-seconds" validate:"min=0.1,max=600"`
 	LogLevel           string  `json:"log-level" validate:"required,oneof=debug info warning error"`
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -27,9 +27,9 @@
 	connectCost = 3 * time.Millisecond
 	// connectWeight is the weight of one connection in the average.
 	connectWeight = 0.2
-	// retryReserve is how many extra attempts are kept for retries after a
-	// failure; late attempts leave them alone.
-	retryReserve = 1.5
+	// retryReserve is the share of the extra attempts that is kept for retries
+	// after a failure; late attempts leave it alone.
+	retryReserve = 0.15
 	// suspectTime is how long a broken connection and a refused one may be
 	// apart to tell of a crash.
 	suspectTime = time.Second
@@ -39,8 +39,10 @@
 type Policy struct {
 	// ExtraRatio is the extra attempts for each request.
 	ExtraRatio float64
-	// ExtraBurst is the most extra attempts beyond the ratio in any window.
-	ExtraBurst float64
+	// ExtraSlack is the extra attempts besides in any window.
+	ExtraSlack float64
+	// Window is the length of the windows in which extra attempts are counted.
+	Window time.Duration
 	// Connections is the most attempts at once at one upstream.
 	Connections int
 }
@@ -75,7 +77,7 @@
 	mu      sync.Mutex
 	policy  Policy
 	members []*member
-	extra   *budget.Budget
+	extra   *budget.Window
 	// connecting is a moving average of how long new connections take.
 	connecting time.Duration
 	// broken holds the requests whose connections broke, by upstream.
@@ -88,19 +90,15 @@
 }
 
 // Configure takes the upstreams that the service has now and the bounds.
-func (p *Pool) Configure(upstreams []inventory.Upstream, policy Policy) {
+func (p *Pool) Configure(now time.Time, upstreams []inventory.Upstream, policy Policy) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.extra == nil {
-		// An empty start keeps hosts that restart within the bound.
-		p.extra = budget.New(policy.ExtraRatio, policy.ExtraBurst)
-		p.extra.Drain()
+		p.extra = budget.NewWindow(now, policy.Window, policy.ExtraRatio, policy.ExtraSlack)
 		p.connecting = connectCost
 		p.broken = make(map[string]breakage)
 	}
-	if policy != p.policy {
-		p.extra.Resize(policy.ExtraRatio, policy.ExtraBurst)
-	}
+	p.extra.Resize(policy.ExtraRatio, policy.ExtraSlack)
 	p.policy = policy
 	old := p.members
 	p.members = make([]*member, 0, len(upstreams))
@@ -116,27 +114,17 @@
 }
 
 // Earn notes a request for the service.
-func (p *Pool) Earn() {
+func (p *Pool) Earn(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.extra.Earn()
+	p.extra.Request(now)
 }
 
-// ExtraFill returns the share of the extra attempts that late ones may still
-// use, 0 to 1.
-func (p *Pool) ExtraFill() float64 {
+// ExtraFill returns the share of the extra attempts that is left, 0 to 1.
+func (p *Pool) ExtraFill(now time.Time) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.fill()
-}
-
-// fill is ExtraFill; the caller holds the lock.
-func (p *Pool) fill() float64 {
-	room := p.policy.ExtraBurst - retryReserve
-	if room <= 0 {
-		return 0
-	}
-	return min(1, max(0, (p.extra.Left()-retryReserve)/room))
+	return p.extra.Fill(now)
 }
 
 // Known reports whether the service has any upstream that may take work.
@@ -149,24 +137,24 @@
 }
 
 // SpendLate takes an extra attempt for one that is late.
-func (p *Pool) SpendLate() bool {
+func (p *Pool) SpendLate(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.extra.Left() >= 1+retryReserve && p.extra.Spend()
+	return p.extra.Fill(now) > retryReserve && p.extra.Spend(now)
 }
 
 // SpendRetry takes an extra attempt for one that failed.
-func (p *Pool) SpendRetry() bool {
+func (p *Pool) SpendRetry(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.extra.Spend()
+	return p.extra.Spend(now)
 }
 
 // Refund gives back an extra attempt that never arrived.
-func (p *Pool) Refund() {
+func (p *Pool) Refund(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.extra.Refund()
+	p.extra.Refund(now)
 }
 
 // Choose gives an attempt to the best upstream that is not among the tried
@@ -256,7 +244,7 @@
 // expected returns how long an attempt would take, with what its cost weighs.
 func (p *Pool) expected(now time.Time, m *member, c *Class) float64 {
 	time := float64(c.Usual()) * m.slow(now) * (1 + m.queued(now))
-	time += (failureCost + scarceCost*(1-p.fill())) * m.failureRate(now) * float64(c.target)
+	time += (failureCost + scarceCost*(1-p.extra.Fill(now))) * m.failureRate(now) * float64(c.target)
 	if p.Idle(m.upstream.ID()) == 0 {
 		time += float64(p.connecting)
 	}
