Upstreams with too many connections are not lost; the size of the fleet survives

Now a reset new connection means fewer attempts at once and no new connection for 40 to 320 ms; the store's registrations tell how many hosts there are. Without a configuration, callers are told to come back in 1 s instead of 0.3.

--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -52,6 +52,7 @@
 		}
 	}
 	h.meanings = known
+	h.registered = len(peers) + 1
 	h.mu.Unlock()
 	h.updateInventory(now)
 	h.fleet.Listed(listed(peers))
@@ -97,7 +98,7 @@
 
 // fleetSize returns the largest fleet seen lately; the caller holds the lock.
 func (h *Host) fleetSize() int {
-	now, size := time.Now(), max(minFleet, h.fleet.Size())
+	now, size := time.Now(), max(minFleet, h.fleet.Size(), h.registered)
 	if size >= h.largest || now.Sub(h.largestAt) > fleetMemory {
 		h.largest, h.largestAt = size, now
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -34,8 +34,9 @@
 	// looked through.
 	upkeepPeriod = time.Second
 	// noConfigurationRetry is what callers are told before there is a
-	// configuration.
-	noConfigurationRetry = 300 * time.Millisecond
+	// configuration: hosts that start without one wait for the end of an outage
+	// of the store, which takes seconds.
+	noConfigurationRetry = time.Second
 )
 
 // A Meaning is what one key of the store means. At most one field is set.
@@ -83,6 +84,9 @@
 	classes   map[string]*pool.Class
 	// meanings holds what each key meant, by key and revision.
 	meanings map[string]meaning
+	// registered is how many hosts the store names, this one included: after all
+	// hosts restarted, it tells the size of the fleet before they meet.
+	registered int
 	// largest is the largest fleet seen within fleetMemory before largestAt.
 	largest   int
 	largestAt time.Time
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -26,6 +26,13 @@
 	downMost  = 1600 * time.Millisecond
 	// maxSlowness bounds how slow a member is taken for.
 	maxSlowness = 50.0
+	// roomPeriod is how long it takes until one more attempt at once is tried
+	// after an upstream had too many connections.
+	roomPeriod = 150 * time.Millisecond
+	// noDialFirst and noDialMost bound how long no new connection is tried after
+	// that.
+	noDialFirst = 40 * time.Millisecond
+	noDialMost  = 320 * time.Millisecond
 	// stuckFactor is how many times the usual time the oldest attempt must
 	// have taken before it tells of the member's present speed.
 	stuckFactor = 1.5
@@ -49,15 +56,28 @@
 	// downFor is the last pause.
 	downUntil time.Time
 	downFor   time.Duration
-	// leaving is set when the upstream said that it closes its connections
-	// because it stops.
-	leaving bool
+	// room is how many attempts at once the upstream took at roomAt, when it had
+	// too many connections; it grows by one each roomPeriod.
+	room   int
+	roomAt time.Time
+	// noDialUntil is until when no new connection is tried after that; noDialFor
+	// is the last such pause.
+	noDialUntil time.Time
+	noDialFor   time.Duration
 }
 
 func newMember(u inventory.Upstream) *member {
 	return &member{upstream: u, slowness: 1}
 }
 
+// crowded notes that the upstream has too many connections.
+func (m *member) crowded(now time.Time) {
+	m.room = max(1, min(len(m.running), m.limit(now, len(m.running)))-1)
+	m.roomAt = now
+	m.noDialFor = min(max(2*m.noDialFor, noDialFirst), noDialMost)
+	m.noDialUntil = now.Add(m.noDialFor)
+}
+
 // decay returns how much of an estimate still holds, 0 to 1.
 func (m *member) decay(now time.Time) float64 {
 	age := now.Sub(m.sampled) - trustTime
@@ -84,6 +104,14 @@
 	return m.failing * m.decay(now)
 }
 
+// limit returns how many attempts at once the member gets, at most most.
+func (m *member) limit(now time.Time, most int) int {
+	if m.roomAt.IsZero() {
+		return max(1, most)
+	}
+	return max(1, min(most, m.room+int(now.Sub(m.roomAt)/roomPeriod)))
+}
+
 func (m *member) sample(now time.Time, slowness float64, failed bool) {
 	keep := m.decay(now)
 	m.slowness = 1 + (m.slowness-1)*keep
@@ -99,8 +127,8 @@
 
 // reached notes that the upstream answered.
 func (m *member) reached() {
-	m.downFor = 0
-	m.downUntil = time.Time{}
+	m.downFor, m.downUntil = 0, time.Time{}
+	m.noDialFor = 0
 }
 
 // slow returns how many times the usual time an attempt takes now.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -193,6 +193,9 @@
 }
 
 func (p *Pool) learn(now time.Time, m *member, pick *Pick, e upstream.Ending) *Crash {
+	if e.Crowded {
+		m.crowded(now)
+	}
 	took := now.Sub(pick.started) - e.Connected
 	relative := float64(took) / float64(max(pick.usual, time.Microsecond))
 	switch e.Result {
@@ -210,7 +213,9 @@
 		// The upstream is gone; its entry will follow.
 		m.downUntil, m.downFor = now.Add(downMost), downMost
 	case upstream.Unreachable:
-		m.unreachable(now)
+		if !e.Crowded {
+			m.unreachable(now)
+		}
 		if e.Refusal {
 			return p.crash(now, m)
 		}
@@ -231,7 +236,10 @@
 		if m.upstream.Standing(now) != standing || m.down(now) || slices.Contains(tried, m.upstream.ID()) {
 			continue
 		}
-		if len(m.running) >= max(1, p.policy.Connections) {
+		if len(m.running) >= m.limit(now, p.policy.Connections) {
+			continue
+		}
+		if now.Before(m.noDialUntil) && p.Idle(m.upstream.ID()) == 0 {
 			continue
 		}
 		if s := p.expected(now, m, c); best == nil || s < lowest {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -144,6 +144,27 @@
 	c.Check(f.Choose(f.now, f.class, 0, nil), qt.IsNil)
 }
 
+// TestCrowdedUpstreamIsNotLost resets a new connection: the upstream gets no new
+// one for a moment and fewer attempts at once, but is not given up.
+func TestCrowdedUpstreamIsNotLost(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(policy())
+	idle := 0
+	f.Idle = func(string) int { return idle }
+	crowded := upstream.Ending{Result: upstream.Unreachable, Crowded: true}
+	for _, id := range []string{"a", "b", "c"} {
+		c.Assert(f.run(func(string) (upstream.Ending, time.Duration) { return crowded, 0 }), qt.Equals, id)
+	}
+	c.Check(f.Choose(f.now, f.class, 0, nil), qt.IsNil)
+	c.Check(f.Known(f.now), qt.IsTrue)
+	idle = 1
+	first := f.Choose(f.now, f.class, 0, []string{"b", "c"})
+	c.Assert(first, qt.IsNotNil, qt.Commentf("a kept connection may be used"))
+	c.Check(f.Choose(f.now, f.class, 0, []string{"b", "c"}), qt.IsNil, qt.Commentf("one at once"))
+	f.now = f.now.Add(2 * roomPeriod)
+	c.Check(f.Choose(f.now, f.class, 0, []string{"b", "c"}), qt.IsNotNil)
+}
+
 // TestCrashIsTold tells which requests ran where an upstream died, and nothing
 // if only a connection broke.
 func TestCrashIsTold(t *testing.T) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -107,6 +107,8 @@
 	Connected time.Duration
 	// Refusal is set if the address refused the connection: nobody listens.
 	Refusal bool
+	// Crowded is set if a new connection was reset: the upstream has too many.
+	Crowded bool
 	// Leaving is set if the upstream closes the connection after the answer.
 	Leaving bool
 	Err     error
@@ -156,11 +158,16 @@
 func (c *Connections) Exchange(ctx context.Context, a *Attempt) Ending {
 	conn, connected, err := c.take(ctx, a)
 	if err != nil {
-		return Ending{Result: Unreachable, Err: err, Refusal: errors.Is(err, syscall.ECONNREFUSED)}
+		return Ending{
+			Result: Unreachable, Err: err, Refusal: errors.Is(err, syscall.ECONNREFUSED), Crowded: errors.Is(err, syscall.ECONNRESET),
+		}
 	}
+	sent := time.Now()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	ending, keep := c.exchangeOn(ctx, conn, a)
 	ending.Connected = connected
+	// A reset that comes sooner than any run could end is one of the connection.
+	ending.Crowded = connected > 0 && errors.Is(ending.Err, syscall.ECONNRESET) && time.Since(sent) <= connected
 	if stop() && keep > 0 {
 		c.give(a.UpstreamID, conn, keep)
 		return ending
