Shards that cannot carry the load are left out of some answers, and nothing starts in vain

And parts of busy shards were sent although they would be late, which made the next ones late. Now a request starts nothing until enough parts can start, and is refused with "not run" if that takes too long; parts with an outlook beyond the time that is left are left out of a growing share of the requests, as far as the answer allows; a late attempt is not repeated where it would be late as well.

--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
 	"github.com/foxtailshelf/foxtailshelf/internal/routing"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
@@ -35,6 +38,10 @@
 	extra  bool
 }
 
+// spareSteepness is how steeply the share of the requests that wait for a busy
+// part falls with its outlook: steep enough that the rest is on time again.
+const spareSteepness = 6
+
 // maxSends bounds the attempts of one part, of which only some may run.
 const maxSends = 6
 
@@ -65,6 +72,7 @@
 		p.pool.Earn(f.started)
 		p.wanted = true
 	}
+	f.spareLateParts()
 	timer := time.NewTimer(time.Until(f.end))
 	defer timer.Stop()
 	for {
@@ -117,6 +125,9 @@
 
 // place starts the attempts that are due.
 func (f *flight) place(ctx context.Context, now time.Time) {
+	if f.attempts == 0 && f.route.Gathers() && !f.enoughFree(now) {
+		return
+	}
 	for _, p := range f.parts {
 		switch {
 		case p.settled():
@@ -128,6 +139,32 @@
 	}
 }
 
+// enoughFree reports whether so many parts can start now that there may be an
+// answer. Until then none starts: the work of the others would be lost. After a
+// while, parts without a free upstream are given up, and the request with them.
+func (f *flight) enoughFree(now time.Time) bool {
+	free := 0
+	var busy []*part
+	for _, p := range f.parts {
+		switch {
+		case p.settled():
+		case p.pool.Free(now, f.class):
+			free++
+		default:
+			busy = append(busy, p)
+		}
+	}
+	if free >= f.route.MinParts() {
+		return true
+	}
+	for _, p := range busy {
+		if reason := f.hopeless(now, p); reason != ReasonNone {
+			p.giveUp(reason)
+		}
+	}
+	return false
+}
+
 // placeWanted starts an attempt of a part that has none under way.
 func (f *flight) placeWanted(ctx context.Context, now time.Time, p *part) {
 	if reason := f.hopeless(now, p); reason != ReasonNone {
@@ -135,7 +172,7 @@
 		return
 	}
 	extra := p.arrived > 0
-	started := (!extra || p.pool.SpendRetry(now)) && f.startOrRefund(ctx, now, p, extra)
+	started := (!extra || p.pool.SpendRetry(now)) && f.startOrRefund(ctx, now, p, extra, 0)
 	switch {
 	case started:
 		p.wanted = false
@@ -147,10 +184,41 @@
 	}
 }
 
+// spareLateParts leaves out parts whose upstreams are so busy that they would be
+// late, as far as the answer can do without them: work that is late anyway makes
+// the next ones late. The more they are late, the more requests leave them out.
+// It answers a load that some shards can not carry.
+func (f *flight) spareLateParts() {
+	spare := len(f.parts) - f.route.MinParts()
+	if !f.route.Gathers() || spare <= 0 {
+		return
+	}
+	within := f.due.Sub(f.started)
+	draw := f.draw()
+	for i := range f.parts {
+		// Requests begin at different parts, so that none is always left out.
+		p := f.parts[(i+int(draw*float64(len(f.parts))))%len(f.parts)]
+		outlook := p.pool.Outlook(f.started, f.class)
+		if outlook <= within || draw < math.Pow(float64(within)/float64(outlook), spareSteepness) {
+			continue
+		}
+		p.giveUp(ReasonLate)
+		if spare--; spare == 0 {
+			return
+		}
+	}
+}
+
+// draw returns a number from 0 to 1 that differs from request to request.
+func (f *flight) draw() float64 {
+	const fraction = 1 << 53
+	return float64(xxhash.Sum64String(f.request.ID)%fraction) / fraction
+}
+
 // startOrRefund is start, but gives the extra attempt back if there was no
 // upstream for it.
-func (f *flight) startOrRefund(ctx context.Context, now time.Time, p *part, extra bool) bool {
-	if f.start(ctx, now, p, extra) {
+func (f *flight) startOrRefund(ctx context.Context, now time.Time, p *part, extra bool, within time.Duration) bool {
+	if f.start(ctx, now, p, extra, within) {
 		return true
 	}
 	if extra {
@@ -180,15 +248,17 @@
 		return
 	}
 	p.lateAt = now.Add(askAgain)
-	if p.pool.SpendLate(now) && f.startOrRefund(ctx, now, p, true) {
+	// Before the answer is due, asking one that would be late is of no use.
+	within := max(0, f.due.Sub(now))
+	if p.pool.SpendLate(now) && f.startOrRefund(ctx, now, p, true, within) {
 		f.late++
 	}
 }
 
 // start gives an attempt of a part to an upstream; it reports whether there was
 // one.
-func (f *flight) start(ctx context.Context, now time.Time, p *part, extra bool) bool {
-	pick := p.pool.Choose(now, f.class, f.fingerprint, p.tried)
+func (f *flight) start(ctx context.Context, now time.Time, p *part, extra bool, within time.Duration) bool {
+	pick := p.pool.Choose(now, f.class, f.fingerprint, p.tried, within)
 	if pick == nil {
 		return false
 	}
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -19,6 +19,7 @@
 	ReasonNoUpstream  Reason = "no-upstream"
 	ReasonBusy        Reason = "busy"
 	ReasonFailed      Reason = "failed"
+	ReasonLate        Reason = "late"
 	ReasonQuarantined Reason = "quarantined"
 	ReasonCallerGone  Reason = "caller-gone"
 )
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -125,6 +125,11 @@
 	m.sampled = now
 }
 
+// outlook returns how long an attempt that usually takes this long will take.
+func (m *member) outlook(now time.Time, usual time.Duration) time.Duration {
+	return time.Duration(float64(usual) * m.slow(now) * (1 + m.queued(now)))
+}
+
 // reached notes that the upstream answered.
 func (m *member) reached() {
 	m.downFor, m.downUntil = 0, time.Time{}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -30,6 +30,9 @@
 	// retryReserve is the share of the extra attempts that is kept for retries
 	// after a failure; late attempts leave it alone.
 	retryReserve = 0.15
+	// fullFactor is how much longer an attempt takes at an upstream that runs all
+	// it may.
+	fullFactor = 2
 	// suspectTime is how long a broken connection and a refused one may be
 	// apart to tell of a crash.
 	suspectTime = time.Second
@@ -127,6 +130,13 @@
 	return p.extra.Fill(now)
 }
 
+// Free reports whether an upstream takes an attempt now.
+func (p *Pool) Free(now time.Time, c *Class) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.best(now, c, nil, inventory.InService) != nil || p.best(now, c, nil, inventory.LastResort) != nil
+}
+
 // Known reports whether the service has any upstream that may take work.
 func (p *Pool) Known(now time.Time) bool {
 	p.mu.Lock()
@@ -158,8 +168,9 @@
 }
 
 // Choose gives an attempt to the best upstream that is not among the tried
-// ones; nil if there is none.
-func (p *Pool) Choose(now time.Time, c *Class, fingerprint uint64, tried []string) *Pick {
+// ones; nil if there is none. If within is not zero, an upstream that is likely
+// to take longer is as none.
+func (p *Pool) Choose(now time.Time, c *Class, fingerprint uint64, tried []string, within time.Duration) *Pick {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	usual := c.Usual()
@@ -167,7 +178,7 @@
 	if best == nil {
 		best = p.best(now, c, tried, inventory.LastResort)
 	}
-	if best == nil {
+	if best == nil || (within > 0 && best.outlook(now, usual) > within) {
 		return nil
 	}
 	pick := &Pick{Upstream: best.upstream, member: best, class: c, usual: usual, started: now, fingerprint: fingerprint}
@@ -175,6 +186,29 @@
 	return pick
 }
 
+// Outlook returns how long an attempt is likely to take at the quickest
+// upstream. If none takes one now, it is how long the quickest would take after
+// one of those under way; zero if there is no upstream at all.
+func (p *Pool) Outlook(now time.Time, c *Class) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	usual := c.Usual()
+	quickest := time.Duration(0)
+	for _, m := range p.members {
+		if m.upstream.Standing(now) == inventory.Retired || m.down(now) {
+			continue
+		}
+		o := m.outlook(now, usual)
+		if len(m.running) >= m.limit(now, p.policy.Connections) {
+			o = fullFactor * max(o, c.target)
+		}
+		if quickest == 0 || o < quickest {
+			quickest = o
+		}
+	}
+	return quickest
+}
+
 // Done notes the end of an attempt. It returns a crash if the end tells of one.
 func (p *Pool) Done(now time.Time, pick *Pick, e upstream.Ending) *Crash {
 	p.mu.Lock()
@@ -251,7 +285,7 @@
 
 // expected returns how long an attempt would take, with what its cost weighs.
 func (p *Pool) expected(now time.Time, m *member, c *Class) float64 {
-	time := float64(c.Usual()) * m.slow(now) * (1 + m.queued(now))
+	time := float64(m.outlook(now, c.Usual()))
 	time += (failureCost + scarceCost*(1-p.extra.Fill(now))) * m.failureRate(now) * float64(c.target)
 	if p.Idle(m.upstream.ID()) == 0 {
 		time += float64(p.connecting)
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -57,7 +57,7 @@
 
 // run gives one attempt to the best upstream and ends it.
 func (f *fixture) run(end func(id string) (upstream.Ending, time.Duration)) string {
-	p := f.Choose(f.now, f.class, 0, nil)
+	p := f.Choose(f.now, f.class, 0, nil, 0)
 	if p == nil {
 		return ""
 	}
@@ -114,10 +114,10 @@
 func TestStuckUpstreamIsPassedOver(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(policy())
-	stuck := f.Choose(f.now, f.class, 0, nil)
+	stuck := f.Choose(f.now, f.class, 0, nil, 0)
 	c.Assert(stuck.Upstream.ID(), qt.Equals, "a")
 	f.now = f.now.Add(3 * usual)
-	c.Check(f.Choose(f.now, f.class, 0, nil).Upstream.ID(), qt.Not(qt.Equals), "a")
+	c.Check(f.Choose(f.now, f.class, 0, nil, 0).Upstream.ID(), qt.Not(qt.Equals), "a")
 	f.Done(f.now.Add(usual), stuck, upstream.Ending{Result: upstream.Answered, Response: upstream.Response{Status: 200}})
 	f.now = f.now.Add(5 * time.Second)
 	c.Check(f.run(answered), qt.Equals, "a", qt.Commentf("what was slow is tried again"))
@@ -141,7 +141,7 @@
 		f.run(refused)
 	}
 	c.Check(f.Known(f.now), qt.IsFalse)
-	c.Check(f.Choose(f.now, f.class, 0, nil), qt.IsNil)
+	c.Check(f.Choose(f.now, f.class, 0, nil, 0), qt.IsNil)
 }
 
 // TestCrowdedUpstreamIsNotLost resets a new connection: the upstream gets no new
@@ -155,14 +155,14 @@
 	for _, id := range []string{"a", "b", "c"} {
 		c.Assert(f.run(func(string) (upstream.Ending, time.Duration) { return crowded, 0 }), qt.Equals, id)
 	}
-	c.Check(f.Choose(f.now, f.class, 0, nil), qt.IsNil)
+	c.Check(f.Choose(f.now, f.class, 0, nil, 0), qt.IsNil)
 	c.Check(f.Known(f.now), qt.IsTrue)
 	idle = 1
-	first := f.Choose(f.now, f.class, 0, []string{"b", "c"})
+	first := f.Choose(f.now, f.class, 0, []string{"b", "c"}, 0)
 	c.Assert(first, qt.IsNotNil, qt.Commentf("a kept connection may be used"))
-	c.Check(f.Choose(f.now, f.class, 0, []string{"b", "c"}), qt.IsNil, qt.Commentf("one at once"))
+	c.Check(f.Choose(f.now, f.class, 0, []string{"b", "c"}, 0), qt.IsNil, qt.Commentf("one at once"))
 	f.now = f.now.Add(2 * roomPeriod)
-	c.Check(f.Choose(f.now, f.class, 0, []string{"b", "c"}), qt.IsNotNil)
+	c.Check(f.Choose(f.now, f.class, 0, []string{"b", "c"}, 0), qt.IsNotNil)
 }
 
 // TestCrashIsTold tells which requests ran where an upstream died, and nothing
@@ -170,9 +170,9 @@
 func TestCrashIsTold(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(policy())
-	p := f.Choose(f.now, f.class, 7, nil)
+	p := f.Choose(f.now, f.class, 7, nil, 0)
 	c.Check(f.Done(f.now, p, upstream.Ending{Result: upstream.Broken}), qt.IsNil)
-	q := f.Choose(f.now, f.class, 8, []string{"b", "c"})
+	q := f.Choose(f.now, f.class, 8, []string{"b", "c"}, 0)
 	crash := f.Done(f.now.Add(time.Millisecond), q, upstream.Ending{Result: upstream.Unreachable, Refusal: true})
 	c.Assert(crash, qt.IsNotNil)
 	c.Check(*crash, qt.DeepEquals, Crash{Upstream: "a", Fingerprints: []uint64{7}})
@@ -249,7 +249,7 @@
 		f.now = f.now.Add(time.Duration(random.IntN(5000)) * time.Microsecond)
 		if random.IntN(2) == 0 || len(running) == 0 {
 			tried := []string{string(rune('a' + random.IntN(3)))}
-			if p := f.Choose(f.now, f.class, 0, tried); p != nil {
+			if p := f.Choose(f.now, f.class, 0, tried, 0); p != nil {
 				c.Assert(p.Upstream.ID(), qt.Not(qt.Equals), tried[0])
 				running = append(running, p)
 				count[p.Upstream.ID()]++
