Tests of the new packages; two runs on one machine use different ports

Process tests and the demo used fixed ports, so that two runs failed each other ("address already in use"): each run now holds a block of ports.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 
 ## lint: formatter, vet and static analysis
 lint:
-	@unformatted=$$($(TOOL) gofumpt -l cmd internal | grep -v pb.go); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	@unformatted=$$($(TOOL) gofumpt -l cmd internal platform | grep -v pb.go); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 	$(GO) vet ./...
 	$(TOOL) staticcheck ./...
 
--- a/internal/command/main_test.go
+++ b/internal/command/main_test.go
@@ -1,12 +1,14 @@
 package command
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"net"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,11 +17,18 @@
 )
 
 const (
-	firstPort    = 15000
-	maxPortTries = 5000
+	// Ports come in blocks below those that the system hands out to clients. A
+	// test process holds the first port of its block, so that no two processes
+	// on one machine use the same block.
+	firstPort = 15000
+	lastPort  = 31000
+	blockSize = 400
 )
 
-var portsUsed atomic.Int32
+var (
+	portsUsed atomic.Int32
+	portBlock = sync.OnceValues(takePortBlock)
+)
 
 var update = flag.Bool("update-scripts", false, "write what commands print into the scripts")
 
@@ -89,11 +98,14 @@
 	return -1
 }
 
-// freeAddress returns an address below the ports that the system hands out to
-// clients, and a different one each time.
+// freeAddress returns an address that no other test uses.
 func freeAddress(t *testing.T) string {
-	for range maxPortTries {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+int(portsUsed.Add(1)))
+	first, err := portBlock()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := int(portsUsed.Add(1)); n < blockSize; n = int(portsUsed.Add(1)) {
+		address := fmt.Sprintf("127.0.0.1:%d", first+n)
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
@@ -101,10 +113,23 @@
 		_ = listener.Close()
 		return address
 	}
-	t.Fatal("no free port")
+	t.Fatal("no free port is left in the block")
 	return ""
 }
 
+// takePortBlock returns the first port of a block. It stays open until the
+// process ends.
+func takePortBlock() (int, error) {
+	blocks := (lastPort - firstPort) / blockSize
+	for i := range blocks {
+		first := firstPort + (os.Getpid()+i)%blocks*blockSize
+		if _, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first)); err == nil {
+			return first, nil
+		}
+	}
+	return 0, errors.New("every block of ports is taken")
+}
+
 // programPath returns a path under which the test binary runs as a program.
 func programPath(t *testing.T, dir, name string) string {
 	self, err := os.Executable()
--- /dev/null
+++ b/internal/mirror/mirror_test.go
@@ -0,0 +1,283 @@
+package mirror
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
+)
+
+func put(key string, revision uint64) keyvalue.Change {
+	return keyvalue.NewChange(key, []byte(fmt.Sprint(key, revision)), revision)
+}
+
+func keys(m *Mirror) string {
+	text := ""
+	for _, r := range m.Records() {
+		text += fmt.Sprint(r.Key(), r.Revision(), " ")
+	}
+	return text
+}
+
+func TestApply(t *testing.T) {
+	c := qt.New(t)
+	m := New()
+	c.Check(m.Apply([]keyvalue.Change{put("a", 2), put("b", 3)}, 3), qt.IsTrue)
+	c.Check(m.Apply([]keyvalue.Change{put("a", 1), put("b", 3)}, 2), qt.IsFalse)
+	c.Check(m.Revision(), qt.Equals, uint64(3))
+	c.Check(m.Apply([]keyvalue.Change{keyvalue.NewRemoval("a", 4)}, 4), qt.IsTrue)
+	c.Check(m.Apply([]keyvalue.Change{put("a", 2)}, 4), qt.IsFalse, qt.Commentf("an old write after its removal"))
+	c.Check(m.Replace([]keyvalue.Change{put("c", 6)}, 5), qt.IsTrue, qt.Commentf("written between two pages"))
+	c.Check(keys(m), qt.Equals, "c6 ")
+	m.Apply([]keyvalue.Change{put("d", 9)}, 9)
+	c.Check(m.Replace([]keyvalue.Change{put("c", 6)}, 7), qt.IsFalse, qt.Commentf("newer than what was read"))
+	c.Check(keys(m), qt.Equals, "c6 d9 ")
+}
+
+// TestRandomSpread passes random changes of a store between three copies, in any
+// order and doubled, by watch, by reading everything and from each other. No copy
+// ever goes back, and all agree in the end.
+func TestRandomSpread(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	store := New()
+	var history []keyvalue.Change
+	copies := []*Mirror{New(), New(), New()}
+	seen := make([]map[string]uint64, len(copies))
+	for i := range seen {
+		seen[i] = make(map[string]uint64)
+	}
+	revision := uint64(1)
+	for range 20_000 {
+		i := random.IntN(len(copies))
+		m := copies[i]
+		switch random.IntN(5) {
+		case 0, 1:
+			revision++
+			change := put(fmt.Sprint("k", random.IntN(20)), revision)
+			if random.IntN(3) == 0 {
+				change = keyvalue.NewRemoval(change.Key(), revision)
+			}
+			store.Apply([]keyvalue.Change{change}, revision)
+			history = append(history, change)
+		case 2:
+			var events []keyvalue.Change
+			for _, h := range history[max(0, len(history)-200):] {
+				if h.Revision() > m.Revision() {
+					events = append(events, h)
+				}
+			}
+			if len(events) > 0 && events[0].Revision() == m.Revision()+1 {
+				m.Apply(events, revision)
+			}
+		case 3:
+			m.Replace(store.Records(), store.Revision())
+		case 4:
+			other := copies[random.IntN(len(copies))]
+			if other.Revision() > m.Revision() {
+				changes, whole := other.Difference(m.Revision())
+				if whole {
+					m.Replace(changes, other.Revision())
+				} else {
+					m.Apply(changes, other.Revision())
+				}
+			}
+		}
+		for _, r := range m.Records() {
+			c.Assert(r.Revision() >= seen[i][r.Key()], qt.IsTrue, qt.Commentf("copy %d, key %s went back", i, r.Key()))
+			seen[i][r.Key()] = r.Revision()
+		}
+	}
+	for _, m := range copies {
+		m.Replace(store.Records(), store.Revision())
+		c.Check(keys(m), qt.Equals, keys(store))
+	}
+}
+
+// TestForgottenRemovals sends everything to a peer that is too far behind.
+func TestForgottenRemovals(t *testing.T) {
+	c := qt.New(t)
+	m := New()
+	m.Apply([]keyvalue.Change{put("kept", 1)}, 1)
+	revision := uint64(1)
+	for i := range maxRemovals + 10 {
+		key := fmt.Sprint("k", i)
+		m.Apply([]keyvalue.Change{put(key, revision+1), keyvalue.NewRemoval(key, revision+2)}, revision+2)
+		revision += 2
+	}
+	_, whole := m.Difference(3)
+	c.Check(whole, qt.IsTrue)
+	changes, whole := m.Difference(revision - 2)
+	c.Check(whole, qt.IsFalse)
+	c.Check(changes, qt.HasLen, 1)
+}
+
+// fakeFeed is a store that can be silent, fail or lose its history.
+type fakeFeed struct {
+	store   *Mirror
+	history []keyvalue.Change
+	silent  bool
+	failing bool
+	lost    bool
+	calls   int
+}
+
+var errStore = errors.New("store fails")
+
+func (f *fakeFeed) write(key string) {
+	c := put(key, f.store.Revision()+1)
+	f.store.Apply([]keyvalue.Change{c}, c.Revision())
+	f.history = append(f.history, c)
+}
+
+func (f *fakeFeed) List(ctx context.Context, _ string) ([]keyvalue.Change, uint64, error) {
+	f.calls++
+	if f.silent {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	if f.failing {
+		return nil, 0, errStore
+	}
+	return f.store.Records(), f.store.Revision(), nil
+}
+
+func (f *fakeFeed) WatchPrefix(ctx context.Context, _ string, after uint64, wait time.Duration) ([]keyvalue.Change, uint64, error) {
+	f.calls++
+	for end := time.Now().Add(wait); ; time.Sleep(time.Millisecond) {
+		switch {
+		case f.silent:
+			<-ctx.Done()
+			return nil, 0, ctx.Err()
+		case f.failing:
+			return nil, 0, errStore
+		case f.lost:
+			f.lost = false
+			return nil, 0, &keyvalue.HistoryLostError{After: after}
+		case f.store.Revision() > after:
+			var events []keyvalue.Change
+			for _, h := range f.history {
+				if h.Revision() > after {
+					events = append(events, h)
+				}
+			}
+			return events, f.store.Revision(), nil
+		case !time.Now().Before(end) || ctx.Err() != nil:
+			return nil, f.store.Revision(), ctx.Err()
+		}
+	}
+}
+
+func follower(feed *fakeFeed) *Follower {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := &Follower{
+		Feed: feed, Watches: func(time.Duration) bool { return true }, OnChange: func([]keyvalue.Change, uint64) {}, Log: log,
+	}
+	f.Init()
+	return f
+}
+
+// TestChangesArrive brings a change to a host within a bounded time, whatever
+// befalls its watch meanwhile.
+func TestChangesArrive(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		during func(*fakeFeed)
+		within time.Duration
+	}{
+		{"calm", func(*fakeFeed) {}, 10 * time.Millisecond},
+		{"silent connection", func(f *fakeFeed) {
+			f.silent = true
+			time.AfterFunc(100*time.Millisecond, func() { f.silent = false })
+		}, watchWait + callSlack + failurePause + 50*time.Millisecond},
+		{"short outage", func(f *fakeFeed) {
+			f.failing = true
+			time.AfterFunc(500*time.Millisecond, func() { f.failing = false })
+		}, 500*time.Millisecond + failurePause + 10*time.Millisecond},
+		{"lost history", func(f *fakeFeed) { f.lost = true }, failurePause + 10*time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				feed := &fakeFeed{store: New()}
+				feed.write("a")
+				f := follower(feed)
+				ctx, cancel := context.WithCancel(context.Background())
+				done := make(chan error, 1)
+				run := func() { done <- f.Run(ctx) }
+				startInBubble(run)
+				time.Sleep(1500 * time.Millisecond)
+				c.Assert(f.Revision(), qt.Equals, uint64(1))
+				test.during(feed)
+				feed.write("b")
+				time.Sleep(test.within)
+				c.Check(f.Revision(), qt.Equals, uint64(2))
+				cancel()
+				c.Check(<-done, qt.IsNil)
+			})
+		})
+	}
+}
+
+// TestPeersTell brings a change to a host that does not watch, from a peer that
+// says that it has more.
+func TestPeersTell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		feed := &fakeFeed{store: New()}
+		source := follower(feed)
+		source.Take(Difference{Changes: []keyvalue.Change{put("a", 4)}, Whole: true, Revision: 4})
+		f := follower(feed)
+		f.Watches = func(time.Duration) bool { return false }
+		f.Fetch = func(_ context.Context, _ string, have uint64) (Difference, error) {
+			return source.Difference(have), nil
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		startInBubble(func() { done <- f.Run(ctx) })
+		f.Heard("peer", 4, 0)
+		time.Sleep(time.Millisecond)
+		c.Check(f.Revision(), qt.Equals, uint64(4))
+		c.Check(feed.calls, qt.Equals, 0)
+		time.Sleep(time.Second)
+		f.Heard("peer", 4, 100*time.Millisecond)
+		c.Check(f.Age(), qt.Equals, 100*time.Millisecond, qt.Commentf("a peer with the same revision confirms it"))
+		f.Heard("peer", 3, 0)
+		c.Check(f.Age(), qt.Equals, 100*time.Millisecond, qt.Commentf("a peer that is behind does not"))
+		cancel()
+		c.Check(<-done, qt.IsNil)
+	})
+}
+
+// TestFewCallsForManyChanges counts the calls while the store changes 25 times a
+// second: changes that come together cost one call.
+func TestFewCallsForManyChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		feed := &fakeFeed{store: New()}
+		feed.write("a")
+		f := follower(feed)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		startInBubble(func() { done <- f.Run(ctx) })
+		for range 250 {
+			time.Sleep(40 * time.Millisecond)
+			feed.write("a")
+		}
+		c.Check(feed.calls <= 45, qt.IsTrue, qt.Commentf("%d calls in 10 s", feed.calls))
+		time.Sleep(time.Second)
+		c.Check(f.Revision(), qt.Equals, uint64(251))
+		cancel()
+		c.Check(<-done, qt.IsNil)
+	})
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,6 +8,21 @@
 work=$(mktemp -d)
 declare -A pids=()
 
+# Two runs on one machine use different blocks of ports: each holds the folder
+# of its block while it runs.
+base=""
+for block in $(seq 0 39); do
+	if mkdir "${TMPDIR:-/tmp}/foxtail-demo-ports-$block" 2>/dev/null; then
+		base=$((10000 + block * 140))
+		lock="${TMPDIR:-/tmp}/foxtail-demo-ports-$block"
+		break
+	fi
+done
+if [ -z "$base" ]; then
+	echo "every block of ports is taken; remove stale ${TMPDIR:-/tmp}/foxtail-demo-ports-*"
+	exit 1
+fi
+
 finish() {
 	code=$?
 	for name in "${!pids[@]}"; do
@@ -17,40 +32,50 @@
 		echo "demo FAILED; last log lines:"
 		tail -n 5 "$work"/*.log || true
 	fi
-	rm -rf "$work"
+	rm -rf "$work" "$lock"
 	exit "$code"
 }
 trap finish EXIT
 
+# The example's upstreams listen on 21000 and up.
+awk -v base="$((base + 45))" '{
+	while (match($0, /127\.0\.0\.1:21[0-9]+/)) {
+		port = substr($0, RSTART + 10, RLENGTH - 10) - 21000 + base
+		$0 = substr($0, 1, RSTART - 1) "LOOPBACK:" port substr($0, RSTART + RLENGTH)
+	}
+	gsub("LOOPBACK", "127.0.0.1")
+	print
+}' examples/velkaneuvo.jsonc >"$work/catalog.jsonc"
+
 echo "== build"
 go build -o "$work/bin/" ./cmd/...
-ctl=("$work/bin/foxtailctl" --store 127.0.0.1:7501 --host-list 127.0.0.1:7502)
+ctl=("$work/bin/foxtailctl" --store 127.0.0.1:$((base + 1)) --host-list 127.0.0.1:$((base + 2)))
 
 hosts=""
 for i in 1 2 3; do
-	hosts+="{\"name\":\"host-$i\",\"data-center\":\"fi-south-$i\",\"entry-address\":\"127.0.0.1:710$i\",\"gate-address\":\"127.0.0.1:720$i\"},"
+	hosts+="{\"name\":\"host-$i\",\"data-center\":\"fi-south-$i\",\"entry-address\":\"127.0.0.1:$((base + 10 + i))\",\"gate-address\":\"127.0.0.1:$((base + 20 + i))\"},"
 	cat >"$work/gate-$i.jsonc" <<JSON
 {
   "host": "host-$i", "data-center": "fi-south-$i",
-  "listen": "127.0.0.1:720$i", "entry-address": "127.0.0.1:710$i", "operations-listen": "127.0.0.1:740$i",
-  "store": "127.0.0.1:7501", "host-list": "127.0.0.1:7502",
+  "listen": "127.0.0.1:$((base + 20 + i))", "entry-address": "127.0.0.1:$((base + 10 + i))", "operations-listen": "127.0.0.1:$((base + 40 + i))",
+  "store": "127.0.0.1:$((base + 1))", "host-list": "127.0.0.1:$((base + 2))",
   "hedge-percent": 3, "warm-milliseconds": 5000, "log-level": "info",
 }
 JSON
 	cat >"$work/entry-$i.jsonc" <<JSON
 {
   "host": "host-$i", "data-center": "fi-south-$i",
-  "listen": "127.0.0.1:710$i", "operations-listen": "127.0.0.1:730$i", "gate": "127.0.0.1:720$i",
-  "store": "127.0.0.1:7501", "host-list": "127.0.0.1:7502",
+  "listen": "127.0.0.1:$((base + 10 + i))", "operations-listen": "127.0.0.1:$((base + 30 + i))", "gate": "127.0.0.1:$((base + 20 + i))",
+  "store": "127.0.0.1:$((base + 1))", "host-list": "127.0.0.1:$((base + 2))",
   "address-time-to-live-milliseconds": 2000, "log-level": "info",
 }
 JSON
 done
 cat >"$work/standin.jsonc" <<JSON
 {
-  "operations-listen": "127.0.0.1:7500", "store": "127.0.0.1:7501", "host-list": "127.0.0.1:7502",
+  "operations-listen": "127.0.0.1:$((base + 0))", "store": "127.0.0.1:$((base + 1))", "host-list": "127.0.0.1:$((base + 2))",
   "host-lag-milliseconds": 1000, "hosts": [$hosts],
-  "catalog": "examples/velkaneuvo.jsonc", "version": 1, "log-level": "info",
+  "catalog": "$work/catalog.jsonc", "version": 1, "log-level": "info",
 }
 JSON
 
@@ -77,28 +102,28 @@
 
 echo "== start"
 launch standin foxtail-standin
-await stand-ins http://127.0.0.1:7502/v1/hosts
+await stand-ins http://127.0.0.1:$((base + 2))/v1/hosts
 for i in 1 2 3; do launch "gate-$i" foxtail-gate; done
 for i in 1 2 3; do launch "entry-$i" foxtail-entry; done
 for i in 1 2 3; do
-	await "gate $i" "http://127.0.0.1:740$i/v1/readyz"
-	await "entry $i" "http://127.0.0.1:730$i/v1/readyz"
+	await "gate $i" "http://127.0.0.1:$((base + 40 + i))/v1/readyz"
+	await "entry $i" "http://127.0.0.1:$((base + 30 + i))/v1/readyz"
 done
 
 echo "== configure (dry run, then for good)"
-"${ctl[@]}" do --dry-run "apply file examples/velkaneuvo.jsonc" | tail -n 4
-"${ctl[@]}" do "apply file examples/velkaneuvo.jsonc" | tail -n 2
+"${ctl[@]}" do --dry-run "apply file $work/catalog.jsonc" | tail -n 4
+"${ctl[@]}" do "apply file $work/catalog.jsonc" | tail -n 2
 "${ctl[@]}" do "show hosts"
 
 echo "== addresses"
 for _ in $(seq 100); do
 	# The gates may still be finding each other.
-	addresses=$(curl -fsS "http://127.0.0.1:7101/v1/addresses?data-center=fi-south-2")
-	if [ "$(grep -o ':710' <<<"$addresses" | wc -l)" -eq 3 ]; then break; fi
+	addresses=$(curl -fsS "http://127.0.0.1:$((base + 11))/v1/addresses?data-center=fi-south-2")
+	if [ "$(grep -oE ":$((base / 10 + 1))[0-9]" <<<"$addresses" | wc -l)" -eq 3 ]; then break; fi
 	sleep 0.1
 done
 echo "$addresses"
-expect "the nearest entry first" '"addresses":\["127.0.0.1:7102"' "$addresses"
+expect "the nearest entry first" '"addresses":\["127.0.0.1:'"$((base + 12))"'"' "$addresses"
 
 ask() { # entry service body
 	curl -sS --max-time 10 -X POST "http://127.0.0.1:$1/v1/services/$2/requests" -d "$3"
@@ -107,7 +132,7 @@
 echo "== a query over all ten shards"
 answer=""
 for _ in $(seq 50); do
-	answer=$(ask 7102 console '{"request-id":"demo-query","kind":"history-search","query":{"name":"Virtanen"}}')
+	answer=$(ask "$((base + 12))" console '{"request-id":"demo-query","kind":"history-search","query":{"name":"Virtanen"}}')
 	if grep -q '"status":"complete"' <<<"$answer"; then break; fi
 	sleep 0.1
 done
@@ -116,20 +141,20 @@
 [ "$(grep -o '"shard":"s[0-9]*",' <<<"$answer" | wc -l)" -eq 10 ]
 
 echo "== a booking, sent twice to different entries"
-first=$(ask 7101 booking-site '{"request-id":"demo-booking","kind":"booking","key":"2026-12-04T10:00","query":{"household":17}}')
-second=$(ask 7103 booking-site '{"request-id":"demo-booking","kind":"booking","key":"2026-12-04T10:00","query":{"household":17}}')
+first=$(ask "$((base + 11))" booking-site '{"request-id":"demo-booking","kind":"booking","key":"2026-12-04T10:00","query":{"household":17}}')
+second=$(ask "$((base + 13))" booking-site '{"request-id":"demo-booking","kind":"booking","key":"2026-12-04T10:00","query":{"household":17}}')
 echo "$first" | cut -c 1-160
 expect "a complete booking" '"status":"complete"' "$first"
 expect "the stored answer" '"from-earlier-run":true' "$second"
-runs=$(curl -fsS "http://127.0.0.1:21075/runs?service=booking-site&request=demo-booking")
+runs=$(curl -fsS "http://127.0.0.1:$((base + 45 + 75))/runs?service=booking-site&request=demo-booking")
 echo "runs on the upstreams: $runs"
 [ "$runs" -eq 1 ]
 
 echo "== state and time line"
 "${ctl[@]}" --plain do "show upstreams where service = booking-site"
-"${ctl[@]}" --plain do --operations 127.0.0.1:7301,127.0.0.1:7302,127.0.0.1:7303 "show requests where answered ~ complete"
+"${ctl[@]}" --plain do --operations 127.0.0.1:$((base + 31)),127.0.0.1:$((base + 32)),127.0.0.1:$((base + 33)) "show requests where answered ~ complete"
 lines=$("${ctl[@]}" timeline --request demo-query \
-	--operations 127.0.0.1:7301,127.0.0.1:7302,127.0.0.1:7303,127.0.0.1:7401,127.0.0.1:7402,127.0.0.1:7403)
+	--operations 127.0.0.1:$((base + 31)),127.0.0.1:$((base + 32)),127.0.0.1:$((base + 33)),127.0.0.1:$((base + 41)),127.0.0.1:$((base + 42)),127.0.0.1:$((base + 43)))
 grep -E 'admitted|pinned|answered' <<<"$lines"
 expect "ten shards in the time line" shard-done "$lines"
 
@@ -137,7 +162,7 @@
 : >"$work/load"
 load() {
 	for n in $(seq 60); do
-		ask 7103 console "{\"kind\":\"history-search\",\"query\":{\"n\":$n}}" | grep -o '"status":"[a-z-]*"' >>"$work/load"
+		ask "$((base + 13))" console "{\"kind\":\"history-search\",\"query\":{\"n\":$n}}" | grep -o '"status":"[a-z-]*"' >>"$work/load"
 		sleep 0.05
 	done
 }
@@ -151,7 +176,7 @@
 done
 echo "answers while two of three hosts left: $(sort "$work/load" | uniq -c | tr '\n' ' ')"
 [ "$(grep -c complete "$work/load")" -eq 60 ]
-refused=$(curl -fsS http://127.0.0.1:7500/metrics | grep '^standin_refused_connections_total' | grep -cv ' 0$' || true)
+refused=$(curl -fsS http://127.0.0.1:$((base + 0))/metrics | grep '^standin_refused_connections_total' | grep -cv ' 0$' || true)
 echo "upstreams that had to refuse a connection beyond their limit: $refused"
 [ "$refused" -eq 0 ]
 for name in entry-3 gate-3 standin; do
