Less work for each attempt: the caller's fields are written once a request

Cause (CPU profile of BenchmarkGather): each attempt cloned and sorted all fields of the caller; 1,224 allocations a request of ten parts, now 1,118. Tried and dropped: no look at connections that were used within 50 ms (TestClosedConnectionIsNotUsed fails).

--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -4,7 +4,6 @@
 package dispatch
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -35,8 +34,9 @@
 	// Target is the path and the query as the caller sent them.
 	Target string
 	Host   string
-	// Header holds the fields that are passed on.
-	Header http.Header
+	// Header holds the fields that are passed on, as upstream.HeaderText returns
+	// them.
+	Header []byte
 	Body   []byte
 	// Left is how long the caller waits; zero if it does not say.
 	Left time.Duration
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -30,6 +30,8 @@
 	maxStrays = 2
 	// readBufferSize holds an answer of a shard in one read, in bytes.
 	readBufferSize = 2 << 10
+	// headRoom is the usual size of a request without the caller's fields.
+	headRoom = 384
 )
 
 // A Result is how an exchange with an upstream ended.
@@ -57,8 +59,9 @@
 	// Target is the path and the query as the caller sent them.
 	Target string
 	Host   string
-	// Header holds all fields that are passed on; the Protocol adds its own.
-	Header http.Header
+	// Header holds all fields that are passed on, as HeaderText returns them; the
+	// Protocol adds its own.
+	Header []byte
 	Body   []byte
 	// RequestID is the caller's id of the request.
 	RequestID string
@@ -114,11 +117,14 @@
 	Err     error
 }
 
+// A Field is one field of a message; its value holds no line break.
+type Field struct{ Name, Value string }
+
 // A Protocol translates between this package and the fields of an upstream's
 // HTTP messages.
 type Protocol interface {
-	// Encode adds the fields of an attempt.
-	Encode(header http.Header, attempt *Attempt, left time.Duration)
+	// Encode returns the fields of an attempt.
+	Encode(attempt *Attempt, left time.Duration) []Field
 	// Decode reads the fields of an answer.
 	Decode(response *http.Response) Signs
 }
@@ -154,6 +160,14 @@
 
 var _ Exchanger = (*Connections)(nil)
 
+// HeaderText returns the fields that are passed on with every attempt.
+func HeaderText(header http.Header) []byte {
+	var b bytes.Buffer
+	// A buffer takes all that is written.
+	_ = header.Write(&b)
+	return b.Bytes()
+}
+
 // Exchange implements Exchanger.
 func (c *Connections) Exchange(ctx context.Context, a *Attempt) Ending {
 	conn, connected, err := c.take(ctx, a)
@@ -258,17 +272,17 @@
 
 func (c *Connections) encode(a *Attempt) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(a.Body))
-	header := a.Header.Clone()
-	if header == nil {
-		header = make(http.Header)
+	b.Grow(headRoom + len(a.Header) + len(a.Body))
+	for _, s := range []string{a.Method, " ", a.Target, " HTTP/1.1\r\nHost: ", a.Host, "\r\n"} {
+		b.WriteString(s)
+	}
+	b.Write(a.Header)
+	for _, f := range c.Protocol.Encode(a, time.Until(a.Deadline)) {
+		writeField(&b, f)
 	}
-	c.Protocol.Encode(header, a, time.Until(a.Deadline))
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", a.Method, a.Target, a.Host)
 	if len(a.Body) > 0 || a.Method == http.MethodPost || a.Method == http.MethodPut || a.Method == http.MethodPatch {
-		header.Set("Content-Length", strconv.Itoa(len(a.Body)))
+		writeField(&b, Field{Name: "Content-Length", Value: strconv.Itoa(len(a.Body))})
 	}
-	_ = header.Write(&b)
 	b.WriteString("\r\n")
 	b.Write(a.Body)
 	return b.Bytes()
@@ -341,6 +355,13 @@
 	return err == nil && quiet
 }
 
+func writeField(b *bytes.Buffer, f Field) {
+	b.WriteString(f.Name)
+	b.WriteString(": ")
+	b.WriteString(f.Value)
+	b.WriteString("\r\n")
+}
+
 func broken(ctx context.Context, err error) Ending {
 	var timeout net.Error
 	if ctx.Err() != nil || (errors.As(err, &timeout) && timeout.Timeout()) {
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -19,9 +19,8 @@
 // plainProtocol marks messages with fields of its own.
 type plainProtocol struct{}
 
-func (plainProtocol) Encode(h http.Header, a *Attempt, left time.Duration) {
-	h.Set("Request", a.RequestID)
-	h.Set("Left", left.String())
+func (plainProtocol) Encode(a *Attempt, left time.Duration) []Field {
+	return []Field{{"Request", a.RequestID}, {"Left", left.String()}}
 }
 
 func (plainProtocol) Decode(r *http.Response) Signs {
