Upstreams of the own data centre first, while one of them is sound

Cause: 45% of the bytes went between data centres, because estimates of near and far upstreams differ by noise; they are the greatest price after the machines. An upstream of another data centre now has to be 2.8 times quicker as long as a near one is sound (failures below 15%, nothing stuck, in 0.4 of the target), and 1.15 times as before where none is.

--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -24,7 +24,7 @@
 	Watchers = 2
 	// watcherPatience is how old the copy of the store may get before a host
 	// that is not a watcher reads the store as well.
-	watcherPatience = 2400 * time.Millisecond
+	watcherPatience = 3200 * time.Millisecond
 	// rankPatience is how much longer each further host waits, so that not all
 	// come at once; maxRank bounds it.
 	rankPatience = 100 * time.Millisecond
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -16,7 +16,7 @@
 const (
 	// watchWait is how long one watch waits. A change is missed for that long at
 	// most if the connection of the watch went silent.
-	watchWait = time.Second
+	watchWait = 2 * time.Second
 	// callSlack is how much longer than its wait a call may take.
 	callSlack = 400 * time.Millisecond
 	// listTimeout bounds the reading of all keys.
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -36,6 +36,9 @@
 	// stuckFactor is how many times the usual time the oldest attempt must
 	// have taken before it tells of the member's present speed.
 	stuckFactor = 1.5
+	// stuckSound is how many times the usual time an attempt may take at a member
+	// that counts as sound.
+	stuckSound = 2
 )
 
 // member is what this host knows of one upstream.
@@ -151,6 +154,17 @@
 	return min(slowness, maxSlowness)
 }
 
+// sound reports whether the member answers nearly always, and in time.
+func (m *member) sound(now time.Time, c *Class) bool {
+	usual := c.Usual()
+	for _, p := range m.running {
+		if now.Sub(p.started) > stuckSound*p.usual {
+			return false
+		}
+	}
+	return m.failureRate(now) < soundFailures && m.outlook(now, usual) < time.Duration(soundShare*float64(c.target))
+}
+
 // unreachable notes that no connection could be made.
 func (m *member) unreachable(now time.Time) {
 	m.downFor = min(max(2*m.downFor, downFirst), downMost)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -15,9 +15,12 @@
 
 const (
 	// crossFactor and crossDelay are what an upstream of another data centre
-	// must be faster by: bytes between data centres cost money.
-	crossFactor = 1.15
-	crossDelay  = 2 * time.Millisecond
+	// must be faster by: bytes between data centres cost money, and a part that
+	// is a little later is as good as long as the answer is on time. Where no near
+	// upstream is sound, troubledFactor holds.
+	crossFactor    = 2.8
+	troubledFactor = 1.15
+	crossDelay     = 2 * time.Millisecond
 	// failureCost is the share of the target that a failed attempt costs while
 	// all extra attempts are left; without any, a failed attempt is a missing
 	// part, and costs scarceCost more.
@@ -30,6 +33,10 @@
 	// retryReserve is the share of the extra attempts that is kept for retries
 	// after a failure; late attempts leave it alone.
 	retryReserve = 0.15
+	// soundFailures is the failure rate, and soundShare the share of the target
+	// that an attempt may take, at an upstream that counts as sound.
+	soundFailures = 0.15
+	soundShare    = 0.4
 	// fullFactor is how much longer an attempt takes at an upstream that runs all
 	// it may.
 	fullFactor = 2
@@ -266,33 +273,45 @@
 func (p *Pool) best(now time.Time, c *Class, tried []string, standing inventory.Standing) *member {
 	var best *member
 	lowest := 0.0
+	factor := troubledFactor
+	if slices.ContainsFunc(p.members, func(m *member) bool {
+		return m.upstream.DataCenter() == p.DataCenter && p.free(now, m, tried, standing) && m.sound(now, c)
+	}) {
+		factor = crossFactor
+	}
 	for _, m := range p.members {
-		if m.upstream.Standing(now) != standing || m.down(now) || slices.Contains(tried, m.upstream.ID()) {
-			continue
-		}
-		if len(m.running) >= m.limit(now, p.policy.Connections) {
+		if !p.free(now, m, tried, standing) {
 			continue
 		}
-		if now.Before(m.noDialUntil) && p.Idle(m.upstream.ID()) == 0 {
-			continue
-		}
-		if s := p.expected(now, m, c); best == nil || s < lowest {
+		if s := p.expected(now, m, c, factor); best == nil || s < lowest {
 			best, lowest = m, s
 		}
 	}
 	return best
 }
 
+// free reports whether a member of this standing takes an attempt now.
+func (p *Pool) free(now time.Time, m *member, tried []string, standing inventory.Standing) bool {
+	switch {
+	case m.upstream.Standing(now) != standing || m.down(now) || slices.Contains(tried, m.upstream.ID()):
+		return false
+	case len(m.running) >= m.limit(now, p.policy.Connections):
+		return false
+	default:
+		return !now.Before(m.noDialUntil) || p.Idle(m.upstream.ID()) > 0
+	}
+}
+
 // expected returns how long an attempt would take, with what its cost weighs.
-func (p *Pool) expected(now time.Time, m *member, c *Class) float64 {
+func (p *Pool) expected(now time.Time, m *member, c *Class, factor float64) float64 {
 	time := float64(m.outlook(now, c.Usual()))
+	if m.upstream.DataCenter() != p.DataCenter {
+		time = time*factor + float64(crossDelay)
+	}
 	time += (failureCost + scarceCost*(1-p.extra.Fill(now))) * m.failureRate(now) * float64(c.target)
 	if p.Idle(m.upstream.ID()) == 0 {
 		time += float64(p.connecting)
 	}
-	if m.upstream.DataCenter() != p.DataCenter {
-		time = time*crossFactor + float64(crossDelay)
-	}
 	return time
 }
 
