Promises of upstreams that have run a request are not passed on; connection limit to the letter

- An upstream's own 408, 421, 429 or 503 without its word that it did not run the request was passed on for requests that must not run twice: callers take it for a promise.
They get 502 now.
Tests: "looks like not run" in TestSingle.
- TestConnectionLimit failed once under -race beside load: 6 connections of 5.
Cause: a transport counts a connection as gone before it is closed (order in net/http), so that its successor overlaps.
- Data races in two tests (their fakes, not the product).

--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -85,6 +85,8 @@
 	upstreams *fakeUpstreams
 	route     *routing.Route
 	pools     map[string]*pool.Pool
+
+	mu        sync.Mutex
 	decisions []Decision
 }
 
@@ -115,11 +117,17 @@
 		Exchanger: t.upstreams, Pool: func(s string) *pool.Pool { return t.pools[s] },
 		Class:   func(*routing.Route) *pool.Class { return class },
 		Blocked: func(uint64) time.Duration { return 0 }, OnCrash: func(pool.Crash) {},
-		OnDecision: func(d Decision) { t.decisions = append(t.decisions, d) }, CallerAllowance: 10 * time.Millisecond, Group: &work.Group{},
+		OnDecision: t.decided, CallerAllowance: 10 * time.Millisecond, Group: &work.Group{},
 	}
 	return t
 }
 
+func (t *tier) decided(d Decision) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.decisions = append(t.decisions, d)
+}
+
 func (t *tier) ask(ctx context.Context) (Answer, time.Duration) {
 	started := time.Now()
 	answer := t.Run(ctx, &Request{ID: "r", Method: http.MethodGet, Target: "/x", Host: "h"}, t.route, 1)
@@ -267,6 +275,9 @@
 		{"must not run twice: silent", false, []reaction{{silent: true}, answer("s0b")}, 504, 1},
 		{"must not run twice: failure is passed on", false, []reaction{failure(500), answer("s0b")}, 500, 1},
 		{"must not run twice: turned away by all", false, []reaction{endedWith(upstream.Refused)}, 503, 3},
+		{"must not run twice: a failure that looks like not run", false, []reaction{failure(503), answer("s0b")}, 502, 1},
+		{"must not run twice: a refusal that looks like not run", false, []reaction{failure(429), answer("s0b")}, 502, 1},
+		{"may run twice: a failure that looks like not run", true, []reaction{failure(503)}, 502, 2},
 		{"may run twice: lost answer", true, []reaction{endedWith(upstream.Broken), answer("s0b")}, 200, 2},
 		{"may run twice: failure", true, []reaction{failure(500), answer("s0b")}, 200, 2},
 		{"may run twice: failures are passed on in the end", true, []reaction{failure(500)}, 500, 2},
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -319,17 +319,31 @@
 
 func (f *flight) answered(p *part, r upstream.Response) {
 	good := r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices
-	final := good || (!f.route.Gathers() && r.Status < http.StatusInternalServerError)
+	final := good || (!f.route.Gathers() && r.Status < http.StatusInternalServerError && !saysNotRun(r.Status))
 	if final && p.answer == nil {
 		p.answer = &r
 		return
 	}
-	if !final {
-		f.lastFailure = fmt.Sprintf("upstream answered with status %d", r.Status)
+	if final {
+		return
+	}
+	f.lastFailure = fmt.Sprintf("upstream answered with status %d", r.Status)
+	if !saysNotRun(r.Status) {
 		p.failure = &r
 	}
 }
 
+// saysNotRun reports whether callers take a status for the promise that the
+// request was not run. An upstream that has run it may not give that promise.
+func saysNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // nextWake returns when something may be due without an event.
 func (f *flight) nextWake(now time.Time) time.Time {
 	wake := f.end
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -123,6 +124,7 @@
 
 // fakeFeed is a store that can be silent, fail or lose its history.
 type fakeFeed struct {
+	mu      sync.Mutex
 	store   *Mirror
 	history []keyvalue.Change
 	silent  bool
@@ -134,15 +136,19 @@
 var errStore = errors.New("store fails")
 
 func (f *fakeFeed) write(key string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	c := put(key, f.store.Revision()+1)
 	f.store.Apply([]keyvalue.Change{c}, c.Revision())
 	f.history = append(f.history, c)
 }
 
 func (f *fakeFeed) List(ctx context.Context, _ string) ([]keyvalue.Change, uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.calls++
 	if f.silent {
-		<-ctx.Done()
+		f.waitFor(ctx)
 		return nil, 0, ctx.Err()
 	}
 	if f.failing {
@@ -151,30 +157,50 @@
 	return f.store.Records(), f.store.Revision(), nil
 }
 
+// set changes how the store behaves.
+func (f *fakeFeed) set(change func(*fakeFeed)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+// waitFor waits without the lock, which the caller holds.
+func (f *fakeFeed) waitFor(ctx context.Context) {
+	f.mu.Unlock()
+	defer f.mu.Lock()
+	<-ctx.Done()
+}
+
 func (f *fakeFeed) WatchPrefix(ctx context.Context, _ string, after uint64, wait time.Duration) ([]keyvalue.Change, uint64, error) {
-	f.calls++
+	f.set(func(f *fakeFeed) { f.calls++ })
 	for end := time.Now().Add(wait); ; time.Sleep(time.Millisecond) {
-		switch {
-		case f.silent:
-			<-ctx.Done()
-			return nil, 0, ctx.Err()
-		case f.failing:
-			return nil, 0, errStore
-		case f.lost:
-			f.lost = false
-			return nil, 0, &keyvalue.HistoryLostError{After: after}
-		case f.store.Revision() > after:
-			var events []keyvalue.Change
-			for _, h := range f.history {
-				if h.Revision() > after {
-					events = append(events, h)
-				}
-			}
-			return events, f.store.Revision(), nil
-		case !time.Now().Before(end) || ctx.Err() != nil:
-			return nil, f.store.Revision(), ctx.Err()
+		events, revision, done, err := f.look(ctx, after)
+		if done || err != nil || !time.Now().Before(end) || ctx.Err() != nil {
+			return events, revision, errors.Join(err, ctx.Err())
+		}
+	}
+}
+
+// look returns the changes after a revision; done is set if there are any.
+func (f *fakeFeed) look(ctx context.Context, after uint64) (events []keyvalue.Change, revision uint64, done bool, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.silent:
+		f.waitFor(ctx)
+		return nil, 0, true, ctx.Err()
+	case f.failing:
+		return nil, 0, true, errStore
+	case f.lost:
+		f.lost = false
+		return nil, 0, true, &keyvalue.HistoryLostError{After: after}
+	}
+	for _, h := range f.history {
+		if h.Revision() > after {
+			events = append(events, h)
 		}
 	}
+	return events, f.store.Revision(), len(events) > 0, nil
 }
 
 func follower(feed *fakeFeed) *Follower {
@@ -197,14 +223,14 @@
 	}{
 		{"calm", func(*fakeFeed) {}, 10 * time.Millisecond},
 		{"silent connection", func(f *fakeFeed) {
-			f.silent = true
-			time.AfterFunc(100*time.Millisecond, func() { f.silent = false })
+			f.set(func(f *fakeFeed) { f.silent = true })
+			time.AfterFunc(100*time.Millisecond, func() { f.set(func(f *fakeFeed) { f.silent = false }) })
 		}, watchWait + callSlack + failurePause + 50*time.Millisecond},
 		{"short outage", func(f *fakeFeed) {
-			f.failing = true
-			time.AfterFunc(500*time.Millisecond, func() { f.failing = false })
+			f.set(func(f *fakeFeed) { f.failing = true })
+			time.AfterFunc(500*time.Millisecond, func() { f.set(func(f *fakeFeed) { f.failing = false }) })
 		}, 500*time.Millisecond + failurePause + 10*time.Millisecond},
-		{"lost history", func(f *fakeFeed) { f.lost = true }, failurePause + 10*time.Millisecond},
+		{"lost history", func(f *fakeFeed) { f.set(func(f *fakeFeed) { f.lost = true }) }, failurePause + 10*time.Millisecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/upstream/httpclient.go
+++ b/internal/upstream/httpclient.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +52,21 @@
 	kept, fresh, control *http.Transport
 }
 
+// A limitedDialer never has more connections open than it has room for. A
+// transport alone counts a connection as gone a moment before it is closed.
+type limitedDialer struct {
+	dialer net.Dialer
+	// room holds a token for each open connection.
+	room chan struct{}
+}
+
+// A limitedConn gives its room back when it is closed.
+type limitedConn struct {
+	net.Conn
+	closing sync.Once
+	room    chan struct{}
+}
+
 type versionDocument struct {
 	Number uint64 `json:"number"`
 	Map    string `json:"map"`
@@ -70,10 +86,10 @@
 // upstream allows.
 func NewHTTPClient(address string, slots, connections int) *HTTPClient {
 	most := max(1, connections-controlConnections)
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	limiter := &limitedDialer{dialer: net.Dialer{Timeout: dialTimeout}, room: make(chan struct{}, connections)}
 	transport := func(limit int, reuse bool) *http.Transport {
 		return &http.Transport{
-			DialContext: dialer.DialContext, MaxConnsPerHost: limit, MaxIdleConnsPerHost: limit,
+			DialContext: limiter.dial, MaxConnsPerHost: limit, MaxIdleConnsPerHost: limit,
 			IdleConnTimeout: idleTimeout, DisableKeepAlives: !reuse, DisableCompression: true,
 		}
 	}
@@ -119,6 +135,13 @@
 	c.fresh.CloseIdleConnections()
 }
 
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	err := c.Conn.Close()
+	c.closing.Do(func() { <-c.room })
+	return err
+}
+
 // Report implements Client.
 func (c *HTTPClient) Report(ctx context.Context) (Report, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/v1/load", nil)
@@ -219,3 +242,17 @@
 	h.Set(HeaderMap, call.Version.Map())
 	h.Set(HeaderDeadline, strconv.FormatInt(call.Left.Microseconds(), 10))
 }
+
+func (d *limitedDialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	select {
+	case d.room <- struct{}{}:
+	case <-ctx.Done():
+		return nil, fmt.Errorf("wait for a connection to close: %w", ctx.Err())
+	}
+	conn, err := d.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		<-d.room
+		return nil, fmt.Errorf("connect to upstream: %w", err)
+	}
+	return &limitedConn{Conn: conn, room: d.room}, nil
+}
