--- a/internal/command/ctlcmd.go
+++ b/internal/command/ctlcmd.go
@@ -36,6 +36,7 @@
   foxtailctl do --operations 127.0.0.1:7301 "show requests where answered ~ partial"
   foxtailctl timeline --operations 127.0.0.1:7401,127.0.0.1:7301 --kind member
   foxtailctl explain r-17 --operations 127.0.0.1:7401,127.0.0.1:7301
+  foxtailctl explain r-17 --logs host-1.log,host-2.log
 
 Exit codes: 0 done, 1 failed, 2 bad input, 3 stale revision, 4 unsafe without
 --confirm, 5 accepted but not confirmed by every host, 6 fate unknown.`
@@ -58,6 +59,7 @@
 	statement    string
 	operations   string
 	request      string
+	logs         string
 	kind         string
 	out          io.Writer
 }
@@ -87,6 +89,7 @@
 	explain.Description = "Tell what became of one request, and why."
 	explain.AddPositionalValue(&c.request, "request", 1, true, "The request id.")
 	explain.String(&c.operations, "o", "operations", "Operations addresses, separated by commas.")
+	explain.String(&c.logs, "l", "logs", "Log files of processes, separated by commas, in place of addresses.")
 	parser.AttachSubcommand(explain, 1)
 	if err := parser.ParseArgs(arguments); err != nil {
 		return report(os.Stderr, "foxtailctl", &ExitError{Code: ExitUsage, Err: err})
@@ -96,6 +99,8 @@
 		return report(os.Stderr, "foxtailctl", c.do(context.Background()))
 	case events.Used:
 		return report(os.Stderr, "foxtailctl", c.timeline(context.Background()))
+	case explain.Used && c.logs != "":
+		return report(os.Stderr, "foxtailctl", explainLogs(c.out, c.request, strings.Split(c.logs, ",")))
 	case explain.Used:
 		return report(os.Stderr, "foxtailctl", c.explain(context.Background()))
 	default:
--- a/internal/command/main_test.go
+++ b/internal/command/main_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/host"
 )
 
 const (
@@ -38,6 +40,9 @@
 	}
 	testscript.Main(m, map[string]func(){
 		"foxtail-entry": program(Entry), "foxtail-gate": program(Gate), "foxtail-standin": program(Standin), "foxtailctl": program(Control),
+		"foxtail-host": program(func(arguments []string) int {
+			return Host(os.Stdout, "foxtail-host", "", arguments, func(string, host.Settings) error { return nil })
+		}),
 	})
 }
 
--- a/internal/dispatch/conclude.go
+++ b/internal/dispatch/conclude.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -75,6 +77,25 @@
 	return answer
 }
 
+// maxLacking bounds how many missing parts are named.
+const maxLacking = 4
+
+// lacking names the first parts without an answer, with why there is none.
+func (f *flight) lacking() []string {
+	var names []string
+	for _, p := range f.parts {
+		if p.answer != nil || len(names) == maxLacking {
+			continue
+		}
+		reason := p.reason
+		if reason == ReasonNone && p.running > 0 {
+			reason = ReasonUnanswered
+		}
+		names = append(names, fmt.Sprintf("%s: %s after %d attempts at %s", p.service, reason, p.sent, strings.Join(p.tried, " ")))
+	}
+	return names
+}
+
 // failed returns the answer to a request that could not be served. Only what no
 // upstream has run and none may still run is called not run.
 func (f *flight) failed(reason Reason) Answer {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -53,7 +53,7 @@
 	d.OnDecision(Decision{
 		RequestID: request.ID, Route: route.Name(), Version: version, Status: answer.Status, Reason: answer.Reason,
 		Parts: len(f.parts), Missing: answer.Missing, Attempts: f.attempts, Late: f.late, Retried: f.retried,
-		LastFailure: f.lastFailure, Took: time.Since(f.started),
+		Lacking: f.lacking(), LastFailure: f.lastFailure, Took: time.Since(f.started),
 	})
 	return answer
 }
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -53,8 +53,8 @@
 	n := f.attempts[a.UpstreamID]
 	f.attempts[a.UpstreamID]++
 	f.order = append(f.order, a.UpstreamID)
-	f.mu.Unlock()
 	r := f.react(a.UpstreamID, n, a)
+	f.mu.Unlock()
 	wait := r.after
 	if r.silent {
 		wait = time.Hour
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -21,6 +21,7 @@
 	ReasonLate        Reason = "late"
 	ReasonQuarantined Reason = "quarantined"
 	ReasonCallerGone  Reason = "caller-gone"
+	ReasonUnanswered  Reason = "unanswered"
 )
 
 // A Reason explains an answer that no upstream gave.
@@ -71,6 +72,8 @@
 	Parts, Missing, Attempts int
 	// Late and Retried count the extra attempts for late and failed ones.
 	Late, Retried int
+	// Lacking names the first parts that are not in the answer, with why.
+	Lacking []string
 	// LastFailure is what went wrong last, with the upstream.
 	LastFailure string
 	Took        time.Duration
--- a/internal/host/journal.go
+++ b/internal/host/journal.go
@@ -66,6 +66,8 @@
 type journal struct {
 	log     logrus.FieldLogger
 	metrics *Metrics
+	// age returns how long ago this host's copy of the store was the newest.
+	age func() time.Duration
 
 	mu sync.Mutex
 	// second is the second that lines counts.
@@ -92,7 +94,8 @@
 	j.log.WithFields(logrus.Fields{
 		"request": d.RequestID, "route": d.Route, "version": d.Version, "status": d.Status, "reason": string(d.Reason),
 		"parts": d.Parts, "missing": d.Missing, "attempts": d.Attempts, "late": d.Late, "retried": d.Retried,
-		"failure": d.LastFailure, "took-ms": d.Took.Milliseconds(),
+		"lacking": d.Lacking, "failure": d.LastFailure, "took-ms": d.Took.Milliseconds(),
+		"store-age-ms": j.age().Milliseconds(),
 	}).Info("request answered")
 }
 
