--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/bits"
 	"slices"
 	"sync"
 	"time"
@@ -23,8 +24,10 @@
 	// Watchers is how many hosts read the store for all.
 	Watchers = 2
 	// watcherPatience is how old the copy of the store may get before a host
-	// that is not a watcher reads the store as well.
-	watcherPatience = 3200 * time.Millisecond
+	// that is not a watcher reads the store as well: the wait of a watch, and
+	// some time for each doubling of the fleet, since news takes that many steps.
+	watcherPatience  = 2200 * time.Millisecond
+	doublingPatience = 350 * time.Millisecond
 	// rankPatience is how much longer each further host waits, so that not all
 	// come at once; maxRank bounds it.
 	rankPatience = 100 * time.Millisecond
@@ -129,7 +132,8 @@
 	if rank < Watchers {
 		return true
 	}
-	return age > watcherPatience+time.Duration(min(rank-Watchers, maxRank))*rankPatience
+	patience := watcherPatience + time.Duration(bits.Len(uint(f.Size())))*doublingPatience
+	return age > patience+time.Duration(min(rank-Watchers, maxRank))*rankPatience
 }
 
 // others returns the members that are alive, but not this host.
