--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -102,7 +102,7 @@
 	h.pools = make(map[string]*pool.Pool)
 	h.classes = make(map[string]*pool.Class)
 	h.meanings = make(map[string]meaning)
-	h.ledger = quarantine.NewLedger()
+	h.ledger = quarantine.NewLedger(quarantine.ManyCrashes)
 	h.journal = &journal{log: h.Log, metrics: h.Metrics, age: func() time.Duration { return h.follower.Age() }}
 	h.fleet = &membership.Fleet{Self: h.Self, Seed: h.Seed, Call: h.call, OnChange: h.memberChanged, Group: &h.group}
 	h.fleet.Init()
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -5,8 +5,12 @@
 import "time"
 
 const (
-	// crashesToQuarantine is how often one request may crash an upstream.
-	crashesToQuarantine = 2
+	// FewCrashes is how often one request may crash an upstream if a canary runs
+	// before the others and its upstream was surely lost with it.
+	FewCrashes = 2
+	// ManyCrashes is the same where requests run on several upstreams at once: two
+	// upstreams that a request ran on may be lost by chance in a mass restart.
+	ManyCrashes = 3
 	// suspicionTime is how long a first crash is remembered.
 	suspicionTime = 10 * time.Minute
 	// quarantineTime is how long a request stays quarantined.
@@ -44,6 +48,8 @@
 // A Ledger counts, by fingerprint, the upstreams that died while running a
 // request. It is not safe for concurrent use.
 type Ledger struct {
+	// crashes is how often one request may crash an upstream.
+	crashes  int
 	suspects map[uint64]*suspect
 	// broke holds when each upstream broke last, within massWindow.
 	broke map[string]time.Time
@@ -61,9 +67,10 @@
 	quarantined bool
 }
 
-// NewLedger returns an empty Ledger.
-func NewLedger() *Ledger {
-	return &Ledger{suspects: make(map[uint64]*suspect), broke: make(map[string]time.Time)}
+// NewLedger returns an empty Ledger that quarantines a request after so many
+// crashes.
+func NewLedger(crashes int) *Ledger {
+	return &Ledger{crashes: crashes, suspects: make(map[uint64]*suspect), broke: make(map[string]time.Time)}
 }
 
 // Accept takes a notice from another host; it reports whether it was news.
@@ -95,7 +102,7 @@
 			continue
 		}
 		s.crashes++
-		if s.crashes < crashesToQuarantine || s.quarantined {
+		if s.crashes < l.crashes || s.quarantined {
 			continue
 		}
 		s.quarantined = true
