--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -33,6 +33,8 @@
 	// upkeepPeriod is how often idle connections and lapsed upstreams are
 	// looked through.
 	upkeepPeriod = time.Second
+	// maxAddressLists bounds the data centres that callers may name.
+	maxAddressLists = 64
 	// noConfigurationRetry is what callers are told before there is a
 	// configuration: hosts that start without one wait for the end of an outage
 	// of the store, which takes seconds.
@@ -92,6 +94,11 @@
 	largestAt time.Time
 	stopping  bool
 
+	addressMu sync.Mutex
+	// addresses holds what callers of each data centre are told, until a member
+	// changes.
+	addresses map[string][]string
+
 	ledgerMu sync.Mutex
 	ledger   *quarantine.Ledger
 }
@@ -102,6 +109,7 @@
 	h.pools = make(map[string]*pool.Pool)
 	h.classes = make(map[string]*pool.Class)
 	h.meanings = make(map[string]meaning)
+	h.addresses = make(map[string][]string)
 	h.ledger = quarantine.NewLedger(quarantine.ManyCrashes)
 	h.journal = &journal{log: h.Log, metrics: h.Metrics, age: func() time.Duration { return h.follower.Age() }}
 	h.fleet = &membership.Fleet{Self: h.Self, Seed: h.Seed, Call: h.call, OnChange: h.memberChanged, Group: &h.group}
@@ -120,6 +128,21 @@
 // Addresses returns the addresses that callers of a data centre should use:
 // those of their own data centre if there is more than one, or else all.
 func (h *Host) Addresses(dataCenter string) []string {
+	h.addressMu.Lock()
+	defer h.addressMu.Unlock()
+	list, known := h.addresses[dataCenter]
+	if !known {
+		if len(h.addresses) >= maxAddressLists {
+			clear(h.addresses)
+		}
+		list = h.findAddresses(dataCenter)
+		h.addresses[dataCenter] = list
+	}
+	return list
+}
+
+// findAddresses is Addresses from the members of now.
+func (h *Host) findAddresses(dataCenter string) []string {
 	var near, all []string
 	for _, m := range h.fleet.Members() {
 		if m.State() != roster.Alive || m.EntryAddress() == "" {
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -135,6 +135,9 @@
 }
 
 func (h *Host) memberChanged(c roster.Changed) {
+	h.addressMu.Lock()
+	clear(h.addresses)
+	h.addressMu.Unlock()
 	h.Log.WithFields(map[string]any{
 		"member": c.New.Host(), "from": c.Old.State(), "to": c.New.State(), "incarnation": c.New.Incarnation(),
 	}).Info("member changed")
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -249,13 +249,10 @@
 		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		body, err := io.ReadAll(io.LimitReader(response.Body, maxReplySize+1))
+		body, err := readBody(response)
 		if err != nil {
 			return broken(ctx, fmt.Errorf("read answer: %w", err)), 0
 		}
-		if len(body) > maxReplySize {
-			return broken(ctx, fmt.Errorf("answer is larger than %d bytes", maxReplySize)), 0
-		}
 		signs := c.Protocol.Decode(response)
 		if signs.RequestID != "" && signs.RequestID != a.RequestID && strays < maxStrays {
 			// A late second answer to an earlier request; ours follows.
@@ -355,6 +352,25 @@
 	return err == nil && quiet
 }
 
+// readBody returns the whole body of an answer.
+func readBody(response *http.Response) ([]byte, error) {
+	if n := response.ContentLength; n >= 0 && n <= maxReplySize {
+		body := make([]byte, n)
+		if _, err := io.ReadFull(response.Body, body); err != nil {
+			return nil, fmt.Errorf("read %d bytes: %w", n, err)
+		}
+		return body, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplySize+1))
+	if err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	if len(body) > maxReplySize {
+		return nil, fmt.Errorf("body is larger than %d bytes", maxReplySize)
+	}
+	return body, nil
+}
+
 func writeField(b *bytes.Buffer, f Field) {
 	b.WriteString(f.Name)
 	b.WriteString(": ")
