A late part is better than no answer

TestLatePartIsBetterThanNone fails without the change. Lines about requests name parts that were not started.

--- a/internal/dispatch/conclude.go
+++ b/internal/dispatch/conclude.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"time"
 )
 
@@ -88,10 +87,14 @@
 			continue
 		}
 		reason := p.reason
-		if reason == ReasonNone && p.running > 0 {
+		switch {
+		case reason != ReasonNone:
+		case p.running > 0:
 			reason = ReasonUnanswered
+		default:
+			reason = ReasonNotStarted
 		}
-		names = append(names, fmt.Sprintf("%s: %s after %d attempts at %s", p.service, reason, p.sent, strings.Join(p.tried, " ")))
+		names = append(names, fmt.Sprintf("%s: %s, tried %v", p.service, reason, p.tried))
 	}
 	return names
 }
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -367,6 +367,27 @@
 	})
 }
 
+// TestLatePartIsBetterThanNone fills one shard of four and makes another one slow:
+// an answer that needs three waits for the slow one.
+func TestLatePartIsBetterThanNone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		tier := newTier(gather(0.75), func(id string, _ int, _ *upstream.Attempt) reaction { return answer(id) })
+		class := pool.NewClass(target, true)
+		for tier.pools["s0"].Choose(time.Now(), class, 0, nil, 0) != nil {
+		}
+		for range 6 {
+			c.Assert(tier.pools["s1"].Choose(time.Now(), class, 0, nil, 0), qt.IsNotNil)
+		}
+		time.Sleep(10 * target)
+		for i := range 20 {
+			a := tier.Run(context.Background(), &Request{ID: fmt.Sprint(i), Method: http.MethodGet, Target: fmt.Sprint("/", i), Host: "h"}, tier.route, 1)
+			c.Check(a.Status, qt.Equals, http.StatusOK, qt.Commentf("request %d", i))
+		}
+		tier.Group.Wait()
+	})
+}
+
 // TestShardThatCannotCarryTheLoad asks 100 times a second where the upstreams of
 // one shard of four run 60 times a second at most, one after the other. Without
 // leaving that shard out of some answers, its queue grows until all are late.
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -144,9 +144,11 @@
 // while, parts without a free upstream are given up, and the request with them.
 func (f *flight) enoughFree(now time.Time) bool {
 	free := 0
-	var busy []*part
+	var busy, spared []*part
 	for _, p := range f.parts {
 		switch {
+		case p.reason == ReasonLate && p.pool.Free(now, f.class):
+			spared = append(spared, p)
 		case p.settled():
 		case p.pool.Free(now, f.class):
 			free++
@@ -154,6 +156,11 @@
 			busy = append(busy, p)
 		}
 	}
+	// A late part is better than no answer.
+	for ; free < f.route.MinParts() && free+len(spared) >= f.route.MinParts(); free++ {
+		spared[0].reason, spared[0].wanted = ReasonNone, true
+		spared = spared[1:]
+	}
 	if free >= f.route.MinParts() {
 		return true
 	}
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -22,6 +22,7 @@
 	ReasonQuarantined Reason = "quarantined"
 	ReasonCallerGone  Reason = "caller-gone"
 	ReasonUnanswered  Reason = "unanswered"
+	ReasonNotStarted  Reason = "not-started"
 )
 
 // A Reason explains an answer that no upstream gave.
