Quarantine: attempts at several upstreams count as one event; an answer clears

Now crashes within a second count once, a mass loss is told by the different requests that it hit, and an answered request is no suspect any more. TestScatteredRequests fails with the former rule.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
@@ -39,6 +40,8 @@
 	Blocked func(fingerprint uint64) time.Duration
 	// OnCrash is told when an upstream died while it ran requests.
 	OnCrash func(pool.Crash)
+	// OnAnswered is told of each request that was answered with success.
+	OnAnswered func(fingerprint uint64)
 	// OnDecision is told what became of each request.
 	OnDecision func(Decision)
 	// CallerAllowance is the part of a target that the way to the caller takes.
@@ -50,6 +53,9 @@
 func (d *Dispatcher) Run(ctx context.Context, request *Request, route *routing.Route, version uint64) Answer {
 	f := newFlight(d, request, route)
 	answer := f.run(ctx)
+	if answer.Status < http.StatusMultipleChoices {
+		d.OnAnswered(f.fingerprint)
+	}
 	d.OnDecision(Decision{
 		RequestID: request.ID, Route: route.Name(), Version: version, Status: answer.Status, Reason: answer.Reason,
 		Parts: len(f.parts), Missing: answer.Missing, Attempts: f.attempts, Late: f.late, Retried: f.retried,
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -155,7 +155,7 @@
 func (g *Gate) init() {
 	g.start.Do(func() {
 		g.owners = make(map[string]*owner)
-		g.ledger = quarantine.NewLedger(quarantine.FewCrashes)
+		g.ledger = quarantine.NewLedger()
 		g.lastTick.Store(time.Now().UnixNano())
 		g.roster = roster.New(g.Self, g.Seed)
 		g.ownership = roster.NewOwnership()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -110,7 +110,7 @@
 	h.classes = make(map[string]*pool.Class)
 	h.meanings = make(map[string]meaning)
 	h.addresses = make(map[string][]string)
-	h.ledger = quarantine.NewLedger(quarantine.ManyCrashes)
+	h.ledger = quarantine.NewScatterLedger()
 	h.journal = &journal{log: h.Log, metrics: h.Metrics, age: func() time.Duration { return h.follower.Age() }}
 	h.fleet = &membership.Fleet{Self: h.Self, Seed: h.Seed, Call: h.call, OnChange: h.memberChanged, Group: &h.group}
 	h.fleet.Init()
@@ -119,7 +119,7 @@
 	}
 	h.follower.Init()
 	h.dispatcher = &dispatch.Dispatcher{
-		Exchanger: h.Connections, Pool: h.pool, Class: h.class, Blocked: h.blocked, OnCrash: h.crashed,
+		Exchanger: h.Connections, Pool: h.pool, Class: h.class, Blocked: h.blocked, OnCrash: h.crashed, OnAnswered: h.cleared,
 		OnDecision: h.journal.decided, CallerAllowance: callerAllowance, Group: &h.group,
 	}
 	h.fleet.Listed(listed(h.Settings.Peers))
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -104,6 +104,13 @@
 	return reply.GetProbeAnswered(), nil
 }
 
+// cleared drops the suspicion against a request that was answered.
+func (h *Host) cleared(fingerprint uint64) {
+	h.ledgerMu.Lock()
+	defer h.ledgerMu.Unlock()
+	h.ledger.Finished(fingerprint, true)
+}
+
 // crashed notes requests that ran on an upstream when it died.
 func (h *Host) crashed(c pool.Crash) {
 	h.ledgerMu.Lock()
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -5,12 +5,12 @@
 import "time"
 
 const (
-	// FewCrashes is how often one request may crash an upstream if a canary runs
+	// fewCrashes is how often one request may crash an upstream if a canary runs
 	// before the others and its upstream was surely lost with it.
-	FewCrashes = 2
-	// ManyCrashes is the same where requests run on several upstreams at once: two
+	fewCrashes = 2
+	// manyCrashes is the same where requests run on several upstreams at once: two
 	// upstreams that a request ran on may be lost by chance in a mass restart.
-	ManyCrashes = 3
+	manyCrashes = 3
 	// suspicionTime is how long a first crash is remembered.
 	suspicionTime = 10 * time.Minute
 	// quarantineTime is how long a request stays quarantined.
@@ -20,6 +20,11 @@
 	// massWindow and massUpstreams tell a lost network or rack.
 	massWindow    = 2 * time.Second
 	massUpstreams = 5
+	// massRequests is how many different requests a mass loss hits; a request
+	// that crashes upstreams takes a few others with it.
+	massRequests = 6
+	// crashGap is the time within which the attempts of one caller's request end.
+	crashGap = time.Second
 	// maxSuspects bounds the memory of a Ledger.
 	maxSuspects = 10_000
 )
@@ -49,7 +54,15 @@
 // request. It is not safe for concurrent use.
 type Ledger struct {
 	// crashes is how often one request may crash an upstream.
-	crashes  int
+	crashes int
+	// gap is the time within which crashes of one request count once: a request
+	// that runs on several upstreams at once is held for one event.
+	gap time.Duration
+	// byRequests tells a mass loss by the different requests that it hit, not by
+	// the upstreams, of which one request may crash several.
+	byRequests bool
+	// hit holds when each request was last hit, within massWindow.
+	hit      map[uint64]time.Time
 	suspects map[uint64]*suspect
 	// broke holds when each upstream broke last, within massWindow.
 	broke map[string]time.Time
@@ -59,6 +72,8 @@
 	// crashes counts how often an upstream died running the request. The same
 	// upstream counts again: it may have been restarted in between.
 	crashes int
+	// crashedAt is when crashes last grew.
+	crashedAt time.Time
 	// trialUntil is in the future while one further try may be running.
 	trialUntil time.Time
 	// until is when the entry is forgotten.
@@ -67,10 +82,18 @@
 	quarantined bool
 }
 
-// NewLedger returns an empty Ledger that quarantines a request after so many
-// crashes.
-func NewLedger(crashes int) *Ledger {
-	return &Ledger{crashes: crashes, suspects: make(map[uint64]*suspect), broke: make(map[string]time.Time)}
+// NewLedger returns an empty Ledger for requests that run on one upstream before
+// the others.
+func NewLedger() *Ledger {
+	return &Ledger{crashes: fewCrashes, suspects: make(map[uint64]*suspect), broke: make(map[string]time.Time)}
+}
+
+// NewScatterLedger returns an empty Ledger for requests that run on several
+// upstreams at once.
+func NewScatterLedger() *Ledger {
+	l := NewLedger()
+	l.crashes, l.gap, l.byRequests, l.hit = manyCrashes, crashGap, true, make(map[uint64]time.Time)
+	return l
 }
 
 // Accept takes a notice from another host; it reports whether it was news.
@@ -91,17 +114,19 @@
 // returns those that are quarantined from now on.
 func (l *Ledger) Crashed(now time.Time, upstream string, fingerprints []uint64) []uint64 {
 	var news []uint64
-	mass := l.massLoss(now, upstream)
+	mass := l.massLoss(now, upstream, fingerprints)
 	for _, f := range fingerprints {
 		s := l.suspect(now, f)
 		if s == nil {
 			continue
 		}
 		s.trialUntil = now.Add(trialTime)
-		if mass && s.crashes > 0 {
+		recent := s.crashes > 0 && now.Sub(s.crashedAt) < l.gap
+		if recent || (mass && s.crashes > 0) {
 			continue
 		}
 		s.crashes++
+		s.crashedAt = now
 		if s.crashes < l.crashes || s.quarantined {
 			continue
 		}
@@ -169,7 +194,10 @@
 
 // massLoss reports whether so many upstreams broke at about the same time
 // that the network or a rack is a likelier cause than any one request.
-func (l *Ledger) massLoss(now time.Time, upstream string) bool {
+func (l *Ledger) massLoss(now time.Time, upstream string, fingerprints []uint64) bool {
+	if l.byRequests {
+		return l.manyHit(now, fingerprints)
+	}
 	l.broke[upstream] = now
 	for u, at := range l.broke {
 		if now.Sub(at) > massWindow {
@@ -201,3 +229,16 @@
 		}
 	}
 }
+
+// manyHit notes which requests were hit and reports whether they are many.
+func (l *Ledger) manyHit(now time.Time, fingerprints []uint64) bool {
+	for _, f := range fingerprints {
+		l.hit[f] = now
+	}
+	for f, at := range l.hit {
+		if now.Sub(at) > massWindow {
+			delete(l.hit, f)
+		}
+	}
+	return len(l.hit) >= massRequests
+}
