Callers are told the large hosts of their data centre first

Six hosts have 0.8 cores and 140 Mbit/s. Hosts tell each other their capacity; a caller is told the large ones of its data centre if there are two and they have a quarter of the capacity of all. Test: TestChooseAddresses. Fleets of like hosts are told as before.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -125,8 +125,7 @@
 	h.fleet.Listed(listed(h.Settings.Peers))
 }
 
-// Addresses returns the addresses that callers of a data centre should use:
-// those of their own data centre if there is more than one, or else all.
+// Addresses returns the addresses that callers of a data centre should use.
 func (h *Host) Addresses(dataCenter string) []string {
 	h.addressMu.Lock()
 	defer h.addressMu.Unlock()
@@ -135,31 +134,12 @@
 		if len(h.addresses) >= maxAddressLists {
 			clear(h.addresses)
 		}
-		list = h.findAddresses(dataCenter)
+		list = chooseAddresses(h.fleet.Members(), dataCenter)
 		h.addresses[dataCenter] = list
 	}
 	return list
 }
 
-// findAddresses is Addresses from the members of now.
-func (h *Host) findAddresses(dataCenter string) []string {
-	var near, all []string
-	for _, m := range h.fleet.Members() {
-		if m.State() != roster.Alive || m.EntryAddress() == "" {
-			continue
-		}
-		all = append(all, m.EntryAddress())
-		if m.DataCenter() == dataCenter {
-			near = append(near, m.EntryAddress())
-		}
-	}
-	const enough = 2
-	if len(near) >= enough {
-		return near
-	}
-	return all
-}
-
 // Answer runs a request.
 func (h *Host) Answer(ctx context.Context, request *dispatch.Request) dispatch.Answer {
 	table := h.Table()
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -27,8 +27,14 @@
 	ExtraWindowSeconds float64 `json:"extra-window-seconds" validate:"min=0.1,max=3600"`
 	// MostAddressSeconds is the longest time for which callers keep addresses.
 	MostAddressSeconds float64 `json:"most-address-seconds" validate:"min=0.1,max=600"`
-	LogLevel           string  `json:"log-level" validate:"required,oneof=debug info warning error"`
-	MemoryMegabytes    int     `json:"memory-megabytes" validate:"min=32,max=1048576"`
+	// CPUShare is the share of each core that the process may use, LinkMegabits
+	// what the host's network carries in a second; without them the capacity is
+	// unknown.
+	CPUShare        float64 `json:"cpu-share" validate:"min=0,max=1"`
+	Cores           float64 `json:"cores" validate:"min=0,max=1024"`
+	LinkMegabits    float64 `json:"link-megabits" validate:"min=0,max=1000000"`
+	LogLevel        string  `json:"log-level" validate:"required,oneof=debug info warning error"`
+	MemoryMegabytes int     `json:"memory-megabytes" validate:"min=32,max=1048576"`
 }
 
 const (
@@ -36,6 +42,9 @@
 	finishTime = 1500 * time.Millisecond
 	// minServeTime is the least time for which a stopping host goes on serving.
 	minServeTime = 200 * time.Millisecond
+	// megabitsPerCore is the network that one core of requests uses: answers of
+	// upstreams of about 1.4 KB at about 100 microseconds each.
+	megabitsPerCore = 100.0
 	// addressTime is how long callers keep an answer to the question which
 	// hosts to use; some keep it three times as long, which must end before a
 	// host that stops is gone.
@@ -47,6 +56,12 @@
 	return min(addressTime, time.Duration(s.MostAddressSeconds*float64(time.Second)))
 }
 
+// Capacity returns how much work the host can take, in thousandths of a core.
+func (s Settings) Capacity() int {
+	const thousandths = 1000
+	return int(thousandths * min(s.CPUShare*s.Cores, s.LinkMegabits/megabitsPerCore))
+}
+
 // ServeTime returns how long a stopping host goes on serving.
 func (s Settings) ServeTime() time.Duration {
 	return max(minServeTime, time.Duration(s.GraceSeconds*float64(time.Second))-finishTime)
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -10,7 +10,8 @@
 
 // DecodeMember returns the member of a message.
 func DecodeMember(m *wire.Member) roster.Member {
-	return roster.NewMember(m.GetHost(), m.GetDataCenter(), m.GetGateAddress(), m.GetEntryAddress(), m.GetIncarnation(), chart.State(m.GetState()))
+	return roster.NewMember(m.GetHost(), m.GetDataCenter(), m.GetGateAddress(), m.GetEntryAddress(), m.GetIncarnation(), chart.State(m.GetState())).
+		WithCapacity(int(m.GetCapacity()))
 }
 
 // DecodeMembers returns the members of a message.
@@ -36,7 +37,7 @@
 func EncodeMember(m roster.Member) *wire.Member {
 	return &wire.Member{
 		Host: m.Host(), DataCenter: m.DataCenter(), GateAddress: m.GateAddress(), EntryAddress: m.EntryAddress(),
-		Incarnation: m.Incarnation(), State: string(m.State()),
+		Incarnation: m.Incarnation(), State: string(m.State()), Capacity: uint32(m.Capacity()),
 	}
 }
 
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -37,6 +37,9 @@
 	// and each time it contradicts a rumour about itself.
 	incarnation uint64
 	state       chart.State
+	// capacity is how much work the host can take, in thousandths of a core;
+	// zero if it is unknown.
+	capacity int
 }
 
 // NewMember returns a member in a state of the chart.
@@ -47,6 +50,10 @@
 	}
 }
 
+// Capacity returns how much work the host can take, in thousandths of a core;
+// zero if it is unknown.
+func (m Member) Capacity() int { return m.capacity }
+
 // DataCenter returns the data centre.
 func (m Member) DataCenter() string { return m.dataCenter }
 
@@ -75,6 +82,12 @@
 	return m
 }
 
+// WithCapacity returns the member with another capacity.
+func (m Member) WithCapacity(capacity int) Member {
+	m.capacity = capacity
+	return m
+}
+
 // overrides reports whether m is newer knowledge than old.
 func (m Member) overrides(old Member) bool {
 	if m.incarnation != old.incarnation {
