--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -278,8 +278,6 @@
 
 func (p port) Renew(ctx context.Context, _ uint64) (bool, error) { return true, p.call(ctx) }
 
-func (p port) Revoke(ctx context.Context, _ uint64) error { return p.call(ctx) }
-
 func (p port) PutLeased(ctx context.Context, key string, value []byte, _ uint64) error {
 	if err := p.call(ctx); err != nil {
 		return err
--- a/internal/keyvalue/feed.go
+++ b/internal/keyvalue/feed.go
@@ -33,8 +33,6 @@
 	Grant(ctx context.Context, timeToLive time.Duration) (lease uint64, err error)
 	// Renew keeps a lease; it reports false if the lease has ended.
 	Renew(ctx context.Context, lease uint64) (bool, error)
-	// Revoke ends a lease; its keys are removed.
-	Revoke(ctx context.Context, lease uint64) error
 	// PutLeased writes a key that lasts as long as the lease.
 	PutLeased(ctx context.Context, key string, value []byte, lease uint64) error
 }
