--- /dev/null
+++ b/internal/dispatch/placement.go
@@ -0,0 +1,183 @@
+package dispatch
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
+)
+
+// spareSteepness is how steeply the share of the requests that wait for a busy
+// part falls with its outlook: steep enough that the rest is on time again.
+const spareSteepness = 6
+
+// maxSends bounds the attempts of one part, of which only some may run.
+const maxSends = 6
+
+// place starts the attempts that are due.
+func (f *flight) place(ctx context.Context, now time.Time) {
+	if f.attempts == 0 && f.route.Gathers() && !f.enoughFree(now) {
+		return
+	}
+	for _, p := range f.parts {
+		switch {
+		case p.settled():
+		case p.wanted:
+			f.placeWanted(ctx, now, p)
+		case p.running == 1 && !now.Before(p.lateAt):
+			f.placeLate(ctx, now, p)
+		}
+	}
+}
+
+// enoughFree reports whether so many parts can start now that there may be an
+// answer. Until then none starts: the work of the others would be lost. After a
+// while, parts without a free upstream are given up, and the request with them.
+func (f *flight) enoughFree(now time.Time) bool {
+	free := 0
+	var busy, spared []*part
+	for _, p := range f.parts {
+		switch {
+		case p.reason == ReasonLate && p.pool.Free(now, f.class):
+			spared = append(spared, p)
+		case p.settled():
+		case p.pool.Free(now, f.class):
+			free++
+		default:
+			busy = append(busy, p)
+		}
+	}
+	// A late part is better than no answer.
+	for ; free < f.route.MinParts() && free+len(spared) >= f.route.MinParts(); free++ {
+		spared[0].reason, spared[0].wanted = ReasonNone, true
+		spared = spared[1:]
+	}
+	if free >= f.route.MinParts() {
+		return true
+	}
+	for _, p := range busy {
+		if reason := f.hopeless(now, p); reason != ReasonNone {
+			p.giveUp(reason)
+		}
+	}
+	return false
+}
+
+// placeWanted starts an attempt of a part that has none under way.
+func (f *flight) placeWanted(ctx context.Context, now time.Time, p *part) {
+	if reason := f.hopeless(now, p); reason != ReasonNone {
+		p.giveUp(reason)
+		return
+	}
+	extra := p.arrived > 0
+	started := (!extra || p.pool.SpendRetry(now)) && f.startOrRefund(ctx, now, p, extra, 0)
+	switch {
+	case started:
+		p.wanted = false
+	case p.sent > 0 && now.After(f.due):
+		p.giveUp(ReasonFailed)
+	}
+	if started && extra {
+		f.retried++
+	}
+}
+
+// placeLate asks another upstream as well.
+func (f *flight) placeLate(ctx context.Context, now time.Time, p *part) {
+	if !f.route.Idempotent() || p.ran >= f.route.Attempts() || p.sent >= maxSends {
+		p.lateAt = f.end
+		return
+	}
+	p.lateAt = now.Add(askAgain)
+	// Before the answer is due, asking one that would be late is of no use.
+	within := max(0, f.due.Sub(now))
+	if p.pool.SpendLate(now) && f.startOrRefund(ctx, now, p, true, within) {
+		f.late++
+	}
+}
+
+// hopeless says why a part without an attempt under way gets none any more.
+func (f *flight) hopeless(now time.Time, p *part) Reason {
+	switch {
+	case p.ran > 0 && !f.route.Idempotent(), p.ran >= f.route.Attempts(), p.sent >= maxSends:
+		return ReasonFailed
+	case !p.pool.Known(now):
+		return ReasonNoUpstream
+	case p.sent == 0 && now.Sub(f.started) > time.Duration(waitShare*float64(f.route.Target())):
+		return ReasonBusy
+	default:
+		return ReasonNone
+	}
+}
+
+// startOrRefund is start, but gives the extra attempt back if there was no
+// upstream for it.
+func (f *flight) startOrRefund(ctx context.Context, now time.Time, p *part, extra bool, within time.Duration) bool {
+	if f.start(ctx, now, p, extra, within) {
+		return true
+	}
+	if extra {
+		p.pool.Refund(now)
+	}
+	return false
+}
+
+// start gives an attempt of a part to an upstream; it reports whether there was
+// one.
+func (f *flight) start(ctx context.Context, now time.Time, p *part, extra bool, within time.Duration) bool {
+	pick := p.pool.Choose(now, f.class, f.fingerprint, p.tried, within)
+	if pick == nil {
+		return false
+	}
+	p.tried = append(p.tried, pick.Upstream.ID())
+	p.sent++
+	p.ran++
+	p.arrived++
+	p.running++
+	p.lateAt = now.Add(f.class.LateAfter(p.pool.ExtraFill(now)))
+	f.attempts++
+	attempt := &upstream.Attempt{
+		Method: f.request.Method, Target: f.request.Target, Host: f.request.Host, Header: f.request.Header,
+		Body: f.request.Body, RequestID: f.request.ID, UpstreamID: pick.Upstream.ID(), Address: pick.Upstream.Address(),
+		Deadline: f.end, Fresh: !f.route.Idempotent(),
+	}
+	started := f.dispatcher.Group.Go(func() { f.attempt(ctx, p, pick, attempt, extra) })
+	if !started {
+		f.ended <- ended{part: p, ending: upstream.Ending{Result: upstream.Unreachable}, extra: extra}
+	}
+	return true
+}
+
+// spareLateParts leaves out parts whose upstreams are so busy that they would be
+// late, as far as the answer can do without them: work that is late anyway makes
+// the next ones late. The more they are late, the more requests leave them out.
+// It answers a load that some shards can not carry.
+func (f *flight) spareLateParts() {
+	spare := len(f.parts) - f.route.MinParts()
+	if !f.route.Gathers() || spare <= 0 {
+		return
+	}
+	within := f.due.Sub(f.started)
+	draw := f.draw()
+	for i := range f.parts {
+		// Requests begin at different parts, so that none is always left out.
+		p := f.parts[(i+int(draw*float64(len(f.parts))))%len(f.parts)]
+		outlook := p.pool.Outlook(f.started, f.class)
+		if outlook <= within || draw < math.Pow(float64(within)/float64(outlook), spareSteepness) {
+			continue
+		}
+		p.giveUp(ReasonLate)
+		if spare--; spare == 0 {
+			return
+		}
+	}
+}
+
+// draw returns a number from 0 to 1 that differs from request to request.
+func (f *flight) draw() float64 {
+	const fraction = 1 << 53
+	return float64(xxhash.Sum64String(f.request.ID)%fraction) / fraction
+}
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -92,7 +92,11 @@
 func (h *Host) configure(services []string) {
 	now := time.Now()
 	for _, s := range services {
-		h.poolLocked(s).Configure(now, h.inventory.Of(s), h.policy(s))
+		if p, ok := h.pools[s]; ok {
+			p.Configure(now, h.inventory.Of(s), h.policy(s))
+			continue
+		}
+		h.pools[s] = h.newPool(s)
 	}
 }
 
@@ -121,14 +125,10 @@
 	}
 }
 
-// poolLocked returns the pool of a service; the caller holds the lock.
-func (h *Host) poolLocked(service string) *pool.Pool {
-	p, ok := h.pools[service]
-	if !ok {
-		p = &pool.Pool{DataCenter: h.Settings.DataCenter, Idle: h.Connections.Idle}
-		p.Configure(time.Now(), h.inventory.Of(service), h.policy(service))
-		h.pools[service] = p
-	}
+// newPool returns the pool of a service as it is now; the caller holds the lock.
+func (h *Host) newPool(service string) *pool.Pool {
+	p := &pool.Pool{DataCenter: h.Settings.DataCenter, Idle: h.Connections.Idle}
+	p.Configure(time.Now(), h.inventory.Of(service), h.policy(service))
 	return p
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -208,32 +208,30 @@
 // class returns the times of a route's requests; another target starts anew.
 func (h *Host) class(r *routing.Route) *pool.Class {
 	key := r.Name() + " " + r.Target().String()
-	h.mu.RLock()
-	c, ok := h.classes[key]
-	h.mu.RUnlock()
-	if ok {
-		return c
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if c, ok = h.classes[key]; !ok {
-		c = pool.NewClass(r.Target(), r.Gathers())
-		h.classes[key] = c
-	}
-	return c
+	return lookUp(&h.mu, h.classes, key, func() *pool.Class { return pool.NewClass(r.Target(), r.Gathers()) })
 }
 
 // pool returns the pool of a service.
 func (h *Host) pool(service string) *pool.Pool {
-	h.mu.RLock()
-	p, ok := h.pools[service]
-	h.mu.RUnlock()
+	return lookUp(&h.mu, h.pools, service, func() *pool.Pool { return h.newPool(service) })
+}
+
+// lookUp returns the value of a key, and makes one if there is none, under a lock
+// that it takes.
+func lookUp[V any](mu *sync.RWMutex, values map[string]V, key string, create func() V) V {
+	mu.RLock()
+	v, ok := values[key]
+	mu.RUnlock()
 	if ok {
-		return p
+		return v
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.poolLocked(service)
+	mu.Lock()
+	defer mu.Unlock()
+	if v, ok = values[key]; !ok {
+		v = create()
+		values[key] = v
+	}
+	return v
 }
 
 func (h *Host) upkeep(ctx context.Context) {
--- /dev/null
+++ b/internal/mirror/bench_test.go
@@ -0,0 +1,34 @@
+package mirror
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
+)
+
+// BenchmarkTarget applies one change to a copy of 49,000 upstreams and hands out
+// all records, as a host does; it reports the memory of the copy.
+func BenchmarkTarget(b *testing.B) {
+	const upstreams = 49_000
+	value := `{"service":"s","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":2,"state":"ready","sequence":4}`
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	m := New()
+	for i := range uint64(upstreams) {
+		m.Apply([]keyvalue.Change{keyvalue.NewChange(fmt.Sprint("u/", i), []byte(value), i+1)}, i+1)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	revision := uint64(upstreams)
+	for b.Loop() {
+		revision++
+		m.Apply([]keyvalue.Change{keyvalue.NewChange(fmt.Sprint("u/", revision%upstreams), []byte(value), revision)}, revision)
+		if len(m.Records()) < upstreams {
+			b.Fatal("records are lost")
+		}
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/upstreams, "B/upstream")
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
@@ -59,14 +60,9 @@
 	return changes, whole
 }
 
-// Records returns all keys, sorted.
+// Records returns all keys, in no certain order.
 func (m *Mirror) Records() []keyvalue.Change {
-	records := make([]keyvalue.Change, 0, len(m.records))
-	for _, r := range m.records {
-		records = append(records, r)
-	}
-	slices.SortFunc(records, func(a, b keyvalue.Change) int { return cmp.Compare(a.Key(), b.Key()) })
-	return records
+	return slices.Collect(maps.Values(m.records))
 }
 
 // Replace takes all keys as of a revision; it reports whether anything
