Reading the change: bounded memory of pools, classes and broken connections

Pools of services that no configuration and no upstream names any more, times of more than 4,096 routes, and connections that broke over a second ago were kept for ever. A variable hid the package time.

--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -154,7 +154,7 @@
 // spareLateParts leaves out parts whose upstreams are so busy that they would be
 // late, as far as the answer can do without them: work that is late anyway makes
 // the next ones late. The more they are late, the more requests leave them out.
-// It answers a load that some shards can not carry.
+// It answers a load that some shards cannot carry.
 func (f *flight) spareLateParts() {
 	spare := len(f.parts) - f.route.MinParts()
 	if !f.route.Gathers() || spare <= 0 {
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -21,6 +22,8 @@
 	// fleetMemory is how long the largest fleet is remembered: a host that is cut
 	// off sees few others, but they still have their share.
 	fleetMemory = time.Minute
+	// maxClasses bounds how many routes' times are remembered.
+	maxClasses = 4096
 	// minFleet is the smallest fleet that a host assumes.
 	minFleet = 3
 )
@@ -71,10 +74,11 @@
 	h.Metrics.version.Set(float64(t.Version()))
 	h.Log.WithField("version", t.Version()).Info("configuration in force")
 	services := t.Services()
-	for name := range h.pools {
-		if !slices.Contains(services, name) {
-			services = append(services, name)
-		}
+	maps.DeleteFunc(h.pools, func(name string, _ *pool.Pool) bool {
+		return !slices.Contains(services, name) && len(h.inventory.Of(name)) == 0
+	})
+	if len(h.classes) > maxClasses {
+		clear(h.classes)
 	}
 	h.configure(services)
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -4,6 +4,8 @@
 package pool
 
 import (
+	"maps"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -121,6 +123,7 @@
 		old[i].upstream = u
 		p.members = append(p.members, old[i])
 	}
+	maps.DeleteFunc(p.broken, func(_ string, b breakage) bool { return now.Sub(b.at) > suspectTime })
 }
 
 // Earn notes a request for the service.
@@ -242,7 +245,7 @@
 	switch e.Result {
 	case upstream.Answered:
 		m.reached()
-		failed := e.Response.Status >= 500
+		failed := e.Response.Status >= http.StatusInternalServerError
 		if !failed {
 			pick.class.observe(now, took)
 		}
@@ -302,17 +305,18 @@
 	}
 }
 
-// expected returns how long an attempt would take, with what its cost weighs.
+// expected returns how long an attempt would take, in nanoseconds, with what it
+// costs besides.
 func (p *Pool) expected(now time.Time, m *member, c *Class, factor float64) float64 {
-	time := float64(m.outlook(now, c.Usual()))
+	cost := float64(m.outlook(now, c.Usual()))
 	if m.upstream.DataCenter() != p.DataCenter {
-		time = time*factor + float64(crossDelay)
+		cost = cost*factor + float64(crossDelay)
 	}
-	time += (failureCost + scarceCost*(1-p.extra.Fill(now))) * m.failureRate(now) * float64(c.target)
+	cost += (failureCost + scarceCost*(1-p.extra.Fill(now))) * m.failureRate(now) * float64(c.target)
 	if p.Idle(m.upstream.ID()) == 0 {
-		time += float64(p.connecting)
+		cost += float64(p.connecting)
 	}
-	return time
+	return cost
 }
 
 // crash returns the requests that broke their connection to a member right
