Watchers that do not reach the store are noticed within a second and a half

Cause (ages of all copies: current at 11.25 s, then not before 12.7 s): the two hosts that watch were cut off from the store but not from the others, so they stayed the watchers; the others read the store only once their copies are 3.25 s old; then the upstream was the last resort for 1.5 s more. Ruled out: the spread between hosts (TestNewsArrivesSoon holds before). Now a watch waits 0.7 s instead of 2, the others' patience is 0.9 s and 0.2 s for each doubling, news goes to the next host by name and to two drawn anew, draining upstreams are the last resort for 1 s and vanished ones for 1.2 s. TestWatchersThatDoNotReachTheStore fails with the former times.

--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -10,10 +10,11 @@
 const (
 	// lapseGrace is how long an upstream whose entry vanished is still used
 	// where no other is left: entries that were lost in an outage of the store
-	// are back within two seconds, and upstreams that leave go on for longer.
-	lapseGrace = 2 * time.Second
+	// are back within about two seconds. Upstreams that leave go on for three
+	// seconds, of which the news takes up to 1.8.
+	lapseGrace = 1200 * time.Millisecond
 	// drainGrace is how long a draining upstream is used where no other is left.
-	drainGrace = 1500 * time.Millisecond
+	drainGrace = time.Second
 )
 
 // A Standing says how far an upstream may be used.
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/bits"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -26,8 +27,8 @@
 	// watcherPatience is how old the copy of the store may get before a host
 	// that is not a watcher reads the store as well: the wait of a watch, and
 	// some time for each doubling of the fleet, since news takes that many steps.
-	watcherPatience  = 2200 * time.Millisecond
-	doublingPatience = 350 * time.Millisecond
+	watcherPatience  = 900 * time.Millisecond
+	doublingPatience = 200 * time.Millisecond
 	// rankPatience is how much longer each further host waits, so that not all
 	// come at once; maxRank bounds it.
 	rankPatience = 100 * time.Millisecond
@@ -48,11 +49,13 @@
 
 	mu     sync.Mutex
 	roster *roster.Roster
+	random *rand.Rand
 }
 
 // Init must be called before anything else.
 func (f *Fleet) Init() {
 	f.roster = roster.New(f.Self, f.Seed)
+	f.random = rand.New(rand.NewPCG(f.Seed, xxhash.Sum64String(f.Self.Host())))
 }
 
 // Heard takes the news of a message.
@@ -111,16 +114,19 @@
 	return max(1, f.roster.Owners())
 }
 
-// Tell sends news to a few others, who pass it on.
+// Tell sends news to a few others, who pass it on: to the next host in the order
+// of names, so that each host is told by the one before it, and to others drawn
+// anew each time.
 func (f *Fleet) Tell(ctx context.Context) {
 	others := f.others()
-	// Each host starts at a place of its own, so that all are told by somebody.
-	f.mu.Lock()
-	start := xxhash.Sum64String(f.roster.Self().Host())
-	f.mu.Unlock()
-	if n := len(others); n > tellFanOut {
-		first := int(start % uint64(n))
-		others = append(others[first:], others[:first]...)[:tellFanOut]
+	if len(others) > tellFanOut {
+		next := slices.IndexFunc(others, func(m roster.Member) bool { return m.Host() > f.Self.Host() })
+		next = max(0, next)
+		others[0], others[next] = others[next], others[0]
+		f.mu.Lock()
+		f.random.Shuffle(len(others)-1, func(i, j int) { others[i+1], others[j+1] = others[j+1], others[i+1] })
+		f.mu.Unlock()
+		others = others[:tellFanOut]
 	}
 	f.tell(ctx, others)
 }
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -16,9 +16,9 @@
 const (
 	// watchWait is how long one watch waits. A change is missed for that long at
 	// most if the connection of the watch went silent.
-	watchWait = 2 * time.Second
+	watchWait = 700 * time.Millisecond
 	// callSlack is how much longer than its wait a call may take.
-	callSlack = 400 * time.Millisecond
+	callSlack = 300 * time.Millisecond
 	// listTimeout bounds the reading of all keys.
 	listTimeout = 1500 * time.Millisecond
 	// batchPause is the pause after a change before the next watch: changes that
