Bounds of all hosts are shared by the load that each is expected to carry

Cause: on the grown sites callers are told the large hosts, 6 of 63 and 8 of 70, but the slack of extra attempts and the connections of an upstream were divided by the number of hosts: a large host had 1 attempt at once at an upstream with 64 connections, and all large ones together a tenth of the slack. Now a host's part is its capacity over that of all members, hosts that callers are not told count a fifth, members not met yet count as the largest. The largest fleet of the last minute needs no memory of its own any more: the roster remembers the dead for two minutes. Members that left were never forgotten by it, and listed ones that nobody heard of neither (TestGoneHostsAreForgotten fails before).

--- a/internal/host/addresses.go
+++ b/internal/host/addresses.go
@@ -18,30 +18,37 @@
 )
 
 // chooseAddresses returns the addresses that callers of a data centre should
-// use: hosts of their own data centre if there are enough, or else all; and of
-// these the large ones if they can carry the load. It answers the load of a
-// fleet of unlike hosts: a search over many shards takes a small host longer than
-// a caller waits, and few hosts that see much know the upstreams better than
-// many that see little.
+// use.
 func chooseAddresses(members []roster.Member, dataCenter string) []string {
-	var near, all []roster.Member
+	var sound []roster.Member
 	for _, m := range members {
-		if m.State() != roster.Alive || m.EntryAddress() == "" {
-			continue
+		if m.State() == roster.Alive && m.EntryAddress() != "" {
+			sound = append(sound, m)
 		}
-		all = append(all, m)
+	}
+	var addresses []string
+	for _, m := range chooseHosts(sound, dataCenter) {
+		addresses = append(addresses, m.EntryAddress())
+	}
+	return addresses
+}
+
+// chooseHosts returns the hosts for callers of a data centre: those of their own
+// data centre if there are enough, or else all; and of these the large ones if they
+// can carry the load. It answers the load of a fleet of unlike hosts: a search over
+// many shards takes a small host longer than a caller waits, and few hosts that see
+// much know the upstreams better than many that see little.
+func chooseHosts(members []roster.Member, dataCenter string) []roster.Member {
+	var near []roster.Member
+	for _, m := range members {
 		if m.DataCenter() == dataCenter {
 			near = append(near, m)
 		}
 	}
 	if len(near) < enoughHosts {
-		near = all
-	}
-	var addresses []string
-	for _, m := range largeHosts(near) {
-		addresses = append(addresses, m.EntryAddress())
+		near = members
 	}
-	return addresses
+	return largeHosts(near)
 }
 
 // largeHosts returns the large ones of some hosts, or all if these are too few.
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -19,13 +19,8 @@
 	// connectionShare is what is used of the connections of an upstream; the
 	// rest is for hosts that join and for connections that are being closed.
 	connectionShare = 0.8
-	// fleetMemory is how long the largest fleet is remembered: a host that is cut
-	// off sees few others, but they still have their share.
-	fleetMemory = time.Minute
 	// maxClasses bounds how many routes' times are remembered.
 	maxClasses = 4096
-	// minFleet is the smallest fleet that a host assumes.
-	minFleet = 3
 )
 
 // meaning is what a key meant at a revision.
@@ -55,10 +50,10 @@
 		}
 	}
 	h.meanings = known
-	h.registered = len(peers) + 1
 	h.mu.Unlock()
-	h.updateInventory(now)
 	h.fleet.Listed(listed(peers))
+	h.updateShare()
+	h.updateInventory(now)
 	h.announceReadiness()
 	h.group.Go(func() { h.fleet.Tell(context.Background()) })
 	h.Log.WithField("revision", revision).Debug("keys of the store changed")
@@ -104,28 +99,18 @@
 	}
 }
 
-// fleetSize returns the largest fleet seen lately; the caller holds the lock.
-func (h *Host) fleetSize() int {
-	now, size := time.Now(), max(minFleet, h.fleet.Size(), h.registered)
-	if size >= h.largest || now.Sub(h.largestAt) > fleetMemory {
-		h.largest, h.largestAt = size, now
-	}
-	return h.largest
-}
-
 // policy returns this host's share of what is allowed at a service; the caller
 // holds the lock.
 func (h *Host) policy(service string) pool.Policy {
-	size := float64(h.fleetSize())
 	connections := 0
 	if h.table != nil {
 		connections = h.table.Service(service).Connections
 	}
 	return pool.Policy{
 		ExtraRatio:  h.Settings.ExtraRatio * ratioShare,
-		ExtraSlack:  h.Settings.ExtraSlack * slackShare / size,
+		ExtraSlack:  h.Settings.ExtraSlack * slackShare * h.share,
 		Window:      time.Duration(h.Settings.ExtraWindowSeconds * float64(time.Second)),
-		Connections: max(1, int(connectionShare*float64(connections)/size)),
+		Connections: max(1, int(connectionShare*float64(connections)*h.share)),
 	}
 }
 
@@ -159,8 +144,17 @@
 	h.configure(h.inventory.Update(now, h.specs))
 }
 
-// fleetChanged shares what is allowed anew after the size of the fleet changed.
+// updateShare works out this host's share of what all hosts may do together.
+func (h *Host) updateShare() {
+	members := h.fleet.Members()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.share = loadShare(h.Self.Host(), members)
+}
+
+// fleetChanged shares what is allowed anew after a member came or went.
 func (h *Host) fleetChanged() {
+	h.updateShare()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	services := make([]string, 0, len(h.pools))
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -48,6 +48,8 @@
 	// away turns every host away from the store.
 	away  bool
 	calls int
+	// unlike is set if most hosts are small.
+	unlike bool
 	// messages counts the calls between hosts, bytes their records.
 	messages int
 }
@@ -132,7 +134,7 @@
 			DataCenter: "z", Peers: seeds, ExtraRatio: 0.2, ExtraSlack: slack, ExtraWindowSeconds: 10, CallerListen: address, PeerListen: address,
 			GraceSeconds: 6,
 		},
-		Self: roster.NewMember(address, "z", address, "", started, roster.Alive), Feed: p, Registry: p, Hosts: p, Translator: tableTranslator{},
+		Self: roster.NewMember(address, "z", address, "", started, roster.Alive).WithCapacity(f.capacityOf(address)), Feed: p, Registry: p, Hosts: p, Translator: tableTranslator{},
 		Connections: &upstream.Connections{}, Metrics: NewMetrics(prometheus.NewRegistry()), Log: log, Seed: started,
 	}
 	h.Init()
@@ -144,6 +146,16 @@
 	r.group.Go(func() { _ = h.Run(ctx) })
 }
 
+// capacityOf returns the capacity of a host: few of a large fleet are large.
+func (f *fleet) capacityOf(address string) int {
+	const largeHosts, large, small = 6, 800, 140
+	var number int
+	if _, err := fmt.Sscanf(address, "host-%d", &number); err == nil && number >= largeHosts && f.unlike {
+		return small
+	}
+	return large
+}
+
 // stop ends a host as if it were killed.
 func (f *fleet) stop(address string) {
 	f.mu.Lock()
@@ -315,7 +327,7 @@
 // each other.
 func (f *fleet) checkShares(c *qt.C, shares float64) {
 	for _, r := range f.hosts {
-		if r.host.largest < len(f.hosts) {
+		if len(r.host.fleet.Members()) < len(f.hosts) {
 			return
 		}
 	}
@@ -337,6 +349,7 @@
 func startFleet(size int) (*fleet, []string) {
 	f := newFleet()
 	f.put(keyOfTable, "1")
+	f.unlike = size > 7
 	var addresses []string
 	for i := range size {
 		addresses = append(addresses, fmt.Sprint("host-", i))
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -86,13 +86,9 @@
 	classes   map[string]*pool.Class
 	// meanings holds what each key meant, by key and revision.
 	meanings map[string]meaning
-	// registered is how many hosts the store names, this one included: after all
-	// hosts restarted, it tells the size of the fleet before they meet.
-	registered int
-	// largest is the largest fleet seen within fleetMemory before largestAt.
-	largest   int
-	largestAt time.Time
-	stopping  bool
+	// share is this host's part of what all hosts may do together, 0 to 1.
+	share    float64
+	stopping bool
 
 	addressMu sync.Mutex
 	// addresses holds what callers of each data centre are told, until a member
@@ -123,6 +119,7 @@
 		OnDecision: h.journal.decided, CallerAllowance: callerAllowance, Group: &h.group,
 	}
 	h.fleet.Listed(listed(h.Settings.Peers))
+	h.updateShare()
 }
 
 // Addresses returns the addresses that callers of a data centre should use.
--- /dev/null
+++ b/internal/host/share.go
@@ -0,0 +1,58 @@
+package host
+
+import "github.com/foxtailshelf/foxtailshelf/internal/roster"
+
+const (
+	// minFleet is the smallest fleet that a host assumes, in hosts like itself.
+	minFleet = 3
+	// idleWeight is the weight of a host that callers are not told, against that
+	// of others of its capacity: it serves callers with old addresses only.
+	idleWeight = 0.2
+)
+
+// loadShare returns the part of the load of all hosts that one is expected to
+// carry, 0 to 1. Bounds that hold for all hosts together are divided by it. All
+// members count, whatever their state: who is cut off from the others cannot know
+// which of them still work.
+func loadShare(host string, members []roster.Member) float64 {
+	largest := 1
+	for _, m := range members {
+		largest = max(largest, m.Capacity())
+	}
+	told := toldHosts(members)
+	own, total := 0.0, 0.0
+	for _, m := range members {
+		weight := float64(m.Capacity())
+		switch {
+		case m.Capacity() == 0:
+			weight = float64(largest)
+		case !told[m.Host()]:
+			weight *= idleWeight
+		}
+		total += weight
+		if m.Host() == host {
+			own = weight
+		}
+	}
+	if own == 0 {
+		return 0
+	}
+	return own / max(total, minFleet*own)
+}
+
+// toldHosts returns the hosts that callers of some data centre are told while all
+// members work.
+func toldHosts(members []roster.Member) map[string]bool {
+	told := make(map[string]bool)
+	dataCenters := make(map[string]bool)
+	for _, m := range members {
+		if dataCenters[m.DataCenter()] {
+			continue
+		}
+		dataCenters[m.DataCenter()] = true
+		for _, t := range chooseHosts(members, m.DataCenter()) {
+			told[t.Host()] = true
+		}
+	}
+	return told
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -17,7 +17,7 @@
 	ProbeTimeout = 200 * time.Millisecond
 	// SuspicionTime is how long a suspect has to contradict.
 	SuspicionTime = 3 * time.Second
-	// TombstoneTime is how long the dead are remembered.
+	// TombstoneTime is how long the dead and those that left are remembered.
 	TombstoneTime = 2 * time.Minute
 	// accusePeriod is how often a suspect is probed by who suspected it first.
 	accusePeriod = 250 * time.Millisecond
@@ -91,9 +91,10 @@
 	random  *rand.Rand
 	// rumours counts how often news of a host may still be passed on.
 	rumours map[string]int
-	// suspectedAt and deadAt hold when a member entered the state.
+	// suspectedAt holds when a member became suspect, goneAt when it died or
+	// began to leave.
 	suspectedAt map[string]time.Time
-	deadAt      map[string]time.Time
+	goneAt      map[string]time.Time
 	nextProbe   time.Time
 	// accused holds when this host probes a member again that it suspects
 	// itself, so that the member hears of it and can contradict.
@@ -113,7 +114,7 @@
 		random:      rand.New(rand.NewPCG(seed, seed)),
 		rumours:     make(map[string]int),
 		suspectedAt: make(map[string]time.Time),
-		deadAt:      make(map[string]time.Time),
+		goneAt:      make(map[string]time.Time),
 		accused:     make(map[string]time.Time),
 	}
 	r.members[self.host] = r.self
@@ -240,12 +241,12 @@
 	delete(r.accused, m.host)
 	r.rumours[m.host] = r.rumourLimit()
 	delete(r.suspectedAt, m.host)
-	delete(r.deadAt, m.host)
+	delete(r.goneAt, m.host)
 	switch m.state {
 	case Suspect:
 		r.suspectedAt[m.host] = now
-	case Dead:
-		r.deadAt[m.host] = now
+	case Dead, Leaving:
+		r.goneAt[m.host] = now
 	}
 	r.actions = append(r.actions, Changed{Old: old, New: m})
 }
@@ -263,7 +264,18 @@
 	r.set(now, m, m.With(next, m.incarnation))
 }
 
+// hostsListed takes the host list. Hosts that were only ever listed go with their
+// entry.
 func (r *Roster) hostsListed(now time.Time, hosts []Member) {
+	listed := make(map[string]bool, len(hosts))
+	for _, h := range hosts {
+		listed[h.host] = true
+	}
+	for h, m := range r.members {
+		if m.state == Listed && len(hosts) > 0 && !listed[h] {
+			r.forget(h)
+		}
+	}
 	for _, h := range hosts {
 		old, known := r.members[h.host]
 		switch {
@@ -321,7 +333,7 @@
 // forget drops a member.
 func (r *Roster) forget(host string) {
 	delete(r.members, host)
-	delete(r.deadAt, host)
+	delete(r.goneAt, host)
 	delete(r.rumours, host)
 	if i := slices.Index(r.known, host); i >= 0 {
 		r.known = slices.Delete(r.known, i, i+1)
@@ -353,7 +365,7 @@
 			r.fire(now, h, "die")
 		}
 	}
-	for h, at := range r.deadAt {
+	for h, at := range r.goneAt {
 		if now.Sub(at) >= TombstoneTime {
 			r.forget(h)
 		}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -82,3 +82,22 @@
 	r.Step(start, ProbeEnded{Host: "gone", Indirect: true})
 	c.Check(r.Members()[1].Owns(), qt.IsFalse)
 }
+
+// TestGoneHostsAreForgotten replaces hosts by others with new addresses: those
+// that left, and those that were only listed, do not stay for good.
+func TestGoneHostsAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	r := New(member("a", 1), 1)
+	r.Step(start, Heard{Sender: member("b", 1).With(Leaving, 2)})
+	r.Step(start, HostsListed{Hosts: []Member{member("c", 0), member("d", 0)}})
+	c.Assert(r.Members(), qt.HasLen, 4)
+	r.Step(start, HostsListed{})
+	c.Check(r.Members(), qt.HasLen, 4, qt.Commentf("an empty list is no list"))
+	r.Step(start, HostsListed{Hosts: []Member{member("d", 0)}})
+	c.Check(r.Members(), qt.HasLen, 3)
+	now := start.Add(TombstoneTime - ProbePeriod)
+	r.Step(now, Tick{})
+	c.Check(r.Members(), qt.HasLen, 3)
+	r.Step(start.Add(TombstoneTime), Tick{})
+	c.Check(r.Members(), qt.HasLen, 2)
+}
