Large hosts of other data centres before small ones; hosts meet at once after a start

After the loss of all power hosts meet by two probes a second and rumours, 4 to 6 s until all are known, and meanwhile small ones are told. Now the large hosts of all data centres come before small ones, and 15% of the capacity is enough for them instead of 25% (three of six large hosts were 23%); a host registers its capacity and data centre, and who knows few others of a capacity probes up to eight listed ones at once, large and near ones first. Ruled out: the configuration, in force 20 ms after each start.

The case "too few large ones" of TestChooseAddresses has 30 small hosts instead of 14, as 24% is enough now. TestHostsMeetAfterAllRestarted and TestFewKnownHostsAreMetAtOnce fail before.

--- a/internal/host/addresses.go
+++ b/internal/host/addresses.go
@@ -13,8 +13,8 @@
 	// largeShare is the share of the largest capacity from which a host is large.
 	largeShare = 0.5
 	// spareShare is the share of the capacity of all that the large hosts must
-	// have to be told alone.
-	spareShare = 0.25
+	// have to be told alone: hosts are sized for several times their usual load.
+	spareShare = 0.15
 )
 
 // chooseAddresses returns the addresses that callers of a data centre should
@@ -33,39 +33,47 @@
 	return addresses
 }
 
-// chooseHosts returns the hosts for callers of a data centre: those of their own
-// data centre if there are enough, or else all; and of these the large ones if they
-// can carry the load. It answers the load of a fleet of unlike hosts: a search over
-// many shards takes a small host longer than a caller waits, and few hosts that see
-// much know the upstreams better than many that see little.
+// chooseHosts returns the hosts for callers of a data centre: the large ones of
+// their own data centre, of all data centres if these are too few, or else whoever is
+// near. It answers the load of a fleet of unlike hosts: a search over many shards
+// takes a small host longer than a caller waits, and few hosts that see much know the
+// upstreams better than many that see little.
 func chooseHosts(members []roster.Member, dataCenter string) []roster.Member {
 	var near []roster.Member
+	largest := 0
 	for _, m := range members {
+		largest = max(largest, m.Capacity())
 		if m.DataCenter() == dataCenter {
 			near = append(near, m)
 		}
 	}
+	for _, candidates := range [][]roster.Member{near, members} {
+		if large := largeHosts(candidates, largest); carries(large, candidates) {
+			return large
+		}
+	}
 	if len(near) < enoughHosts {
-		near = members
+		return members
 	}
-	return largeHosts(near)
+	return near
 }
 
-// largeHosts returns the large ones of some hosts, or all if these are too few.
-func largeHosts(members []roster.Member) []roster.Member {
-	largest, total, sum := 0, 0, 0
+// carries reports whether some hosts are enough for the callers of all.
+func carries(some, all []roster.Member) bool {
+	return len(some) >= enoughHosts && float64(capacity(some)) >= spareShare*float64(capacity(all))
+}
+
+func capacity(members []roster.Member) int {
+	sum := 0
 	for _, m := range members {
-		largest = max(largest, m.Capacity())
-		total += m.Capacity()
+		sum += m.Capacity()
 	}
-	large := slices.DeleteFunc(slices.Clone(members), func(m roster.Member) bool {
+	return sum
+}
+
+// largeHosts returns the hosts that are large against the largest capacity.
+func largeHosts(members []roster.Member, largest int) []roster.Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m roster.Member) bool {
 		return float64(m.Capacity()) < largeShare*float64(largest)
 	})
-	for _, m := range large {
-		sum += m.Capacity()
-	}
-	if len(large) < enoughHosts || float64(sum) < spareShare*float64(total) {
-		return members
-	}
-	return large
 }
--- a/internal/host/addresses_test.go
+++ b/internal/host/addresses_test.go
@@ -14,6 +14,14 @@
 	return roster.NewMember(name, dataCenter, name, name, 1, state).WithCapacity(capacity)
 }
 
+// smallHosts adds small hosts named s of the data centre x to others.
+func smallHosts(count int, others ...roster.Member) []roster.Member {
+	for range count {
+		others = append(others, member("s", "x", 90, roster.Alive))
+	}
+	return others
+}
+
 func TestChooseAddresses(t *testing.T) {
 	for _, test := range []struct {
 		name    string
@@ -38,14 +46,17 @@
 		{"a single large one", []roster.Member{
 			member("a", "x", 800, roster.Alive), member("c", "x", 140, roster.Alive), member("d", "x", 140, roster.Alive),
 		}, "a c d"},
-		{"large ones that are too few for the load", []roster.Member{
-			member("a", "x", 200, roster.Alive), member("b", "x", 200, roster.Alive),
-			member("c", "x", 90, roster.Alive), member("d", "x", 90, roster.Alive), member("e", "x", 90, roster.Alive),
-			member("f", "x", 90, roster.Alive), member("g", "x", 90, roster.Alive), member("h", "x", 90, roster.Alive),
-			member("i", "x", 90, roster.Alive), member("j", "x", 90, roster.Alive), member("k", "x", 90, roster.Alive),
-			member("l", "x", 90, roster.Alive), member("m", "x", 90, roster.Alive), member("n", "x", 90, roster.Alive),
-			member("o", "x", 90, roster.Alive), member("p", "x", 90, roster.Alive),
-		}, "a b c d e f g h i j k l m n o p"},
+		{"a single large one near, more of them far", []roster.Member{
+			member("a", "x", 800, roster.Alive), member("c", "x", 140, roster.Alive), member("d", "x", 140, roster.Alive),
+			member("e", "y", 800, roster.Alive), member("f", "y", 140, roster.Alive),
+		}, "a e"},
+		{"only small ones near", []roster.Member{
+			member("c", "x", 140, roster.Alive), member("d", "x", 140, roster.Alive),
+			member("e", "y", 800, roster.Alive), member("f", "z", 800, roster.Alive),
+		}, "e f"},
+		{"large ones that are too few for the load", smallHosts(
+			30, member("a", "x", 200, roster.Alive), member("b", "x", 200, roster.Alive),
+		), "a b" + strings.Repeat(" s", 30)},
 		{"unknown capacities", []roster.Member{member("a", "x", 0, roster.Alive), member("b", "x", 0, roster.Alive)}, "a b"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -8,6 +8,7 @@
 
 	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
+	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/routing"
 )
 
@@ -32,7 +33,7 @@
 // recordsChanged takes all keys of the store after a change.
 func (h *Host) recordsChanged(records []keyvalue.Change, revision uint64) {
 	now := time.Now()
-	var peers []string
+	var peers []roster.Member
 	h.mu.Lock()
 	h.specs = h.specs[:0]
 	known := make(map[string]meaning, len(records))
@@ -46,12 +47,12 @@
 			h.specs = append(h.specs, *m.Upstream)
 		}
 		if m.PeerAddress != "" && m.PeerAddress != h.Self.GateAddress() {
-			peers = append(peers, m.PeerAddress)
+			peers = append(peers, h.registeredMember(m.PeerAddress, m.PeerEntry))
 		}
 	}
 	h.meanings = known
 	h.mu.Unlock()
-	h.fleet.Listed(listed(peers))
+	h.fleet.Listed(peers)
 	h.updateShare()
 	h.updateInventory(now)
 	h.announceReadiness()
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -85,7 +85,7 @@
 
 func (tableTranslator) Translate(r keyvalue.Change) (Meaning, error) {
 	if address, ok := strings.CutPrefix(r.Key(), "hosts/"); ok {
-		return Meaning{PeerAddress: address}, nil
+		return Meaning{PeerAddress: address, PeerEntry: string(r.Value())}, nil
 	}
 	if strings.HasPrefix(r.Key(), "up") {
 		return Meaning{Upstream: &inventory.UpstreamSpec{ID: r.Key(), Service: "s", Address: r.Key(), Slots: 2}}, nil
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -45,8 +45,9 @@
 type Meaning struct {
 	Table    *routing.Table
 	Upstream *inventory.UpstreamSpec
-	// PeerAddress is where a host registered itself.
+	// PeerAddress is where a host registered itself, PeerEntry what it said.
 	PeerAddress string
+	PeerEntry   string
 }
 
 // A Translator reads the keys of the store.
@@ -245,10 +246,15 @@
 	}
 }
 
+// listed returns members of which only the address is known.
 func listed(addresses []string) []roster.Member {
 	members := make([]roster.Member, 0, len(addresses))
 	for _, a := range addresses {
-		members = append(members, roster.NewMember(a, "", a, "", 0, roster.Listed))
+		members = append(members, listedMember(a, "", 0))
 	}
 	return members
 }
+
+func listedMember(address, dataCenter string, capacity int) roster.Member {
+	return roster.NewMember(address, dataCenter, address, "", 0, roster.Listed).WithCapacity(capacity)
+}
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -17,11 +17,6 @@
 const (
 	// maxNotices bounds the notices on one message.
 	maxNotices = 16
-	// leaseTime is how long a registration lasts without renewal, renewPeriod
-	// how often it is renewed.
-	leaseTime    = 15 * time.Second
-	renewPeriod  = 5 * time.Second
-	registryTime = 2 * time.Second
 	// probeTimeout bounds a probe on behalf of another host.
 	probeTimeout = roster.ProbeTimeout
 )
@@ -162,50 +157,3 @@
 	}
 	return notices
 }
-
-// register keeps this host's address in the store, where hosts that know no
-// other one look.
-func (h *Host) register(ctx context.Context) {
-	lease := uint64(0)
-	for ctx.Err() == nil {
-		next, err := h.registerOnce(ctx, lease)
-		if err != nil {
-			h.Log.WithError(err).Debug("registration not renewed")
-		}
-		lease = next
-		wait(ctx, renewPeriod)
-	}
-}
-
-// registerOnce renews the lease, or registers anew if there is none.
-func (h *Host) registerOnce(ctx context.Context, lease uint64) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, registryTime)
-	defer cancel()
-	if lease != 0 {
-		alive, err := h.Registry.Renew(ctx, lease)
-		if err != nil {
-			return lease, fmt.Errorf("renew registration: %w", err)
-		}
-		if alive {
-			return lease, nil
-		}
-	}
-	lease, err := h.Registry.Grant(ctx, leaseTime)
-	if err != nil {
-		return 0, fmt.Errorf("open lease: %w", err)
-	}
-	address := h.Self.GateAddress()
-	if err := h.Registry.PutLeased(ctx, h.Translator.PeerKey(address), []byte(address), lease); err != nil {
-		return 0, fmt.Errorf("register: %w", err)
-	}
-	return lease, nil
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/host/spread_test.go
+++ b/internal/host/spread_test.go
@@ -193,3 +193,29 @@
 		})
 	}
 }
+
+// TestHostsMeetAfterAllRestarted kills all hosts of a large fleet at once: as soon
+// as they have read the store, callers are told large hosts only, and most of them,
+// though most hosts have not heard of each other yet.
+func TestHostsMeetAfterAllRestarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f, addresses := startFleet(63)
+		large := addresses[:6]
+		for _, a := range addresses {
+			f.stop(a)
+		}
+		for _, a := range addresses {
+			f.start(a, addresses[:3])
+		}
+		time.Sleep(300 * time.Millisecond)
+		for _, a := range addresses {
+			told := f.hosts[a].host.Addresses("z")
+			c.Check(len(told) > len(large)/2, qt.IsTrue, qt.Commentf("%s tells %v", a, told))
+			for _, l := range told {
+				c.Check(large, qt.Contains, l, qt.Commentf("%s", a))
+			}
+		}
+		f.stopAll()
+	})
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"maps"
 	"math/bits"
 	"math/rand/v2"
@@ -25,6 +26,9 @@
 	maxRumours = 8
 	// indirectProbes is how many others are asked to probe a silent member.
 	indirectProbes = 3
+	// meetAtOnce is how many others a host wants to know before it leaves the rest to
+	// its probes.
+	meetAtOnce = 8
 	// rumourFactor times the logarithm of the fleet is how often one rumour
 	// is passed on.
 	rumourFactor = 2
@@ -276,16 +280,52 @@
 			r.forget(h)
 		}
 	}
+	var added []Member
 	for _, h := range hosts {
 		old, known := r.members[h.host]
 		switch {
 		case h.host == r.self.host:
-		case !known:
+		case !known || (old.state == Listed && old.capacity == 0 && h.capacity > 0):
+			added = append(added, h.With(Listed, 0))
 			r.put(h.With(Listed, 0))
 		case h.state == Leaving && old.state == Alive:
 			r.fire(now, h.host, "leave")
 		}
 	}
+	r.meet(added)
+}
+
+// meet probes some listed members at once if this host knows few others of their
+// capacity or more, those with the most capacity and of its own data centre first:
+// they are whom callers should be told.
+func (r *Roster) meet(listed []Member) {
+	r.random.Shuffle(len(listed), func(i, j int) { listed[i], listed[j] = listed[j], listed[i] })
+	far := func(m Member) int {
+		if m.dataCenter == r.self.dataCenter {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(listed, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(far(a), far(b)))
+	})
+	for i, m := range listed[:min(len(listed), meetAtOnce)] {
+		if i+r.aliveOf(m.capacity) >= meetAtOnce {
+			return
+		}
+		r.actions = append(r.actions, Probe{Target: m})
+	}
+}
+
+// aliveOf returns how many other members with at least a capacity are alive.
+func (r *Roster) aliveOf(capacity int) int {
+	n := 0
+	for h, m := range r.members {
+		if h != r.self.host && m.state == Alive && m.capacity >= capacity {
+			n++
+		}
+	}
+	return n
 }
 
 func (r *Roster) probeEnded(now time.Time, e ProbeEnded) {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -1,6 +1,8 @@
 package roster
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -101,3 +103,31 @@
 	r.Step(start.Add(TombstoneTime), Tick{})
 	c.Check(r.Members(), qt.HasLen, 2)
 }
+
+// TestFewKnownHostsAreMetAtOnce lists hosts: while few others are known, some are
+// probed at once, large and near ones first.
+func TestFewKnownHostsAreMetAtOnce(t *testing.T) {
+	c := qt.New(t)
+	r := New(NewMember("self", "x", "self", "", 1, Alive), 1)
+	var hosts []Member
+	for i := range 20 {
+		hosts = append(hosts, NewMember(fmt.Sprint("small-", i), "x", "", "", 0, Listed).WithCapacity(140))
+	}
+	for i := range 2 {
+		hosts = append(hosts, NewMember(fmt.Sprint("far-", i), "y", "", "", 0, Listed).WithCapacity(800))
+		hosts = append(hosts, NewMember(fmt.Sprint("near-", i), "x", "", "", 0, Listed).WithCapacity(800))
+	}
+	var met []string
+	for _, a := range r.Step(start, HostsListed{Hosts: hosts}) {
+		met = append(met, strings.TrimRight(a.(Probe).Target.Host(), "-0123456789"))
+	}
+	c.Check(met, qt.DeepEquals, []string{"near", "near", "far", "far", "small", "small", "small", "small"})
+	c.Check(r.Step(start, HostsListed{Hosts: hosts}), qt.HasLen, 0, qt.Commentf("once"))
+	for i := range meetAtOnce {
+		r.Step(start, Heard{Sender: member(fmt.Sprint("small-", i), 1).WithCapacity(140)})
+	}
+	hosts = append(hosts, member("new", 0).WithCapacity(140))
+	c.Check(r.Step(start, HostsListed{Hosts: hosts}), qt.HasLen, 0, qt.Commentf("enough are known"))
+	hosts = append(hosts, member("large", 0).WithCapacity(800))
+	c.Check(r.Step(start, HostsListed{Hosts: hosts}), qt.HasLen, 1, qt.Commentf("but none as large"))
+}
