--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -49,6 +49,19 @@
 	Group           *work.Group
 }
 
+// Attempt runs one attempt at the upstream of a pick and tells the pool how it
+// ended.
+func (d *Dispatcher) Attempt(ctx context.Context, p *pool.Pool, pick *pool.Pick, a *upstream.Attempt) upstream.Ending {
+	e := d.Exchanger.Exchange(ctx, a)
+	if crash := p.Done(time.Now(), pick, e); crash != nil {
+		d.OnCrash(*crash)
+	}
+	if e.Result == upstream.Broken || e.Result == upstream.Misdirected || e.Refusal {
+		d.Exchanger.Forget(a.UpstreamID)
+	}
+	return e
+}
+
 // Run runs a request on a route of one version of the configuration.
 func (d *Dispatcher) Run(ctx context.Context, request *Request, route *routing.Route, version uint64) Answer {
 	f := newFlight(d, request, route)
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -115,14 +115,7 @@
 
 // attempt runs in a goroutine of its own.
 func (f *flight) attempt(ctx context.Context, p *part, pick *pool.Pick, a *upstream.Attempt, extra bool) {
-	e := f.dispatcher.Exchanger.Exchange(ctx, a)
-	if crash := p.pool.Done(time.Now(), pick, e); crash != nil {
-		f.dispatcher.OnCrash(*crash)
-	}
-	if e.Result == upstream.Broken || e.Result == upstream.Misdirected || e.Refusal {
-		f.dispatcher.Exchanger.Forget(a.UpstreamID)
-	}
-	f.ended <- ended{part: p, ending: e, extra: extra}
+	f.ended <- ended{part: p, ending: f.dispatcher.Attempt(ctx, p.pool, pick, a), extra: extra}
 }
 
 // attemptEnded takes the end of an attempt.
@@ -132,23 +125,35 @@
 	if e.ending.Err != nil {
 		f.lastFailure = e.ending.Err.Error()
 	}
+	if e.ending.Chosen != "" {
+		p.tried = append(p.tried, e.ending.Chosen)
+	}
 	switch e.ending.Result {
 	case upstream.Answered:
 		f.answered(p, e.ending.Response)
 	case upstream.Refused, upstream.Misdirected:
 		p.ran--
+		if e.ending.Unsent {
+			f.neverArrived(e)
+			break
+		}
 		f.lastFailure = fmt.Sprintf("refused with status %d", e.ending.Response.Status)
 	case upstream.Unreachable:
 		p.ran--
-		p.arrived--
-		if e.extra {
-			p.pool.Refund(time.Now())
-		}
+		f.neverArrived(e)
 	case upstream.Broken, upstream.Aborted:
 	}
 	p.wanted = !p.settled() && p.running == 0
 }
 
+// neverArrived takes back what an attempt cost that reached no upstream.
+func (f *flight) neverArrived(e ended) {
+	e.part.arrived--
+	if e.extra {
+		e.part.pool.Refund(time.Now())
+	}
+}
+
 func (f *flight) answered(p *part, r upstream.Response) {
 	good := r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices
 	final := good || (!f.route.Gathers() && r.Status < http.StatusInternalServerError && !saysNotRun(r.Status))
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -144,6 +145,12 @@
 		Body: f.request.Body, RequestID: f.request.ID, UpstreamID: pick.Upstream.ID(), Address: pick.Upstream.Address(),
 		Deadline: f.end, Fresh: !f.route.Idempotent(),
 	}
+	if pick.Upstream.IsHost() {
+		attempt.Relay = &upstream.Relay{
+			Service: p.service, Route: f.route.Name(), Target: f.route.Target(), Gathers: f.route.Gathers(),
+			Fingerprint: f.fingerprint, Tried: slices.Clone(p.tried),
+		}
+	}
 	started := f.dispatcher.Group.Go(func() { f.attempt(ctx, p, pick, attempt, extra) })
 	if !started {
 		f.ended <- ended{part: p, ending: upstream.Ending{Result: upstream.Unreachable}, extra: extra}
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -20,6 +20,9 @@
 	// connectionShare is what is used of the connections of an upstream; the
 	// rest is for hosts that join and for connections that are being closed.
 	connectionShare = 0.8
+	// fleetPause is the pause between two changes of the fleet that are taken in:
+	// after a start they come in dozens.
+	fleetPause = 200 * time.Millisecond
 	// maxClasses bounds how many routes' times are remembered.
 	maxClasses = 4096
 )
@@ -53,7 +56,7 @@
 	h.meanings = known
 	h.mu.Unlock()
 	h.fleet.Listed(peers)
-	h.updateShare()
+	h.updateView()
 	h.updateInventory(now)
 	h.announceReadiness()
 	h.group.Go(func() { h.fleet.Tell(context.Background()) })
@@ -93,32 +96,34 @@
 	now := time.Now()
 	for _, s := range services {
 		if p, ok := h.pools[s]; ok {
-			p.Configure(now, h.inventory.Of(s), h.policy(s))
+			h.configurePool(now, p, s)
 			continue
 		}
 		h.pools[s] = h.newPool(s)
 	}
 }
 
-// policy returns this host's share of what is allowed at a service; the caller
-// holds the lock.
-func (h *Host) policy(service string) pool.Policy {
-	connections := 0
-	if h.table != nil {
-		connections = h.table.Service(service).Connections
-	}
+// configurePool gives a pool what runs its attempts now; the caller holds the lock.
+func (h *Host) configurePool(now time.Time, p *pool.Pool, service string) {
+	plan := h.plan(service)
+	p.Configure(now, h.runners(service, plan), h.policy(plan))
+}
+
+// policy returns this host's share of what is allowed at a service of a plan; the
+// caller holds the lock.
+func (h *Host) policy(plan dialPlan) pool.Policy {
 	return pool.Policy{
 		ExtraRatio:  h.Settings.ExtraRatio * ratioShare,
-		ExtraSlack:  h.Settings.ExtraSlack * slackShare * h.share,
+		ExtraSlack:  h.Settings.ExtraSlack * slackShare * h.view.share,
 		Window:      time.Duration(h.Settings.ExtraWindowSeconds * float64(time.Second)),
-		Connections: max(1, int(connectionShare*float64(connections)*h.share)),
+		Connections: plan.connections,
 	}
 }
 
 // newPool returns the pool of a service as it is now; the caller holds the lock.
 func (h *Host) newPool(service string) *pool.Pool {
 	p := &pool.Pool{DataCenter: h.Settings.DataCenter, Idle: h.Connections.Idle}
-	p.Configure(time.Now(), h.inventory.Of(service), h.policy(service))
+	h.configurePool(time.Now(), p, service)
 	return p
 }
 
@@ -145,17 +150,29 @@
 	h.configure(h.inventory.Update(now, h.specs))
 }
 
-// updateShare works out this host's share of what all hosts may do together.
-func (h *Host) updateShare() {
-	members := h.fleet.Members()
+// updateView takes the members of the fleet as they are now.
+func (h *Host) updateView() {
+	view := newFleetView(h.Self.Host(), h.fleet.Members())
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.share = loadShare(h.Self.Host(), members)
+	h.view = view
+}
+
+// followFleet shares what is allowed anew after members came or went.
+func (h *Host) followFleet(ctx context.Context) {
+	for {
+		select {
+		case <-h.fleetChanges:
+			h.fleetChanged()
+			wait(ctx, fleetPause)
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
-// fleetChanged shares what is allowed anew after a member came or went.
 func (h *Host) fleetChanged() {
-	h.updateShare()
+	h.updateView()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	services := make([]string, 0, len(h.pools))
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -228,6 +228,14 @@
 	return h.Difference(ctx, r)
 }
 
+func (p port) Relay(ctx context.Context, address string, r *wire.RelayRequest) (*wire.RelayReply, error) {
+	h, err := p.reach(ctx, address)
+	if err != nil {
+		return nil, &peer.UnreachableError{Address: address, Err: err}
+	}
+	return h.Relay(ctx, r)
+}
+
 // call counts a call to the store and tells whether it arrives.
 func (p port) call(ctx context.Context) error {
 	time.Sleep(hop)
@@ -315,7 +323,7 @@
 			r.highest = t.Version()
 		}
 		r.host.mu.Lock()
-		shares += r.host.policy("s").ExtraSlack
+		shares += r.host.policy(dialPlan{}).ExtraSlack
 		r.host.mu.Unlock()
 	}
 	if len(f.hosts) >= minFleet {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -20,6 +20,7 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/peer"
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
 	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
+	"github.com/foxtailshelf/foxtailshelf/internal/relay"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/routing"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
@@ -76,6 +77,8 @@
 	follower   *mirror.Follower
 	dispatcher *dispatch.Dispatcher
 	journal    *journal
+	// fleetChanges holds a value while members changed that are not taken in yet.
+	fleetChanges chan struct{}
 
 	mu sync.RWMutex
 	// table is nil before the first configuration; its version never falls.
@@ -87,8 +90,7 @@
 	classes   map[string]*pool.Class
 	// meanings holds what each key meant, by key and revision.
 	meanings map[string]meaning
-	// share is this host's part of what all hosts may do together, 0 to 1.
-	share    float64
+	view     fleetView
 	stopping bool
 
 	addressMu sync.Mutex
@@ -105,6 +107,7 @@
 	h.inventory = inventory.New()
 	h.pools = make(map[string]*pool.Pool)
 	h.classes = make(map[string]*pool.Class)
+	h.fleetChanges = make(chan struct{}, 1)
 	h.meanings = make(map[string]meaning)
 	h.addresses = make(map[string][]string)
 	h.ledger = quarantine.NewScatterLedger()
@@ -116,11 +119,11 @@
 	}
 	h.follower.Init()
 	h.dispatcher = &dispatch.Dispatcher{
-		Exchanger: h.Connections, Pool: h.pool, Class: h.class, Blocked: h.blocked, OnCrash: h.crashed, OnAnswered: h.cleared,
+		Exchanger: &relay.Exchanger{Direct: h.Connections, Hosts: h.Hosts}, Pool: h.pool, Class: h.class, Blocked: h.blocked, OnCrash: h.crashed, OnAnswered: h.cleared,
 		OnDecision: h.journal.decided, CallerAllowance: callerAllowance, Group: &h.group,
 	}
 	h.fleet.Listed(listed(h.Settings.Peers))
-	h.updateShare()
+	h.updateView()
 }
 
 // Addresses returns the addresses that callers of a data centre should use.
@@ -184,6 +187,7 @@
 // Run works until the context ends.
 func (h *Host) Run(ctx context.Context) error {
 	h.group.Go(func() { _ = h.fleet.Run(ctx) })
+	h.group.Go(func() { h.followFleet(ctx) })
 	h.group.Go(func() { h.register(ctx) })
 	h.group.Go(func() { h.upkeep(ctx) })
 	return h.follower.Run(ctx)
@@ -205,8 +209,12 @@
 
 // class returns the times of a route's requests; another target starts anew.
 func (h *Host) class(r *routing.Route) *pool.Class {
-	key := r.Name() + " " + r.Target().String()
-	return lookUp(&h.mu, h.classes, key, func() *pool.Class { return pool.NewClass(r.Target(), r.Gathers()) })
+	return h.classOf(r.Name(), r.Target(), r.Gathers())
+}
+
+func (h *Host) classOf(route string, target time.Duration, gathers bool) *pool.Class {
+	key := route + " " + target.String()
+	return lookUp(&h.mu, h.classes, key, func() *pool.Class { return pool.NewClass(target, gathers) })
 }
 
 // pool returns the pool of a service.
--- a/internal/host/journal.go
+++ b/internal/host/journal.go
@@ -29,6 +29,7 @@
 	missing    prometheus.Counter
 	unlogged   prometheus.Counter
 	badRecords prometheus.Counter
+	relayed    *prometheus.CounterVec
 	version    prometheus.Gauge
 }
 
@@ -54,11 +55,14 @@
 		badRecords: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "foxtailshelf_bad_records_total", Help: "Keys of the store that could not be read.",
 		}),
+		relayed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "foxtailshelf_relayed_attempts_total", Help: "Attempts run for hosts that do not dial a service, by result.",
+		}, []string{"result"}),
 		version: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "foxtailshelf_configuration_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	registry.MustRegister(m.answers, m.took, m.attempts, m.missing, m.unlogged, m.badRecords, m.version)
+	registry.MustRegister(m.answers, m.took, m.attempts, m.missing, m.unlogged, m.badRecords, m.relayed, m.version)
 	return m
 }
 
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -144,7 +144,11 @@
 		"member": c.New.Host(), "from": c.Old.State(), "to": c.New.State(), "incarnation": c.New.Incarnation(),
 	}).Info("member changed")
 	if c.Old.Owns() != c.New.Owns() {
-		h.group.Go(h.fleetChanged)
+		select {
+		case h.fleetChanges <- struct{}{}:
+		default:
+			// A change is waiting to be taken in already, and this one with it.
+		}
 	}
 }
 
--- a/internal/host/share.go
+++ b/internal/host/share.go
@@ -10,16 +10,46 @@
 	idleWeight = 0.2
 )
 
+// A fleetView is what one host makes of the members of the fleet. It is immutable.
+type fleetView struct {
+	host    string
+	members []roster.Member
+	// told holds the hosts that callers are told while all members work.
+	told map[string]bool
+	// share is the part of the load of all hosts that this one carries, 0 to 1.
+	share float64
+	// needed is how many connections to one upstream all hosts need together.
+	needed float64
+}
+
+func newFleetView(host string, members []roster.Member) fleetView {
+	told := toldHosts(members)
+	v := fleetView{host: host, members: members, told: told, share: loadShare(host, members, told)}
+	for _, m := range members {
+		if m.Owns() {
+			v.needed += v.need(m)
+		}
+	}
+	return v
+}
+
+// need returns how many connections to one upstream a host needs to dial it.
+func (v fleetView) need(m roster.Member) float64 {
+	if v.told[m.Host()] {
+		return connectionsNeeded
+	}
+	return connectionsNeeded * idleWeight
+}
+
 // loadShare returns the part of the load of all hosts that one is expected to
 // carry, 0 to 1. Bounds that hold for all hosts together are divided by it. All
 // members count, whatever their state: who is cut off from the others cannot know
 // which of them still work.
-func loadShare(host string, members []roster.Member) float64 {
+func loadShare(host string, members []roster.Member, told map[string]bool) float64 {
 	largest := 1
 	for _, m := range members {
 		largest = max(largest, m.Capacity())
 	}
-	told := toldHosts(members)
 	own, total := 0.0, 0.0
 	for _, m := range members {
 		weight := float64(m.Capacity())
--- a/internal/host/share_test.go
+++ b/internal/host/share_test.go
@@ -47,7 +47,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			share := loadShare(test.host, test.members)
+			share := newFleetView(test.host, test.members).share
 			c.Check(share >= test.least-1e-9 && share <= test.most+1e-9, qt.IsTrue, qt.Commentf("%f", share))
 		})
 	}
@@ -71,7 +71,7 @@
 					view[j] = m.With(roster.Dead, m.Incarnation())
 				}
 			}
-			sum += loadShare(self.Host(), view)
+			sum += newFleetView(self.Host(), view).share
 		}
 		c.Assert(sum*slackShare <= 1, qt.IsTrue, qt.Commentf("round %d: %f", round, sum))
 	}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -54,6 +54,8 @@
 	leavingSince time.Time
 	lapsedSince  time.Time
 	coldUntil    time.Time
+	// host is set for a host that runs attempts at the upstreams of the service.
+	host bool
 }
 
 // An Inventory is all upstreams that this host knows. It is not safe for
@@ -71,6 +73,10 @@
 // DataCenter returns the data centre.
 func (u Upstream) DataCenter() string { return u.spec.DataCenter }
 
+// IsHost reports whether this is a host that runs attempts at the upstreams of the
+// service for others.
+func (u Upstream) IsHost() bool { return u.host }
+
 // ID returns the id.
 func (u Upstream) ID() string { return u.spec.ID }
 
@@ -98,6 +104,12 @@
 	return u.spec.ID == other.spec.ID && u.spec.Started == other.spec.Started && u.spec.Address == other.spec.Address
 }
 
+// NewHost returns a host that runs attempts at the upstreams of a service.
+func NewHost(service, address, dataCenter string, slots int) Upstream {
+	spec := UpstreamSpec{ID: address, Service: service, Address: address, DataCenter: dataCenter, Slots: slots}
+	return Upstream{spec: spec, host: true}
+}
+
 // New returns an empty Inventory.
 func New() *Inventory {
 	return &Inventory{upstreams: make(map[string]Upstream)}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -233,17 +233,28 @@
 }
 
 func unary[R any](ctx context.Context, c *Client, address string, call func(context.Context, drpc.Conn) (R, error)) (R, error) {
-	var none R
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	conn, _, err := c.take(ctx, address)
+	return callOnce(ctx, c, address, c.take, call)
+}
+
+// callOnce makes one call over a connection that take returns.
+func callOnce[R any](
+	ctx context.Context, c *Client, address string,
+	take func(ctx context.Context, address string) (*drpcconn.Conn, bool, error), call func(context.Context, drpc.Conn) (R, error),
+) (R, error) {
+	var none R
+	conn, _, err := take(ctx, address)
 	if err != nil {
 		return none, &UnreachableError{Address: address, Err: err}
 	}
 	reply, err := call(ctx, conn)
 	if err != nil {
 		_ = conn.Close()
-		c.retire(address)
+		// A call that was given up says nothing about the other connections.
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			c.retire(address)
+		}
 		return none, &UnreachableError{Address: address, Sent: true, Err: err}
 	}
 	c.give(address, conn)
--- a/internal/peer/hosts.go
+++ b/internal/peer/hosts.go
@@ -6,6 +6,7 @@
 	"net"
 
 	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -17,12 +18,16 @@
 type Hosts interface {
 	Exchange(ctx context.Context, address string, request *wire.ExchangeRequest) (*wire.ExchangeReply, error)
 	Difference(ctx context.Context, address string, request *wire.DifferenceRequest) (*wire.DifferenceReply, error)
+	// Relay ends with the context at the latest. An UnreachableError tells whether
+	// the request was sent.
+	Relay(ctx context.Context, address string, request *wire.RelayRequest) (*wire.RelayReply, error)
 }
 
 // A HostHandler is what a host offers to its peers.
 type HostHandler interface {
 	Exchange(ctx context.Context, request *wire.ExchangeRequest) (*wire.ExchangeReply, error)
 	Difference(ctx context.Context, request *wire.DifferenceRequest) (*wire.DifferenceReply, error)
+	Relay(ctx context.Context, request *wire.RelayRequest) (*wire.RelayReply, error)
 }
 
 // A HostClient is the Hosts over drpc.
@@ -50,6 +55,20 @@
 	})
 }
 
+// Relay implements Hosts.
+func (c *HostClient) Relay(ctx context.Context, address string, request *wire.RelayRequest) (*wire.RelayReply, error) {
+	take := c.client.take
+	if request.GetFresh() {
+		take = func(ctx context.Context, address string) (*drpcconn.Conn, bool, error) {
+			conn, err := dial(ctx, address)
+			return conn, false, err
+		}
+	}
+	return callOnce(ctx, c.client, address, take, func(ctx context.Context, conn drpc.Conn) (*wire.RelayReply, error) {
+		return wire.NewDRPCHostClient(conn).Relay(ctx, request)
+	})
+}
+
 // ServeHost answers calls on a listener until the context ends.
 func ServeHost(ctx context.Context, listener net.Listener, handler HostHandler) error {
 	mux := drpcmux.New()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -23,6 +23,9 @@
 	crossFactor    = 2.8
 	troubledFactor = 1.15
 	crossDelay     = 2 * time.Millisecond
+	// relayedFactor is what an upstream must be faster by than a host that runs
+	// attempts at it for this one: its connections are for those that dial it.
+	relayedFactor = 4.0
 	// failureCost is the share of the target that a failed attempt costs while
 	// all extra attempts are left; without any, a failed attempt is a missing
 	// part, and costs scarceCost more.
@@ -55,7 +58,8 @@
 	ExtraSlack float64
 	// Window is the length of the windows in which extra attempts are counted.
 	Window time.Duration
-	// Connections is the most attempts at once at one upstream.
+	// Connections is the most attempts at once at one upstream, but not at a host
+	// that runs them for this one.
 	Connections int
 }
 
@@ -89,6 +93,8 @@
 	mu      sync.Mutex
 	policy  Policy
 	members []*member
+	// relayed is set if other hosts run attempts at the upstreams for this one.
+	relayed bool
 	extra   *budget.Window
 	// connecting is a moving average of how long new connections take.
 	connecting time.Duration
@@ -112,6 +118,7 @@
 	}
 	p.extra.Resize(policy.ExtraRatio, policy.ExtraSlack)
 	p.policy = policy
+	p.relayed = slices.ContainsFunc(upstreams, inventory.Upstream.IsHost)
 	old := p.members
 	p.members = make([]*member, 0, len(upstreams))
 	for _, u := range upstreams {
@@ -144,7 +151,7 @@
 func (p *Pool) Free(now time.Time, c *Class) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.best(now, c, nil, inventory.InService) != nil || p.best(now, c, nil, inventory.LastResort) != nil
+	return p.best(now, c, anyone, inventory.InService) != nil || p.best(now, c, anyone, inventory.LastResort) != nil
 }
 
 // Known reports whether the service has any upstream that may take work.
@@ -181,12 +188,24 @@
 // ones; nil if there is none. If within is not zero, an upstream that is likely
 // to take longer is as none.
 func (p *Pool) Choose(now time.Time, c *Class, fingerprint uint64, tried []string, within time.Duration) *Pick {
+	return p.choose(now, c, fingerprint, within, func(u inventory.Upstream) bool { return !slices.Contains(tried, u.ID()) })
+}
+
+// ChooseUpstream is Choose for an attempt of another host, which must not be handed
+// on once more.
+func (p *Pool) ChooseUpstream(now time.Time, c *Class, fingerprint uint64, tried []string) *Pick {
+	return p.choose(now, c, fingerprint, 0, func(u inventory.Upstream) bool { return !u.IsHost() && !slices.Contains(tried, u.ID()) })
+}
+
+func (p *Pool) choose(
+	now time.Time, c *Class, fingerprint uint64, within time.Duration, suits func(inventory.Upstream) bool,
+) *Pick {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	usual := c.Usual()
-	best := p.best(now, c, tried, inventory.InService)
+	best := p.best(now, c, suits, inventory.InService)
 	if best == nil {
-		best = p.best(now, c, tried, inventory.LastResort)
+		best = p.best(now, c, suits, inventory.LastResort)
 	}
 	if best == nil || (within > 0 && best.outlook(now, usual) > within) {
 		return nil
@@ -209,7 +228,7 @@
 			continue
 		}
 		o := m.outlook(now, usual)
-		if len(m.running) >= m.limit(now, p.policy.Connections) {
+		if len(m.running) >= p.limit(now, m) {
 			o = fullFactor * max(o, c.target)
 		}
 		if quickest == 0 || o < quickest {
@@ -273,17 +292,17 @@
 }
 
 // best returns the member with the lowest expected time of a standing.
-func (p *Pool) best(now time.Time, c *Class, tried []string, standing inventory.Standing) *member {
+func (p *Pool) best(now time.Time, c *Class, suits func(inventory.Upstream) bool, standing inventory.Standing) *member {
 	var best *member
 	lowest := 0.0
 	factor := troubledFactor
 	if slices.ContainsFunc(p.members, func(m *member) bool {
-		return m.upstream.DataCenter() == p.DataCenter && p.free(now, m, tried, standing) && m.sound(now, c)
+		return m.upstream.DataCenter() == p.DataCenter && p.free(now, m, suits, standing) && m.sound(now, c)
 	}) {
 		factor = crossFactor
 	}
 	for _, m := range p.members {
-		if !p.free(now, m, tried, standing) {
+		if !p.free(now, m, suits, standing) {
 			continue
 		}
 		if s := p.expected(now, m, c, factor); best == nil || s < lowest {
@@ -294,17 +313,34 @@
 }
 
 // free reports whether a member of this standing takes an attempt now.
-func (p *Pool) free(now time.Time, m *member, tried []string, standing inventory.Standing) bool {
+func (p *Pool) free(now time.Time, m *member, suits func(inventory.Upstream) bool, standing inventory.Standing) bool {
 	switch {
-	case m.upstream.Standing(now) != standing || m.down(now) || slices.Contains(tried, m.upstream.ID()):
+	case m.upstream.Standing(now) != standing || m.down(now) || !suits(m.upstream):
 		return false
-	case len(m.running) >= m.limit(now, p.policy.Connections):
+	case len(m.running) >= p.limit(now, m):
 		return false
 	default:
-		return !now.Before(m.noDialUntil) || p.Idle(m.upstream.ID()) > 0
+		return !now.Before(m.noDialUntil) || p.connected(m)
 	}
 }
 
+// limit returns how many attempts at once a member gets.
+func (p *Pool) limit(now time.Time, m *member) int {
+	if m.upstream.IsHost() {
+		return m.upstream.Slots()
+	}
+	return m.limit(now, p.policy.Connections)
+}
+
+// anyone suits every attempt that was nowhere yet.
+func anyone(inventory.Upstream) bool { return true }
+
+// connected reports whether an attempt needs no new connection; those between
+// hosts cost little.
+func (p *Pool) connected(m *member) bool {
+	return m.upstream.IsHost() || p.Idle(m.upstream.ID()) > 0
+}
+
 // expected returns how long an attempt would take, in nanoseconds, with what it
 // costs besides.
 func (p *Pool) expected(now time.Time, m *member, c *Class, factor float64) float64 {
@@ -312,8 +348,11 @@
 	if m.upstream.DataCenter() != p.DataCenter {
 		cost = cost*factor + float64(crossDelay)
 	}
+	if p.relayed && !m.upstream.IsHost() {
+		cost = cost*relayedFactor + float64(p.connecting)
+	}
 	cost += (failureCost + scarceCost*(1-p.extra.Fill(now))) * m.failureRate(now) * float64(c.target)
-	if p.Idle(m.upstream.ID()) == 0 {
+	if !p.connected(m) {
 		cost += float64(p.connecting)
 	}
 	return cost
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -45,6 +45,22 @@
 	Deadline time.Time
 	// Fresh attempts do not use a connection that was used before.
 	Fresh bool
+	// Relay is set if the attempt goes to another host, which chooses the
+	// upstream; UpstreamID and Address are those of the host then.
+	Relay *Relay
+}
+
+// A Relay is what another host needs to know to choose an upstream.
+type Relay struct {
+	Service string
+	// Route, Target and Gathers name the class of requests whose times the
+	// attempt tells of.
+	Route       string
+	Target      time.Duration
+	Gathers     bool
+	Fingerprint uint64
+	// Tried holds the upstreams that have had the request.
+	Tried []string
 }
 
 // A Load is what an upstream says of its load.
@@ -85,6 +101,11 @@
 	Refusal bool
 	// Crowded is set if a new connection was reset: the upstream has too many.
 	Crowded bool
+	// Chosen is the upstream that another host gave the attempt to; empty if it
+	// gave it to none, or if no other host was asked.
+	Chosen string
+	// Unsent is set if another host gave the attempt to no upstream.
+	Unsent bool
 	// Leaving is set if the upstream closes the connection after the answer.
 	Leaving bool
 	Err     error
