Soak: real hosts as processes, with faults from outside

Four processes of foxtail-platform, stand-ins for the store and 39 upstreams, callers that keep their connections; 26 kinds of faults in series and overlapping (kills, stops, pauses, the store down, slow, silent, losing writes and history, hosts deaf to it one way, connections reset, silent, delayed, deaf one way, upstreams slow, hanging, wrong, replaced, drained, configuration and settings changed); then all heal, hosts stop in turn. Checked from what callers and upstreams see: MIXED, UNASKED, ROUTE, TWICE, REFUSED, BUDGET (attempts and windows), DENIED, no version goes back in a lifetime, every host serves the newest version again, nothing is cut off by planned stops.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 TOOL = $(GO) tool -modfile=tools.mod
 
-.PHONY: demo test lint matrix soak bench-policy bench-capacity
+.PHONY: demo test lint matrix soak soak-processes bench-policy bench-capacity
 
 ## demo: start everything on loopback, ask, book, stop; exit code 0 if all went well
 demo:
@@ -26,6 +26,11 @@
 soak:
 	$(GO) test ./internal/fleettest -run TestRandomRuns -count=1 -timeout 60m -v -seeds $(SEEDS)
 
+## soak-processes: real hosts as processes with faults from outside, SEEDS seeds from FIRST on
+FIRST ?= 1
+soak-processes:
+	$(GO) test ./platform -run TestSoak -count=1 -timeout 60m -parallel 4 -soak-seeds $(SEEDS) -soak-first $(FIRST)
+
 ## bench-policy: policies against each other at the sizes of both deployments
 bench-policy:
 	$(GO) test ./internal/fleettest -run TestPolicies -count=1 -timeout 60m -v -policies
--- a/internal/keyvalue/httpstore_test.go
+++ b/internal/keyvalue/httpstore_test.go
@@ -10,7 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
-	"github.com/foxtailshelf/foxtailshelf/internal/silencetest"
+	"github.com/foxtailshelf/foxtailshelf/internal/proxytest"
 	"github.com/foxtailshelf/foxtailshelf/internal/standin"
 )
 
@@ -47,7 +47,7 @@
 	c := qt.New(t)
 	server := httptest.NewServer((&standin.Store{}).Handler())
 	defer server.Close()
-	proxy := silencetest.NewProxy(t, strings.TrimPrefix(server.URL, "http://"))
+	proxy := proxytest.NewProxy(t, strings.TrimPrefix(server.URL, "http://"))
 	store := keyvalue.NewHTTPStore(proxy.Address())
 	written, err := store.CompareAndSwap(context.Background(), "a", []byte("x"), 0)
 	c.Assert(err, qt.IsNil)
--- a/internal/peer/client_test.go
+++ b/internal/peer/client_test.go
@@ -10,7 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/foxtailshelf/foxtailshelf/internal/silencetest"
+	"github.com/foxtailshelf/foxtailshelf/internal/proxytest"
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
 	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
@@ -45,7 +45,7 @@
 }
 
 // connect returns a client and an address whose connections can be silenced.
-func connect(t *testing.T, handler Handler) (*Client, *silencetest.Proxy) {
+func connect(t *testing.T, handler Handler) (*Client, *proxytest.Proxy) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -59,7 +59,7 @@
 		cancel()
 		group.Wait()
 	})
-	return client, silencetest.NewProxy(t, listener.Addr().String())
+	return client, proxytest.NewProxy(t, listener.Addr().String())
 }
 
 func TestSilentConnection(t *testing.T) {
--- a/internal/upstream/httpclient_test.go
+++ b/internal/upstream/httpclient_test.go
@@ -14,7 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/foxtailshelf/foxtailshelf/internal/silencetest"
+	"github.com/foxtailshelf/foxtailshelf/internal/proxytest"
 	"github.com/foxtailshelf/foxtailshelf/internal/snapshot"
 )
 
@@ -85,7 +85,7 @@
 		w.Header().Set(HeaderVersion, "1")
 	}))
 	defer server.Close()
-	proxy := silencetest.NewProxy(t, strings.TrimPrefix(server.URL, "http://"))
+	proxy := proxytest.NewProxy(t, strings.TrimPrefix(server.URL, "http://"))
 	client := NewHTTPClient(proxy.Address(), 2, 25)
 	defer client.Close()
 	run := func(idempotent bool, left time.Duration) error {
