The target of callers that connect for a request counts from before that

An answer that could have been given without its last parts in time came just too late. The first request on a connection leaves a round trip more. Ruled out: placing (0.3 ms), processor, connections to upstreams (1 of 36 new).

TestCallersThatConnected, TestFirstOnConnection.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -44,9 +44,19 @@
 	OnAnswered func(fingerprint uint64)
 	// OnDecision is told what became of each request.
 	OnDecision func(Decision)
-	// CallerAllowance is the part of a target that the way to the caller takes.
-	CallerAllowance time.Duration
-	Group           *work.Group
+	// CallerAllowance is the part of a target that the way to the caller takes,
+	// ConnectAllowance what a connection that the caller makes for a request takes
+	// besides.
+	CallerAllowance, ConnectAllowance time.Duration
+	Group                             *work.Group
+}
+
+// allowance returns the part of the target that a request spends outside this host.
+func (d *Dispatcher) allowance(r *Request) time.Duration {
+	if r.Connected {
+		return d.CallerAllowance + d.ConnectAllowance
+	}
+	return d.CallerAllowance
 }
 
 // Attempt runs one attempt at the upstream of a pick and tells the pool how it
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -253,6 +253,32 @@
 	}
 }
 
+// TestCallersThatConnected leaves out a silent part in time for a caller whose target
+// began with a new connection.
+func TestCallersThatConnected(t *testing.T) {
+	for _, test := range []struct {
+		connected bool
+		took      time.Duration
+	}{{false, 70 * time.Millisecond}, {true, 64 * time.Millisecond}} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			tier := newTier(gather(0.75), func(id string, _ int, _ *upstream.Attempt) reaction {
+				if id[:2] == "s1" {
+					return reaction{silent: true}
+				}
+				return answer(id)
+			})
+			tier.ConnectAllowance = 6 * time.Millisecond
+			started := time.Now()
+			request := &Request{ID: "r", Method: http.MethodGet, Target: "/x", Host: "h", Connected: test.connected}
+			a := tier.Run(context.Background(), request, tier.route, 1)
+			c.Check(a.Status, qt.Equals, http.StatusOK)
+			c.Check(time.Since(started), qt.Equals, test.took)
+			tier.Group.Wait()
+		})
+	}
+}
+
 func TestSingle(t *testing.T) {
 	failure := func(status int) reaction {
 		return reaction{after: run, ending: upstream.Ending{Result: upstream.Answered, Response: upstream.Response{
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -43,7 +43,7 @@
 	}
 	f := &flight{
 		dispatcher: d, request: request, route: route, class: d.Class(route), fingerprint: request.fingerprint(),
-		started: now, due: now.Add(route.Target() - d.CallerAllowance), end: now.Add(left),
+		started: now, due: now.Add(route.Target() - d.allowance(request)), end: now.Add(left),
 	}
 	for _, s := range route.Next() {
 		f.parts = append(f.parts, &part{service: s, pool: d.Pool(s)})
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -42,6 +42,9 @@
 	Body   []byte
 	// Left is how long the caller waits; zero if it does not say.
 	Left time.Duration
+	// Connected is set if the caller made a connection for this request; its target
+	// counts from before that.
+	Connected bool
 }
 
 // An Answer is what the caller gets.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -28,9 +28,11 @@
 )
 
 const (
-	// callerAllowance is the part of a target that the way to the caller and
-	// back takes: a few milliseconds each way, and the caller's own handling.
-	callerAllowance = 9 * time.Millisecond
+	// callerRoundTrip is the way to a caller and back, a few milliseconds each way.
+	callerRoundTrip = 6 * time.Millisecond
+	// callerHandling is what a request spends with the caller and in queues of the
+	// network besides.
+	callerHandling = 3 * time.Millisecond
 	// upkeepPeriod is how often idle connections and lapsed upstreams are
 	// looked through.
 	upkeepPeriod = time.Second
@@ -120,7 +122,8 @@
 	h.follower.Init()
 	h.dispatcher = &dispatch.Dispatcher{
 		Exchanger: &relay.Exchanger{Direct: h.Connections, Hosts: h.Hosts}, Pool: h.pool, Class: h.class, Blocked: h.blocked, OnCrash: h.crashed, OnAnswered: h.cleared,
-		OnDecision: h.journal.decided, CallerAllowance: callerAllowance, Group: &h.group,
+		OnDecision: h.journal.decided, CallerAllowance: callerRoundTrip + callerHandling,
+		ConnectAllowance: callerRoundTrip, Group: &h.group,
 	}
 	h.fleet.Listed(listed(h.Settings.Peers))
 	h.updateView()
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -12,6 +12,7 @@
 	"net/http/pprof"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -201,10 +202,26 @@
 	}
 }
 
+// connectionKey is the key of the *atomic.Bool of a connection that is set once a
+// request has come on it.
+type connectionKey struct{}
+
+// FirstOnConnection reports whether a request that HTTPTask serves is the first on
+// its connection. It must be asked once a request.
+func FirstOnConnection(ctx context.Context) bool {
+	used, ok := ctx.Value(connectionKey{}).(*atomic.Bool)
+	return ok && !used.Swap(true)
+}
+
 // ServeHTTP serves a handler on a listener until the context ends, and then
 // finishes the requests in flight.
 func ServeHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderSize}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderSize,
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, &atomic.Bool{})
+		},
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		err := server.Serve(listener)
--- /dev/null
+++ b/internal/process/process_test.go
@@ -0,0 +1,42 @@
+package process
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
+)
+
+// TestFirstOnConnection tells requests that came with a connection of their own
+// from those on a kept one.
+func TestFirstOnConnection(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	var first []bool
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		first = append(first, FirstOnConnection(r.Context()))
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var group work.Group
+	group.Go(func() { _ = ServeHTTP(ctx, listener, handler) })
+	transport := &http.Transport{}
+	for i := range 4 {
+		if i == 2 {
+			transport.CloseIdleConnections()
+		}
+		request, _ := http.NewRequest(http.MethodGet, "http://"+listener.Addr().String(), nil)
+		response, err := transport.RoundTrip(request)
+		c.Assert(err, qt.IsNil)
+		c.Assert(response.Body.Close(), qt.IsNil)
+	}
+	transport.CloseIdleConnections()
+	cancel()
+	group.Wait()
+	c.Check(first, qt.DeepEquals, []bool{true, false, true, false})
+	c.Check(FirstOnConnection(context.Background()), qt.IsFalse)
+}
