--- a/internal/entry/book.go
+++ b/internal/entry/book.go
@@ -11,6 +11,7 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/booking"
 	"github.com/foxtailshelf/foxtailshelf/internal/claims"
 	"github.com/foxtailshelf/foxtailshelf/internal/query"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
 
 const (
@@ -54,7 +55,7 @@
 		case booking.Write:
 			b.step(ctx, b.write(ctx, a))
 		case booking.ReadBack:
-			sleep(ctx, readPause)
+			work.Sleep(ctx, readPause)
 			b.step(ctx, b.read(ctx))
 		case booking.Run:
 			b.step(ctx, b.run(ctx, a.Record))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -83,7 +83,7 @@
 	e.leaving = true
 	e.mu.Unlock()
 	e.refreshView(ctx)
-	sleep(ctx, withdrawTime+e.AddressTime)
+	work.Sleep(ctx, withdrawTime+e.AddressTime)
 	select {
 	case <-e.inFlight.Idle():
 	case <-ctx.Done():
@@ -141,10 +141,3 @@
 	}
 	return b
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -10,6 +10,7 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/peer"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
 
 const (
@@ -115,7 +116,7 @@
 func (e *Entry) followView(ctx context.Context) error {
 	for ctx.Err() == nil {
 		e.refreshView(ctx)
-		sleep(ctx, viewPeriod)
+		work.Sleep(ctx, viewPeriod)
 	}
 	return nil
 }
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -13,6 +13,7 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/catalog"
 	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
 	"github.com/foxtailshelf/foxtailshelf/internal/peer"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
 
 const (
@@ -155,7 +156,7 @@
 			return
 		}
 		f.warn(storeErr, "no source of the catalog yet")
-		sleep(ctx, retryPause)
+		work.Sleep(ctx, retryPause)
 	}
 }
 
@@ -225,7 +226,7 @@
 		case err := <-done:
 			if err != nil && ctx.Err() == nil {
 				f.warn(err, "catalog watch failed")
-				sleep(ctx, retryPause)
+				work.Sleep(ctx, retryPause)
 			}
 			return
 		case <-ctx.Done():
@@ -249,7 +250,7 @@
 		}
 		entry, err = f.Store.Watch(ctx, HeadKey, entry.Revision(), watchWait)
 		if errors.As(err, &missing) {
-			sleep(ctx, retryPause)
+			work.Sleep(ctx, retryPause)
 			err = nil
 		}
 		if err != nil {
@@ -275,10 +276,3 @@
 		f.Log.WithError(err).Warn(message)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -132,7 +132,7 @@
 	g.Timeline.Add("leave", "", "gate withdraws")
 	g.rosterStep(roster.Leave{})
 	g.announce(ctx)
-	wait(ctx, leaveTime)
+	work.Sleep(ctx, leaveTime)
 	select {
 	case <-g.inFlight.Idle():
 	case <-ctx.Done():
@@ -310,7 +310,7 @@
 			}
 			o.pollReports(ctx)
 		}
-		wait(ctx, reportPeriod)
+		work.Sleep(ctx, reportPeriod)
 	}
 	return nil
 }
@@ -321,10 +321,3 @@
 	}
 	g.group.Wait()
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/gate/membership.go
+++ b/internal/gate/membership.go
@@ -13,6 +13,7 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
 
 const (
@@ -152,7 +153,7 @@
 		if hosts, err := g.Hosts.Hosts(ctx); err == nil {
 			g.rosterStep(roster.HostsListed{Hosts: listedMembers(hosts)})
 		}
-		wait(ctx, listPeriod)
+		work.Sleep(ctx, listPeriod)
 	}
 	return nil
 }
@@ -233,7 +234,7 @@
 		g.checkPause(time.Now())
 		g.rosterStep(roster.Tick{})
 		g.touchStore()
-		wait(ctx, tickPeriod)
+		work.Sleep(ctx, tickPeriod)
 	}
 	return nil
 }
--- a/internal/gate/sweep.go
+++ b/internal/gate/sweep.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/booking"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
 
 // sweepPeriod is how often claims that cannot be used any more are deleted.
@@ -14,7 +15,7 @@
 // no harm if several do it.
 func (g *Gate) sweepClaims(ctx context.Context) error {
 	for ctx.Err() == nil {
-		wait(ctx, sweepPeriod)
+		work.Sleep(ctx, sweepPeriod)
 		if ctx.Err() != nil || !g.watches() {
 			continue
 		}
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -10,6 +10,7 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/routing"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
 
 const (
@@ -165,7 +166,7 @@
 		select {
 		case <-h.fleetChanges:
 			h.fleetChanged()
-			wait(ctx, fleetPause)
+			work.Sleep(ctx, fleetPause)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -168,12 +168,7 @@
 	h.stopping = true
 	h.mu.Unlock()
 	h.group.Go(func() { h.fleet.Leave(ctx) })
-	timer := time.NewTimer(h.Settings.ServeTime())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	work.Sleep(ctx, h.Settings.ServeTime())
 }
 
 // Ready returns an empty string or why this host is not ready.
--- a/internal/host/registration.go
+++ b/internal/host/registration.go
@@ -10,6 +10,7 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/peer"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
 
 const (
@@ -31,7 +32,7 @@
 			h.Log.WithError(err).Debug("registration not renewed")
 		}
 		lease = next
-		wait(ctx, renewPeriod)
+		work.Sleep(ctx, renewPeriod)
 	}
 }
 
@@ -72,12 +73,3 @@
 	}
 	return listedMember(address, m.GetDataCenter(), int(m.GetCapacity()))
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
 
 const (
@@ -152,7 +153,7 @@
 	for ctx.Err() == nil {
 		if !f.Watches(f.Age()) {
 			listed = false
-			pause(ctx, idlePause)
+			work.Sleep(ctx, idlePause)
 			continue
 		}
 		err := f.follow(ctx, listed)
@@ -165,7 +166,7 @@
 			failed = failurePause
 		}
 		if err != nil {
-			pause(ctx, failed)
+			work.Sleep(ctx, failed)
 			failed = min(2*failed, maxFailurePause)
 		}
 	}
@@ -205,7 +206,7 @@
 	}
 	changed := f.update(0, func(m *Mirror) bool { return m.Apply(changes, revision) })
 	if changed {
-		pause(ctx, batchPause)
+		work.Sleep(ctx, batchPause)
 	}
 	return nil
 }
@@ -269,12 +270,3 @@
 	}
 	f.Take(d)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/internal/work/sleep.go
@@ -0,0 +1,16 @@
+package work
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for a time, or until the context ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
