Last attempts avoid failing upstreams; late parts are asked when others failed

The second attempt of a shard went to a near failing upstream while extra attempts were left. Now what the last attempt of a request loses counts in full, and parts that were left out as late are asked when the answer needs them. max_attempts stays the bound.

TestLastAttemptAvoidsFailingUpstreams, TestLatePartIsAskedWhenAnotherFails (fails before). Choosing an upstream takes one Need; names of the mirror and the proxy of the tests are the usual ones.

--- a/internal/dispatch/conclude.go
+++ b/internal/dispatch/conclude.go
@@ -52,6 +52,8 @@
 	switch {
 	case answered >= least && (open == 0 || !now.Before(f.due)):
 		return f.gathered(), true
+	case answered+open < least && f.reviveLate(now, least-answered-open):
+		return Answer{}, false
 	case answered+open < least:
 		return f.failed(reason), true
 	case !now.Before(f.end):
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -382,7 +382,7 @@
 		tier := newTier(gather(0.75), func(id string, _ int, _ *upstream.Attempt) reaction { return answer(id) })
 		class := pool.NewClass(target, true)
 		for _, s := range []string{"s0", "s1"} {
-			for tier.pools[s].Choose(time.Now(), class, 0, nil, 0) != nil {
+			for tier.pools[s].Choose(time.Now(), pool.Need{Class: class}) != nil {
 			}
 		}
 		a, took := tier.ask(context.Background())
@@ -400,10 +400,10 @@
 		c := qt.New(t)
 		tier := newTier(gather(0.75), func(id string, _ int, _ *upstream.Attempt) reaction { return answer(id) })
 		class := pool.NewClass(target, true)
-		for tier.pools["s0"].Choose(time.Now(), class, 0, nil, 0) != nil {
+		for tier.pools["s0"].Choose(time.Now(), pool.Need{Class: class}) != nil {
 		}
 		for range 6 {
-			c.Assert(tier.pools["s1"].Choose(time.Now(), class, 0, nil, 0), qt.IsNotNil)
+			c.Assert(tier.pools["s1"].Choose(time.Now(), pool.Need{Class: class}), qt.IsNotNil)
 		}
 		time.Sleep(10 * target)
 		for i := range 20 {
@@ -414,6 +414,32 @@
 	})
 }
 
+// TestLatePartIsAskedWhenAnotherFails leaves one of four parts out as late, while the
+// upstreams of another one lose both of its attempts: three parts are needed, so that
+// the late one is asked after all.
+func TestLatePartIsAskedWhenAnotherFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		tier := newTier(gather(0.75), func(id string, _ int, _ *upstream.Attempt) reaction {
+			if id[:2] == "s0" {
+				return endedWith(upstream.Broken)
+			}
+			return answer(id)
+		})
+		class := pool.NewClass(target, true)
+		for range 6 {
+			c.Assert(tier.pools["s1"].Choose(time.Now(), pool.Need{Class: class}), qt.IsNotNil)
+		}
+		time.Sleep(10 * target)
+		for i := range 20 {
+			a := tier.Run(context.Background(), &Request{ID: fmt.Sprint(i), Method: http.MethodGet, Target: fmt.Sprint("/", i), Host: "h"}, tier.route, 1)
+			c.Check(a.Status, qt.Equals, http.StatusOK, qt.Commentf("request %d", i))
+			c.Check(a.Missing, qt.Equals, 1)
+		}
+		tier.Group.Wait()
+	})
+}
+
 // TestShardThatCannotCarryTheLoad asks 100 times a second where the upstreams of
 // one shard of four run 60 times a second at most, one after the other. Without
 // leaving that shard out of some answers, its queue grows until all are late.
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -46,7 +46,7 @@
 		started: now, due: now.Add(route.Target() - d.allowance(request)), end: now.Add(left),
 	}
 	for _, s := range route.Next() {
-		f.parts = append(f.parts, &part{service: s, pool: d.Pool(s)})
+		f.parts = append(f.parts, &part{service: s, pool: d.Pool(s), since: now})
 	}
 	f.ended = make(chan ended, len(f.parts)*maxSends)
 	return f
--- a/internal/dispatch/part.go
+++ b/internal/dispatch/part.go
@@ -16,6 +16,8 @@
 	// sent counts all attempts, arrived those that may have reached an
 	// upstream, ran those that an upstream may have run, running those under way.
 	sent, arrived, ran, running int
+	// since is when the part began to wait for its first attempt.
+	since time.Time
 	// wanted is set while the part needs an attempt and has none under way.
 	wanted bool
 	// lateAt is when another upstream is asked as well.
@@ -34,6 +36,11 @@
 	p.wanted = false
 }
 
+// revive takes back that a part was given up before it started.
+func (p *part) revive(now time.Time) {
+	p.reason, p.wanted, p.since = ReasonNone, true, now
+}
+
 // settled reports whether the part needs nothing any more.
 func (p *part) settled() bool {
 	return p.answer != nil || p.reason != ReasonNone
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/pool"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 )
 
@@ -53,7 +54,7 @@
 	}
 	// A late part is better than no answer.
 	for ; free < f.route.MinParts() && free+len(spared) >= f.route.MinParts(); free++ {
-		spared[0].reason, spared[0].wanted = ReasonNone, true
+		spared[0].revive(now)
 		spared = spared[1:]
 	}
 	if free >= f.route.MinParts() {
@@ -107,7 +108,7 @@
 		return ReasonFailed
 	case !p.pool.Known(now):
 		return ReasonNoUpstream
-	case p.sent == 0 && now.Sub(f.started) > time.Duration(waitShare*float64(f.route.Target())):
+	case p.sent == 0 && now.Sub(p.since) > time.Duration(waitShare*float64(f.route.Target())):
 		return ReasonBusy
 	default:
 		return ReasonNone
@@ -129,7 +130,10 @@
 // start gives an attempt of a part to an upstream; it reports whether there was
 // one.
 func (f *flight) start(ctx context.Context, now time.Time, p *part, extra bool, within time.Duration) bool {
-	pick := p.pool.Choose(now, f.class, f.fingerprint, p.tried, within)
+	last := p.ran+1 >= f.route.Attempts() || !f.route.Idempotent()
+	pick := p.pool.Choose(now, pool.Need{
+		Class: f.class, Fingerprint: f.fingerprint, Tried: p.tried, Within: within, Last: last,
+	})
 	if pick == nil {
 		return false
 	}
@@ -148,7 +152,7 @@
 	if pick.Upstream.IsHost() {
 		attempt.Relay = &upstream.Relay{
 			Service: p.service, Route: f.route.Name(), Target: f.route.Target(), Gathers: f.route.Gathers(),
-			Fingerprint: f.fingerprint, Tried: slices.Clone(p.tried),
+			Fingerprint: f.fingerprint, Tried: slices.Clone(p.tried), Last: last,
 		}
 	}
 	started := f.dispatcher.Group.Go(func() { f.attempt(ctx, p, pick, attempt, extra) })
@@ -183,6 +187,24 @@
 	}
 }
 
+// reviveLate takes back that parts were left out as late, as far as the answer
+// needs them after others failed; it reports whether there may be an answer then.
+func (f *flight) reviveLate(now time.Time, count int) bool {
+	var spared []*part
+	for _, p := range f.parts {
+		if p.reason == ReasonLate && p.pool.Free(now, f.class) {
+			spared = append(spared, p)
+		}
+	}
+	if len(spared) < count {
+		return false
+	}
+	for _, p := range spared[:count] {
+		p.revive(now)
+	}
+	return true
+}
+
 // draw returns a number from 0 to 1 that differs from request to request.
 func (f *flight) draw() float64 {
 	const fraction = 1 << 53
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
+	"github.com/foxtailshelf/foxtailshelf/internal/pool"
 	"github.com/foxtailshelf/foxtailshelf/internal/relay"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
@@ -53,7 +54,9 @@
 	attempt := relay.DecodeAttempt(time.Now(), r)
 	p := h.pool(r.GetService())
 	class := h.classOf(r.GetRoute(), time.Duration(r.GetTargetMicros())*time.Microsecond, r.GetGathers())
-	pick := p.ChooseUpstream(time.Now(), class, r.GetFingerprint(), r.GetTried())
+	pick := p.Choose(time.Now(), pool.Need{
+		Class: class, Fingerprint: r.GetFingerprint(), Tried: r.GetTried(), Last: r.GetLast(), Direct: true,
+	})
 	if pick == nil {
 		h.Metrics.relayed.WithLabelValues(resultName(upstream.Refused)).Inc()
 		err := fmt.Errorf("host %s: no upstream is free", h.Self.Host())
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -21,10 +21,10 @@
 	// forgotten is the highest revision of a removal that was dropped from
 	// removals.
 	forgotten uint64
-	// Keys that came and went between blindFrom and blindTo are not known: the copy
+	// Keys that came and went between gapFrom and gapTo are not known: the copy
 	// was read as a whole then.
-	blindFrom, blindTo uint64
-	revision           uint64
+	gapFrom, gapTo uint64
+	revision       uint64
 }
 
 // New returns an empty Mirror.
@@ -50,7 +50,7 @@
 // Difference returns what changed after a revision; whole is set if it is all
 // there is, because not all removals after that revision are known.
 func (m *Mirror) Difference(have uint64) (changes []keyvalue.Change, whole bool) {
-	whole = have < m.forgotten || have == 0 || (have > m.blindFrom && have < m.blindTo)
+	whole = have < m.forgotten || have == 0 || (have > m.gapFrom && have < m.gapTo)
 	for _, r := range m.records {
 		if whole || r.Revision() > have {
 			changes = append(changes, r)
@@ -79,7 +79,7 @@
 	if revision < m.revision {
 		return m.Apply(all, revision)
 	}
-	m.blind(revision)
+	m.noteGap(revision)
 	listed := make(map[string]bool, len(all))
 	for _, c := range all {
 		listed[c.Key()] = true
@@ -97,12 +97,12 @@
 // Revision returns the revision up to which the copy is complete.
 func (m *Mirror) Revision() uint64 { return m.revision }
 
-// blind notes that what happens up to a revision is skipped.
-func (m *Mirror) blind(revision uint64) {
-	if m.blindTo == 0 {
-		m.blindFrom = m.revision
+// noteGap notes that what happened up to a revision was not seen.
+func (m *Mirror) noteGap(revision uint64) {
+	if m.gapTo == 0 {
+		m.gapFrom = m.revision
 	}
-	m.blindFrom, m.blindTo = min(m.blindFrom, m.revision), max(m.blindTo, revision)
+	m.gapFrom, m.gapTo = min(m.gapFrom, m.revision), max(m.gapTo, revision)
 }
 
 func (m *Mirror) apply(c keyvalue.Change) bool {
--- a/internal/mirror/model_test.go
+++ b/internal/mirror/model_test.go
@@ -77,7 +77,7 @@
 	for i, m := range s.copies {
 		s.copies[i] = &Mirror{
 			records: maps.Clone(m.records), removals: maps.Clone(m.removals), forgotten: m.forgotten, revision: m.revision,
-			blindFrom: m.blindFrom, blindTo: m.blindTo,
+			gapFrom: m.gapFrom, gapTo: m.gapTo,
 		}
 	}
 	s.messages = slices.Clone(s.messages)
@@ -217,7 +217,7 @@
 		for _, key := range modelKeys {
 			b = append(b, byte(m.records[key].Revision()), byte(m.removals[key]))
 		}
-		b = append(b, byte(m.revision), byte(m.blindFrom), byte(m.blindTo))
+		b = append(b, byte(m.revision), byte(m.gapFrom), byte(m.gapTo))
 	}
 	messages := make([]string, 0, len(s.messages))
 	for _, m := range s.messages {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -27,8 +27,8 @@
 	// attempts at it for this one: its connections are for those that dial it.
 	relayedFactor = 4.0
 	// failureCost is the share of the target that a failed attempt costs while
-	// all extra attempts are left; without any, a failed attempt is a missing
-	// part, and costs scarceCost more.
+	// all extra attempts are left; without any, or after the last attempt that a
+	// request may have, it is a missing part, and costs scarceCost more.
 	failureCost = 0.3
 	scarceCost  = 1.2
 	// connectCost is assumed for a new connection until one was made.
@@ -63,6 +63,21 @@
 	Connections int
 }
 
+// A Need is what an attempt asks of its upstream.
+type Need struct {
+	Class *Class
+	// Fingerprint is the request, for telling which one crashes upstreams.
+	Fingerprint uint64
+	// Tried holds the upstreams that have had the request.
+	Tried []string
+	// Within is how long the attempt may be expected to take; zero for any time.
+	Within time.Duration
+	// Last is set if no other attempt may follow: what it fails is lost.
+	Last bool
+	// Direct is set if the attempt must not go to another host.
+	Direct bool
+}
+
 // A Pick is an attempt that was given to an upstream.
 type Pick struct {
 	// Upstream is who runs the attempt.
@@ -151,7 +166,8 @@
 func (p *Pool) Free(now time.Time, c *Class) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.best(now, c, anyone, inventory.InService) != nil || p.best(now, c, anyone, inventory.LastResort) != nil
+	n := Need{Class: c}
+	return p.best(now, n, inventory.InService) != nil || p.best(now, n, inventory.LastResort) != nil
 }
 
 // Known reports whether the service has any upstream that may take work.
@@ -184,33 +200,19 @@
 	p.extra.Refund(now)
 }
 
-// Choose gives an attempt to the best upstream that is not among the tried
-// ones; nil if there is none. If within is not zero, an upstream that is likely
-// to take longer is as none.
-func (p *Pool) Choose(now time.Time, c *Class, fingerprint uint64, tried []string, within time.Duration) *Pick {
-	return p.choose(now, c, fingerprint, within, func(u inventory.Upstream) bool { return !slices.Contains(tried, u.ID()) })
-}
-
-// ChooseUpstream is Choose for an attempt of another host, which must not be handed
-// on once more.
-func (p *Pool) ChooseUpstream(now time.Time, c *Class, fingerprint uint64, tried []string) *Pick {
-	return p.choose(now, c, fingerprint, 0, func(u inventory.Upstream) bool { return !u.IsHost() && !slices.Contains(tried, u.ID()) })
-}
-
-func (p *Pool) choose(
-	now time.Time, c *Class, fingerprint uint64, within time.Duration, suits func(inventory.Upstream) bool,
-) *Pick {
+// Choose gives an attempt to the best upstream that suits it; nil if there is none.
+func (p *Pool) Choose(now time.Time, n Need) *Pick {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	usual := c.Usual()
-	best := p.best(now, c, suits, inventory.InService)
+	usual := n.Class.Usual()
+	best := p.best(now, n, inventory.InService)
 	if best == nil {
-		best = p.best(now, c, suits, inventory.LastResort)
+		best = p.best(now, n, inventory.LastResort)
 	}
-	if best == nil || (within > 0 && best.outlook(now, usual) > within) {
+	if best == nil || (n.Within > 0 && best.outlook(now, usual) > n.Within) {
 		return nil
 	}
-	pick := &Pick{Upstream: best.upstream, member: best, class: c, usual: usual, started: now, fingerprint: fingerprint}
+	pick := &Pick{Upstream: best.upstream, member: best, class: n.Class, usual: usual, started: now, fingerprint: n.Fingerprint}
 	best.running = append(best.running, pick)
 	return pick
 }
@@ -292,20 +294,20 @@
 }
 
 // best returns the member with the lowest expected time of a standing.
-func (p *Pool) best(now time.Time, c *Class, suits func(inventory.Upstream) bool, standing inventory.Standing) *member {
+func (p *Pool) best(now time.Time, n Need, standing inventory.Standing) *member {
 	var best *member
 	lowest := 0.0
 	factor := troubledFactor
 	if slices.ContainsFunc(p.members, func(m *member) bool {
-		return m.upstream.DataCenter() == p.DataCenter && p.free(now, m, suits, standing) && m.sound(now, c)
+		return m.upstream.DataCenter() == p.DataCenter && p.free(now, m, n, standing) && m.sound(now, n.Class)
 	}) {
 		factor = crossFactor
 	}
 	for _, m := range p.members {
-		if !p.free(now, m, suits, standing) {
+		if !p.free(now, m, n, standing) {
 			continue
 		}
-		if s := p.expected(now, m, c, factor); best == nil || s < lowest {
+		if s := p.expected(now, m, n, factor); best == nil || s < lowest {
 			best, lowest = m, s
 		}
 	}
@@ -313,9 +315,11 @@
 }
 
 // free reports whether a member of this standing takes an attempt now.
-func (p *Pool) free(now time.Time, m *member, suits func(inventory.Upstream) bool, standing inventory.Standing) bool {
+func (p *Pool) free(now time.Time, m *member, n Need, standing inventory.Standing) bool {
 	switch {
-	case m.upstream.Standing(now) != standing || m.down(now) || !suits(m.upstream):
+	case m.upstream.Standing(now) != standing || m.down(now) || slices.Contains(n.Tried, m.upstream.ID()):
+		return false
+	case n.Direct && m.upstream.IsHost():
 		return false
 	case len(m.running) >= p.limit(now, m):
 		return false
@@ -332,9 +336,6 @@
 	return m.limit(now, p.policy.Connections)
 }
 
-// anyone suits every attempt that was nowhere yet.
-func anyone(inventory.Upstream) bool { return true }
-
 // connected reports whether an attempt needs no new connection; those between
 // hosts cost little.
 func (p *Pool) connected(m *member) bool {
@@ -343,15 +344,19 @@
 
 // expected returns how long an attempt would take, in nanoseconds, with what it
 // costs besides.
-func (p *Pool) expected(now time.Time, m *member, c *Class, factor float64) float64 {
-	cost := float64(m.outlook(now, c.Usual()))
+func (p *Pool) expected(now time.Time, m *member, n Need, factor float64) float64 {
+	cost := float64(m.outlook(now, n.Class.Usual()))
 	if m.upstream.DataCenter() != p.DataCenter {
 		cost = cost*factor + float64(crossDelay)
 	}
 	if p.relayed && !m.upstream.IsHost() {
 		cost = cost*relayedFactor + float64(p.connecting)
 	}
-	cost += (failureCost + scarceCost*(1-p.extra.Fill(now))) * m.failureRate(now) * float64(c.target)
+	scarcity := 1 - p.extra.Fill(now)
+	if n.Last {
+		scarcity = 1
+	}
+	cost += (failureCost + scarceCost*scarcity) * m.failureRate(now) * float64(n.Class.target)
 	if !p.connected(m) {
 		cost += float64(p.connecting)
 	}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -57,7 +58,7 @@
 
 // run gives one attempt to the best upstream and ends it.
 func (f *fixture) run(end func(id string) (upstream.Ending, time.Duration)) string {
-	p := f.Choose(f.now, f.class, 0, nil, 0)
+	p := f.Choose(f.now, Need{Class: f.class})
 	if p == nil {
 		return ""
 	}
@@ -114,15 +115,41 @@
 func TestStuckUpstreamIsPassedOver(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(policy())
-	stuck := f.Choose(f.now, f.class, 0, nil, 0)
+	stuck := f.Choose(f.now, Need{Class: f.class})
 	c.Assert(stuck.Upstream.ID(), qt.Equals, "a")
 	f.now = f.now.Add(3 * usual)
-	c.Check(f.Choose(f.now, f.class, 0, nil, 0).Upstream.ID(), qt.Not(qt.Equals), "a")
+	c.Check(f.Choose(f.now, Need{Class: f.class}).Upstream.ID(), qt.Not(qt.Equals), "a")
 	f.Done(f.now.Add(usual), stuck, upstream.Ending{Result: upstream.Answered, Response: upstream.Response{Status: 200}})
 	f.now = f.now.Add(5 * time.Second)
 	c.Check(f.run(answered), qt.Equals, "a", qt.Commentf("what was slow is tried again"))
 }
 
+// TestLastAttemptAvoidsFailingUpstreams lets the near upstream lose half of its
+// answers while all extra attempts are left and the others are slower: first attempts
+// go there, but not the last one that a request has.
+func TestLastAttemptAvoidsFailingUpstreams(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(policy())
+	for range 100 {
+		f.Earn(f.now)
+	}
+	attempt := func(id string, took time.Duration, e upstream.Ending) {
+		others := slices.DeleteFunc([]string{"a", "b", "c"}, func(o string) bool { return o == id })
+		p := f.Choose(f.now, Need{Class: f.class, Tried: others})
+		f.now = f.now.Add(took)
+		f.Done(f.now, p, e)
+	}
+	good, _ := answered("")
+	for range 10 {
+		attempt("a", usual, good)
+		attempt("a", usual, upstream.Ending{Result: upstream.Broken})
+		attempt("b", 3*usual, good)
+		attempt("c", 3*usual, good)
+	}
+	c.Check(f.Choose(f.now, Need{Class: f.class}).Upstream.ID(), qt.Equals, "a")
+	c.Check(f.Choose(f.now, Need{Class: f.class, Last: true}).Upstream.ID(), qt.Not(qt.Equals), "a")
+}
+
 // TestPausedUpstreamIsKept lets the near upstream pause once: it gets the next
 // attempts all the same. If it stays slow, others get them after a few.
 func TestPausedUpstreamIsKept(t *testing.T) {
@@ -168,7 +195,7 @@
 		f.run(refused)
 	}
 	c.Check(f.Known(f.now), qt.IsFalse)
-	c.Check(f.Choose(f.now, f.class, 0, nil, 0), qt.IsNil)
+	c.Check(f.Choose(f.now, Need{Class: f.class}), qt.IsNil)
 }
 
 // TestCrowdedUpstreamIsNotLost resets a new connection: the upstream gets no new
@@ -182,14 +209,14 @@
 	for _, id := range []string{"a", "b", "c"} {
 		c.Assert(f.run(func(string) (upstream.Ending, time.Duration) { return crowded, 0 }), qt.Equals, id)
 	}
-	c.Check(f.Choose(f.now, f.class, 0, nil, 0), qt.IsNil)
+	c.Check(f.Choose(f.now, Need{Class: f.class}), qt.IsNil)
 	c.Check(f.Known(f.now), qt.IsTrue)
 	idle = 1
-	first := f.Choose(f.now, f.class, 0, []string{"b", "c"}, 0)
+	first := f.Choose(f.now, Need{Class: f.class, Tried: []string{"b", "c"}})
 	c.Assert(first, qt.IsNotNil, qt.Commentf("a kept connection may be used"))
-	c.Check(f.Choose(f.now, f.class, 0, []string{"b", "c"}, 0), qt.IsNil, qt.Commentf("one at once"))
+	c.Check(f.Choose(f.now, Need{Class: f.class, Tried: []string{"b", "c"}}), qt.IsNil, qt.Commentf("one at once"))
 	f.now = f.now.Add(2 * roomPeriod)
-	c.Check(f.Choose(f.now, f.class, 0, []string{"b", "c"}, 0), qt.IsNotNil)
+	c.Check(f.Choose(f.now, Need{Class: f.class, Tried: []string{"b", "c"}}), qt.IsNotNil)
 }
 
 // TestCrashIsTold tells which requests ran where an upstream died, and nothing
@@ -197,9 +224,9 @@
 func TestCrashIsTold(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(policy())
-	p := f.Choose(f.now, f.class, 7, nil, 0)
+	p := f.Choose(f.now, Need{Class: f.class, Fingerprint: 7})
 	c.Check(f.Done(f.now, p, upstream.Ending{Result: upstream.Broken}), qt.IsNil)
-	q := f.Choose(f.now, f.class, 8, []string{"b", "c"}, 0)
+	q := f.Choose(f.now, Need{Class: f.class, Fingerprint: 8, Tried: []string{"b", "c"}})
 	crash := f.Done(f.now.Add(time.Millisecond), q, upstream.Ending{Result: upstream.Unreachable, Refusal: true})
 	c.Assert(crash, qt.IsNotNil)
 	c.Check(*crash, qt.DeepEquals, Crash{Upstream: "a", Fingerprints: []uint64{7}})
@@ -276,7 +303,7 @@
 		f.now = f.now.Add(time.Duration(random.IntN(5000)) * time.Microsecond)
 		if random.IntN(2) == 0 || len(running) == 0 {
 			tried := []string{string(rune('a' + random.IntN(3)))}
-			if p := f.Choose(f.now, f.class, 0, tried, 0); p != nil {
+			if p := f.Choose(f.now, Need{Class: f.class, Tried: tried}); p != nil {
 				c.Assert(p.Upstream.ID(), qt.Not(qt.Equals), tried[0])
 				running = append(running, p)
 				count[p.Upstream.ID()]++
--- a/internal/proxytest/proxy.go
+++ b/internal/proxytest/proxy.go
@@ -21,8 +21,8 @@
 	listener   net.Listener
 	generation atomic.Int64
 	delay      atomic.Int64
-	// deafTo and deafFrom swallow all bytes to and from the target.
-	deafTo, deafFrom atomic.Bool
+	// dropTo and dropFrom drop all bytes to and from the target.
+	dropTo, dropFrom atomic.Bool
 	group            work.Group
 
 	mu   sync.Mutex
@@ -56,10 +56,10 @@
 // Delay holds up all bytes from now on.
 func (p *Proxy) Delay(d time.Duration) { p.delay.Store(int64(d)) }
 
-// Deafen swallows bytes to the target, from it, or both, until it is called again.
-func (p *Proxy) Deafen(to, from bool) {
-	p.deafTo.Store(to)
-	p.deafFrom.Store(from)
+// Drop drops the bytes to the target, from it, or both, until it is called again.
+func (p *Proxy) Drop(to, from bool) {
+	p.dropTo.Store(to)
+	p.dropFrom.Store(from)
 }
 
 // Reset resets all open connections.
@@ -74,7 +74,7 @@
 	}
 }
 
-// SilenceOpen swallows, from now on, all bytes of the open connections.
+// SilenceOpen drops, from now on, all bytes of the open connections.
 func (p *Proxy) SilenceOpen() { p.generation.Add(1) }
 
 func (p *Proxy) accept() {
@@ -91,8 +91,8 @@
 		born := p.generation.Load()
 		p.hold(conn, true)
 		p.hold(to, true)
-		p.group.Go(func() { p.pass(to, conn, born, &p.deafTo) })
-		p.group.Go(func() { p.pass(conn, to, born, &p.deafFrom) })
+		p.group.Go(func() { p.pass(to, conn, born, &p.dropTo) })
+		p.group.Go(func() { p.pass(conn, to, born, &p.dropFrom) })
 	}
 }
 
@@ -106,14 +106,14 @@
 	delete(p.open, conn)
 }
 
-func (p *Proxy) pass(to, from net.Conn, born int64, deaf *atomic.Bool) {
+func (p *Proxy) pass(to, from net.Conn, born int64, drop *atomic.Bool) {
 	defer p.hold(to, false)
 	defer to.Close()
 	buffer := make([]byte, 4096)
 	for {
 		n, err := from.Read(buffer)
 		if err != nil {
-			if !errors.Is(err, io.EOF) && !deaf.Load() {
+			if !errors.Is(err, io.EOF) && !drop.Load() {
 				// What was reset on one side is reset on the other.
 				if tcp, ok := to.(*net.TCPConn); ok {
 					_ = tcp.SetLinger(0)
@@ -122,7 +122,7 @@
 			return
 		}
 		time.Sleep(time.Duration(p.delay.Load()))
-		if p.generation.Load() == born && !deaf.Load() {
+		if p.generation.Load() == born && !drop.Load() {
 			_, _ = to.Write(buffer[:n])
 		}
 	}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -46,6 +46,7 @@
 		Service: a.Relay.Service, Route: a.Relay.Route, TargetMicros: a.Relay.Target.Microseconds(), Gathers: a.Relay.Gathers,
 		Fingerprint: a.Relay.Fingerprint, Tried: a.Relay.Tried, RequestId: a.RequestID, Method: a.Method, Target: a.Target,
 		Host: a.Host, Header: a.Header, Body: a.Body, LeftMicros: left.Microseconds(), Fresh: a.Fresh,
+		Last: a.Relay.Last,
 	}
 }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -61,6 +61,8 @@
 	Fingerprint uint64
 	// Tried holds the upstreams that have had the request.
 	Tried []string
+	// Last is set if no other attempt may follow.
+	Last bool
 }
 
 // A Load is what an upstream says of its load.
