--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/foxtailshelf/foxtailshelf/internal/chart"
 )
 
@@ -299,7 +301,7 @@
 // capacity or more, those with the most capacity and of its own data centre first:
 // they are whom callers should be told.
 func (r *Roster) meet(listed []Member) {
-	r.random.Shuffle(len(listed), func(i, j int) { listed[i], listed[j] = listed[j], listed[i] })
+	score := func(m Member) uint64 { return xxhash.Sum64String(r.self.host + m.host) }
 	far := func(m Member) int {
 		if m.dataCenter == r.self.dataCenter {
 			return 0
@@ -307,7 +309,8 @@
 		return 1
 	}
 	slices.SortStableFunc(listed, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(far(a), far(b)))
+		// Different hosts meet different others.
+		return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(far(a), far(b)), cmp.Compare(score(a), score(b)))
 	})
 	for i, m := range listed[:min(len(listed), meetAtOnce)] {
 		if i+r.aliveOf(m.capacity) >= meetAtOnce {
