Spread of changes: skip unreachable hosts, refute false deaths, doubt one's own isolation

Cause of TestChangePropagationTime (KNOWN-RED): after a cut had healed, the hosts that were cut off were still dead for the others for tens of seconds, and they had declared most of the others dead themselves, which they now told everybody. A dead host gets no change from SendUpdates, and the hosts that were left had a suspect or dead host as the next in the ring. A probe did not carry the target's state, so a host learned late or never that it was held dead.

Now a message carries the recipient's own state if that is suspect or dead; a host that heard from nobody for 4 s lists again, and probes at once, those that its probes made suspect meanwhile, and tells nobody about them; and SendUpdates goes on along the ring until an alive host has answered.

Ruled out: late timers (virtual time); the queue of hints (empty in the trace); the watchers (they had the change within 5 ms).

--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -48,7 +48,7 @@
 		_, err := h.exchangeGossip(probeCtx, request.GetProbe().GetGateAddress(), nil)
 		reply.ProbeAnswered = err == nil
 	}
-	self, updates := h.fleet.NextUpdates()
+	self, updates := h.fleet.NextUpdates(sender.GateAddress())
 	reply.Sender, reply.Rumours = peer.EncodeMember(self), peer.EncodeMembers(updates)
 	reply.Revision, reply.AgeMicros, reply.Notices = h.follower.Revision(), h.follower.Age().Microseconds(), h.quarantineNotices()
 	return reply, nil
@@ -84,7 +84,7 @@
 // nil, the other host probes the member probe, and exchangeGossip reports whether
 // that member answered.
 func (h *Host) exchangeGossip(ctx context.Context, address string, probe *roster.Member) (bool, error) {
-	self, updates := h.fleet.NextUpdates()
+	self, updates := h.fleet.NextUpdates(address)
 	request := &wire.ExchangeRequest{
 		Sender: peer.EncodeMember(self), Rumours: peer.EncodeMembers(updates), Notices: h.quarantineNotices(),
 		Revision: h.follower.Revision(), AgeMicros: h.follower.Age().Microseconds(),
--- a/internal/host/propagation_test.go
+++ b/internal/host/propagation_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/membership"
+	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
 
@@ -263,3 +264,28 @@
 		f.stopAll()
 	})
 }
+
+// TestReconnectedHostsAreAlive isolates a seventh of the hosts until the others consider
+// them dead. All hosts must consider all others alive, so that changes and callers reach
+// them, once the platform's stabilisation period has passed since they were reconnected.
+func TestReconnectedHostsAreAlive(t *testing.T) {
+	const stabilisationPeriod = 4 * time.Second
+	for _, size := range []int{7, 63} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f, addresses := startFleet(size)
+				heal := f.disconnect(addresses, rand.New(rand.NewPCG(uint64(size), 7)), max(2, size/7), false)
+				time.Sleep(15 * time.Second)
+				heal()
+				time.Sleep(stabilisationPeriod)
+				for _, a := range addresses {
+					for _, m := range f.hosts[a].host.fleet.Members() {
+						c.Check(m.State(), qt.Equals, roster.Alive, qt.Commentf("%s as seen by %s", m.Host(), a))
+					}
+				}
+				f.stopAll()
+			})
+		})
+	}
+}
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -23,6 +23,9 @@
 	// fanOut is how many members receive updates directly from SendUpdates. These
 	// members forward the updates.
 	fanOut = 3
+	// maxRingAttempts bounds the hosts to which SendUpdates sends updates until the next
+	// reachable one is found.
+	maxRingAttempts = 8
 	// WatcherCount is how many hosts read the store on behalf of the fleet.
 	WatcherCount = 2
 	// maxCopyAge plus copyAgePerDoubling for each doubling of the fleet is the age
@@ -93,12 +96,17 @@
 	f.step(roster.EntryAddressChanged{Address: entryAddress})
 }
 
-// NextUpdates returns the member that represents this host and the updates for
-// the next message.
-func (f *Fleet) NextUpdates() (self roster.Member, updates []roster.Member) {
+// NextUpdates returns the member that represents this host and the updates for the next
+// message to the host with this gate address. If that host is suspect or dead here, its
+// own state is included, so that it can refute it.
+func (f *Fleet) NextUpdates(recipient string) (self roster.Member, updates []roster.Member) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.roster.Self(), f.roster.NextUpdates()
+	updates = f.roster.NextUpdates()
+	if m, ok := f.roster.MemberAt(recipient); ok && (m.State() == roster.Suspect || m.State() == roster.Dead) {
+		updates = append(updates, m)
+	}
+	return f.roster.Self(), updates
 }
 
 // Run probes the other members until the context ends.
@@ -122,21 +130,55 @@
 	return max(1, f.roster.OwnerCount())
 }
 
-// SendUpdates exchanges updates with at most fanOut of the other members that may own
-// groups. The first is the next host in the order of names, so that each host receives
-// updates from the host before it; the others are drawn at random for each call.
+// SendUpdates exchanges updates with other members that may own groups: with fanOut-1
+// random ones, drawn for each call, and with the next reachable host in the order of
+// names. As each host sends the updates on, they reach every host, also one that no
+// random draw has selected.
 func (f *Fleet) SendUpdates(ctx context.Context) {
-	others := f.otherOwners()
-	if len(others) > fanOut {
-		next := slices.IndexFunc(others, func(m roster.Member) bool { return m.Host() > f.Self.Host() })
-		next = max(0, next)
-		others[0], others[next] = others[next], others[0]
-		f.mu.Lock()
-		f.random.Shuffle(len(others)-1, func(i, j int) { others[i+1], others[j+1] = others[j+1], others[i+1] })
-		f.mu.Unlock()
-		others = others[:fanOut]
+	ring := f.otherOwners()
+	next := slices.IndexFunc(ring, func(m roster.Member) bool { return m.Host() > f.Self.Host() })
+	next = max(0, next)
+	ring = slices.Concat(ring[next:], ring[:next])
+	others := slices.Clone(ring[min(1, len(ring)):])
+	ring = ring[:min(maxRingAttempts, len(ring))]
+	f.mu.Lock()
+	f.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	f.mu.Unlock()
+	var group errgroup.Group
+	group.Go(func() error {
+		f.exchangeWithNext(ctx, ring)
+		return nil
+	})
+	group.Go(func() error {
+		f.exchangeAll(ctx, others[:min(fanOut-1, len(others))])
+		return nil
+	})
+	// Neither function returns an error.
+	_ = group.Wait()
+}
+
+// exchangeWithNext exchanges updates with the members in turn until an alive one has
+// answered. It does not wait for suspect ones, which are probably unreachable.
+func (f *Fleet) exchangeWithNext(ctx context.Context, ring []roster.Member) {
+	ctx, cancel := context.WithTimeout(ctx, maxRingAttempts*roster.ProbeTimeout)
+	defer cancel()
+	var group errgroup.Group
+	defer func() { _ = group.Wait() }()
+	for _, m := range ring {
+		exchange := func() error {
+			exchangeCtx, cancel := context.WithTimeout(ctx, roster.ProbeTimeout)
+			defer cancel()
+			_, err := f.Exchange(exchangeCtx, m.GateAddress(), nil)
+			return err
+		}
+		if m.State() == roster.Suspect {
+			group.Go(exchange)
+			continue
+		}
+		if exchange() == nil {
+			return
+		}
 	}
-	f.exchangeAll(ctx, others)
 }
 
 // ShouldWatch reports whether this host, whose copy of the store has this age, reads
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -37,6 +37,10 @@
 	// capacity, below which a host that is new in the host list is probed at once.
 	// Other listed hosts are probed only in their turn.
 	minKnownMembers = 8
+	// isolationPeriod is how long a host has had no contact with any other host when
+	// it assumes that it was cut off itself. Two hosts that are left of a small fleet
+	// hear from each other more often.
+	isolationPeriod = 8 * ProbeInterval
 	// sendFactor times (1 + the bit length of the fleet's size) is how often one
 	// update is sent, so the number grows with the binary logarithm of the size.
 	sendFactor = 2
@@ -119,6 +123,13 @@
 	// probes made suspect. The probe informs the member of the suspicion, so
 	// that the member can refute it.
 	suspectProbeAt map[string]time.Time
+	// lastContactAt is when another host was last heard from; zero before the first
+	// event. isIsolated is set if this was isolationPeriod ago as of the last tick.
+	lastContactAt time.Time
+	isIsolated    bool
+	// suspectedSinceContact holds the hosts that this host's probes made suspect since
+	// lastContactAt.
+	suspectedSinceContact map[string]bool
 	// probeOrder holds the hosts that remain to be probed in this round, in random
 	// order. Each round probes every other member once.
 	probeOrder []string
@@ -137,12 +148,24 @@
 		suspectedAt:    make(map[string]time.Time),
 		departedAt:     make(map[string]time.Time),
 		suspectProbeAt: make(map[string]time.Time),
+
+		suspectedSinceContact: make(map[string]bool),
 	}
 	r.members[self.host] = r.self
 	r.remainingSends[self.host] = r.sendLimit()
 	return r
 }
 
+// MemberAt returns the member with a gate address, and whether there is one.
+func (r *Roster) MemberAt(gateAddress string) (Member, bool) {
+	for _, m := range r.members {
+		if m.gateAddress == gateAddress {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
 // Members returns all members, sorted by host.
 func (r *Roster) Members() []Member {
 	members := make([]Member, 0, len(r.members))
@@ -164,9 +187,11 @@
 }
 
 // NextUpdates returns the updates for the next message, at most maxUpdates, and
-// counts them as sent. The least often sent come first.
+// counts them as sent. The least often sent come first. An isolated host does not send
+// what it has concluded from its own probes.
 func (r *Roster) NextUpdates() []Member {
 	hosts := slices.Sorted(maps.Keys(r.remainingSends))
+	hosts = slices.DeleteFunc(hosts, func(h string) bool { return r.isIsolated && r.suspectedSinceContact[h] })
 	slices.SortStableFunc(hosts, func(a, b string) int { return r.remainingSends[b] - r.remainingSends[a] })
 	var updates []Member
 	for _, h := range hosts[:min(len(hosts), maxUpdates)] {
@@ -185,6 +210,9 @@
 // Step handles one event and returns the actions to perform.
 func (r *Roster) Step(now time.Time, event Event) []Action {
 	r.actions = nil
+	if r.lastContactAt.IsZero() {
+		r.lastContactAt = now
+	}
 	switch e := event.(type) {
 	case Tick:
 		r.tick(now)
@@ -215,6 +243,7 @@
 
 func (r *Roster) handleGossip(now time.Time, e GossipReceived) {
 	if e.Sender.host != "" {
+		r.recordContact(now)
 		r.applyUpdate(now, e.Sender)
 	}
 	for _, m := range e.Updates {
@@ -356,6 +385,9 @@
 }
 
 func (r *Roster) handleProbeEnded(now time.Time, e ProbeEnded) {
+	if e.Answered {
+		r.recordContact(now)
+	}
 	m, ok := r.members[e.Host]
 	switch {
 	case !ok || e.Host == r.self.host:
@@ -374,7 +406,27 @@
 	r.fire(now, host, "suspect")
 	if r.members[host].state == Suspect {
 		r.suspectProbeAt[host] = now.Add(suspectProbeInterval)
+		r.suspectedSinceContact[host] = true
+	}
+}
+
+// recordContact records that another host was heard from. If this host was isolated,
+// the hosts that its probes made suspect meanwhile are probably alive: they are listed
+// again and probed at once.
+func (r *Roster) recordContact(now time.Time) {
+	wasIsolated := now.Sub(r.lastContactAt) >= isolationPeriod
+	r.lastContactAt, r.isIsolated = now, false
+	for _, h := range slices.Sorted(maps.Keys(r.suspectedSinceContact)) {
+		m, ok := r.members[h]
+		if !wasIsolated || !ok || (m.state != Suspect && m.state != Dead) {
+			continue
+		}
+		listed := m.WithState(Listed, m.incarnation)
+		r.setMember(now, m, listed)
+		delete(r.remainingSends, h)
+		r.actions = append(r.actions, Probe{Target: listed})
 	}
+	clear(r.suspectedSinceContact)
 }
 
 // probeIndirectly requests that up to indirectProbeCount alive members probe a member
@@ -430,6 +482,7 @@
 }
 
 func (r *Roster) tick(now time.Time) {
+	r.isIsolated = now.Sub(r.lastContactAt) >= isolationPeriod
 	for h, at := range r.suspectedAt {
 		if now.Sub(at) >= SuspicionTimeout {
 			r.fire(now, h, "die")
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -136,3 +136,49 @@
 	hosts = append(hosts, member("large", 0).WithCapacity(800))
 	c.Check(r.Step(start, HostListReceived{Hosts: hosts}), qt.HasLen, 1, qt.Commentf("no known member has as much capacity"))
 }
+
+// TestIsolatedHostDoubtsItself cuts a host off until its probes have made other hosts
+// suspect and dead. It must not tell the next host about them, and must probe them at
+// once when it hears from that host. If it was never isolated, it must tell.
+func TestIsolatedHostDoubtsItself(t *testing.T) {
+	for _, isIsolated := range []bool{true, false} {
+		t.Run(fmt.Sprint(isIsolated), func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1000, 0)
+			r := New(NewMember("self", "z", "self", "", 1, Alive), 1)
+			members := make(map[string]Member)
+			for _, h := range []string{"a", "b", "c", "d"} {
+				members[h] = NewMember(h, "z", h, "", 1, Alive)
+				r.Step(now, GossipReceived{Sender: members[h]})
+			}
+			for range 20 {
+				r.NextUpdates()
+			}
+			for _, h := range []string{"a", "b", "c"} {
+				r.Step(now, ProbeEnded{Host: h, Indirect: true})
+			}
+			for range 10 {
+				now = now.Add(ProbeInterval)
+				r.Step(now, Tick{})
+				if !isIsolated {
+					r.Step(now, GossipReceived{Sender: members["d"]})
+				}
+			}
+			updates := r.NextUpdates()
+			actions := r.Step(now, GossipReceived{Sender: members["d"]})
+			probed := 0
+			for _, a := range actions {
+				if _, ok := a.(Probe); ok {
+					probed++
+				}
+			}
+			if isIsolated {
+				c.Check(updates, qt.HasLen, 0)
+				c.Check(probed, qt.Equals, 3)
+				return
+			}
+			c.Check(updates, qt.HasLen, 3)
+			c.Check(probed, qt.Equals, 0)
+		})
+	}
+}
