--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -19,9 +19,9 @@
 	// placementRetryInterval is the interval at which an attempt or a hedge of a part is
 	// tried again, while no upstream accepts it or the budget does not allow it.
 	placementRetryInterval = 4 * time.Millisecond
-	// maxWaitRatio is how long a part may wait for its first attempt, as a ratio of the
-	// route's target. After that the part is abandoned as ReasonBusy.
-	maxWaitRatio = 0.25
+	// maxRefusalRatio bounds the time until a refusal reaches the caller, as a ratio of
+	// the route's target. A caller that comes back soon can still be served on time.
+	maxRefusalRatio = 0.25
 	// failureRetryDelay is the RetryAfter of answers to requests that failed, and
 	// noUpstreamRetryDelay that of failures because a service had no upstream.
 	failureRetryDelay    = 100 * time.Millisecond
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -25,6 +25,9 @@
 	target      = 80 * time.Millisecond
 	timeout     = 800 * time.Millisecond
 	runDuration = 5 * time.Millisecond
+	slotCount   = 2
+	// testCallerAllowance is the CallerAllowance of the tests.
+	testCallerAllowance = 10 * time.Millisecond
 )
 
 // A reaction is what an upstream does with an attempt.
@@ -92,6 +95,10 @@
 }
 
 func newTestDispatcher(spec routing.RouteSpec, react func(id string, n int, a *upstream.Attempt) reaction) *testDispatcher {
+	return newTestDispatcherWithPolicy(spec, pool.Policy{ExtraRatio: 0.2, Window: 10 * time.Second, MaxConcurrent: 3}, react)
+}
+
+func newTestDispatcherWithPolicy(spec routing.RouteSpec, policy pool.Policy, react func(id string, n int, a *upstream.Attempt) reaction) *testDispatcher {
 	t := &testDispatcher{upstreams: &fakeUpstreams{react: react, attempts: make(map[string]int)}, pools: make(map[string]*pool.Pool)}
 	spec.Prefix, spec.Host, spec.Timeout, spec.LatencyTarget = "/", "h", timeout, target
 	t.route = routing.NewTable(1, []routing.RouteSpec{spec}, nil, routing.Limits{}).Match("h", "/")
@@ -103,11 +110,10 @@
 		i := inventory.New()
 		var specs []inventory.UpstreamSpec
 		for _, id := range []string{"a", "b", "c"} {
-			specs = append(specs, inventory.UpstreamSpec{ID: s + id, Service: s, Address: s + id, DataCenter: id, Slots: 2})
+			specs = append(specs, inventory.UpstreamSpec{ID: s + id, Service: s, Address: s + id, DataCenter: id, Slots: slotCount})
 		}
 		i.Update(time.Now(), specs)
 		t.pools[s] = &pool.Pool{DataCenter: "a", IdleCount: t.upstreams.IdleCount}
-		policy := pool.Policy{ExtraRatio: 0.2, Window: 10 * time.Second, MaxConcurrent: 3}
 		t.pools[s].Configure(time.Now(), i.ForService(s), policy)
 		for range 100 {
 			t.pools[s].RecordRequest(time.Now())
@@ -118,7 +124,7 @@
 		Exchanger: t.upstreams, Pool: func(s string) *pool.Pool { return t.pools[s] },
 		LatencyStats:        func(*routing.Route) *pool.LatencyStats { return latencyStats },
 		QuarantineRemaining: func(uint64) time.Duration { return 0 }, OnCrash: func(pool.Crash) {}, OnSuccess: func(uint64) {},
-		OnFinish: t.recordSummary, CallerAllowance: 10 * time.Millisecond, Group: &work.Group{},
+		OnFinish: t.recordSummary, CallerAllowance: testCallerAllowance, Group: &work.Group{},
 	}
 	return t
 }
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -48,7 +48,7 @@
 		startedAt: now, answerDueAt: now.Add(route.LatencyTarget() - d.allowance(request)), deadline: now.Add(remaining),
 	}
 	for _, s := range route.NextServices() {
-		f.parts = append(f.parts, &part{service: s, pool: d.Pool(s), waitingSince: now})
+		f.parts = append(f.parts, &part{service: s, pool: d.Pool(s)})
 	}
 	f.results = make(chan attemptResult, len(f.parts)*maxAttemptsPerPart)
 	return f
@@ -200,6 +200,7 @@
 		}
 	}
 	consider(f.answerDueAt)
+	consider(f.startBy())
 	for _, p := range f.parts {
 		switch {
 		case p.isDone():
--- a/internal/dispatch/part.go
+++ b/internal/dispatch/part.go
@@ -16,8 +16,8 @@
 	// sent counts all attempts, arrived those that may have reached an upstream, ran
 	// those that an upstream may have run, and running those in flight.
 	sent, arrived, ran, running int
-	// waitingSince is when the part began to wait for its first attempt.
-	waitingSince time.Time
+	// assignment is set while the first attempt is assigned and has not started.
+	assignment *pool.Assignment
 	// needsAttempt is set while the part needs an attempt and has none in flight.
 	needsAttempt bool
 	// hedgeAt is when a hedge to another upstream is due.
@@ -37,10 +37,10 @@
 	p.needsAttempt = false
 }
 
-// resume makes a part that was abandoned as ReasonExpectedLate, before any attempt,
-// wait for its first attempt from now on.
-func (p *part) resume(now time.Time) {
-	p.reason, p.needsAttempt, p.waitingSince = ReasonNone, true, now
+// resume makes a part without any attempt need its first one, also if it was abandoned as
+// ReasonExpectedLate.
+func (p *part) resume() {
+	p.reason, p.needsAttempt = ReasonNone, true
 }
 
 // isDone reports whether the part has a response or was abandoned.
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -18,14 +18,18 @@
 // responses to these requests are on time again.
 const abandonExponent = 6
 
+// A part whose expected latency exceeds hopelessFactor times the time until the answer is
+// due counts as one that no upstream can serve.
+const hopelessFactor = 4
+
 // maxAttemptsPerPart bounds all attempts of one part. Route.MaxAttempts bounds those
 // that an upstream may have run.
 const maxAttemptsPerPart = 6
 
 // startDueAttempts starts the first attempts, retries and hedges that are due. On a
-// route that gathers, it starts the first ones only once checkCapacity reports true.
+// route that gathers, it starts the first ones only once assignFirst reports true.
 func (f *inFlightRequest) startDueAttempts(ctx context.Context, now time.Time) {
-	if f.attempts == 0 && f.route.Gathers() && !f.checkCapacity(now) {
+	if f.attempts == 0 && f.route.Gathers() && !f.assignFirst(now) {
 		return
 	}
 	for _, p := range f.parts {
@@ -39,37 +43,40 @@
 	}
 }
 
-// checkCapacity reports whether enough parts for an answer can start now. Until then no
-// part starts, because the work of those that can would be wasted. As far as the answer
-// requires them, it resumes parts that were abandoned as ReasonExpectedLate. If there
-// are still too few, it abandons the parts without capacity that have no upstream or
-// have waited longer than maxWaitRatio of the target; the request then fails unless
-// enough parts remain.
-func (f *inFlightRequest) checkCapacity(now time.Time) bool {
-	startable := 0
-	var busy, expectedLate []*part
+// assignFirst assigns the first attempts to upstreams and reports whether these are
+// enough parts for an answer. Otherwise it keeps no assignment, because the work of the
+// parts that can start would be wasted. As far as the answer requires them, it resumes
+// parts that were abandoned as ReasonExpectedLate: a late answer is better than a
+// failure. If there are still too few, it abandons the parts for the result of
+// abandonReason; the request then fails unless enough parts remain.
+func (f *inFlightRequest) assignFirst(now time.Time) bool {
+	var assigned, resumable, waiting []*part
 	for _, p := range f.parts {
 		switch {
-		case p.reason == ReasonExpectedLate && p.pool.HasCapacity(now, f.latencyStats):
-			expectedLate = append(expectedLate, p)
+		case p.reason == ReasonExpectedLate:
+			resumable = append(resumable, p)
 		case p.isDone():
-		case p.pool.HasCapacity(now, f.latencyStats):
-			startable++
 		default:
-			busy = append(busy, p)
+			if p.assignment = p.pool.Assign(now, f.requirements(p, 0)); p.assignment == nil {
+				waiting = append(waiting, p)
+				continue
+			}
+			assigned = append(assigned, p)
 		}
 	}
-	// If too few parts can start, parts that were abandoned as ReasonExpectedLate are
-	// resumed, provided that this makes an answer possible: a late answer is better
-	// than a failure.
-	for ; startable < f.route.MinParts() && startable+len(expectedLate) >= f.route.MinParts(); startable++ {
-		expectedLate[0].resume(now)
-		expectedLate = expectedLate[1:]
+	for _, p := range resumable[:max(0, min(len(resumable), f.route.MinParts()-len(assigned)))] {
+		if p.assignment = p.pool.Assign(now, f.requirements(p, 0)); p.assignment != nil {
+			assigned = append(assigned, p)
+		}
 	}
-	if startable >= f.route.MinParts() {
+	if len(assigned) >= f.route.MinParts() {
+		for _, p := range assigned {
+			p.resume()
+		}
 		return true
 	}
-	for _, p := range busy {
+	unassign(assigned)
+	for _, p := range waiting {
 		if reason := f.abandonReason(now, p); reason != ReasonNone {
 			p.abandon(reason)
 		}
@@ -77,6 +84,14 @@
 	return false
 }
 
+// unassign cancels the assignments of parts.
+func unassign(parts []*part) {
+	for _, p := range parts {
+		p.pool.Unassign(p.assignment)
+		p.assignment = nil
+	}
+}
+
 // startNeeded starts the first attempt or a retry of a part without an attempt in
 // flight, if an upstream accepts it and the budget allows it. It abandons the part for
 // the result of abandonReason, or as ReasonFailed if no retry started and answerDueAt
@@ -119,17 +134,37 @@
 // ReasonNone if it may still get an attempt.
 func (f *inFlightRequest) abandonReason(now time.Time, p *part) Reason {
 	switch {
+	case p.assignment != nil:
+		return ReasonNone
 	case p.ran > 0 && !f.route.Idempotent(), p.ran >= f.route.MaxAttempts(), p.sent >= maxAttemptsPerPart:
 		return ReasonFailed
 	case !p.pool.HasUpstream(now):
 		return ReasonNoUpstream
-	case p.sent == 0 && now.Sub(p.waitingSince) > time.Duration(maxWaitRatio*float64(f.route.LatencyTarget())):
+	case p.sent == 0 && !now.Before(f.startBy()):
 		return ReasonBusy
 	default:
 		return ReasonNone
 	}
 }
 
+// startBy returns when a part that waits for its first attempt is abandoned: while no
+// part has started, early enough that the refusal reaches the caller within
+// maxRefusalRatio of the target; after that, when its response would be late.
+func (f *inFlightRequest) startBy() time.Time {
+	if f.attempts == 0 {
+		return f.startedAt.Add(max(0, time.Duration(maxRefusalRatio*float64(f.route.LatencyTarget()))-f.dispatcher.allowance(f.request)))
+	}
+	return f.answerDueAt.Add(-f.latencyStats.TypicalLatency())
+}
+
+// requirements returns the requirements on the upstream of the next attempt of a part.
+func (f *inFlightRequest) requirements(p *part, maxDuration time.Duration) pool.Requirements {
+	return pool.Requirements{
+		LatencyStats: f.latencyStats, Fingerprint: f.fingerprint, TriedUpstreams: p.tried, MaxDuration: maxDuration,
+		IsLastAttempt: p.ran+1 >= f.route.MaxAttempts() || !f.route.Idempotent(),
+	}
+}
+
 // startOrRefund calls startAttempt and refunds an extra attempt if no upstream was
 // found for it.
 func (f *inFlightRequest) startOrRefund(ctx context.Context, now time.Time, p *part, isExtra bool, maxDuration time.Duration) bool {
@@ -145,10 +180,12 @@
 // startAttempt starts an attempt of a part at an upstream; it reports whether an
 // upstream was found.
 func (f *inFlightRequest) startAttempt(ctx context.Context, now time.Time, p *part, isExtra bool, maxDuration time.Duration) bool {
-	isLastAttempt := p.ran+1 >= f.route.MaxAttempts() || !f.route.Idempotent()
-	assignment := p.pool.Assign(now, pool.Requirements{
-		LatencyStats: f.latencyStats, Fingerprint: f.fingerprint, TriedUpstreams: p.tried, MaxDuration: maxDuration, IsLastAttempt: isLastAttempt,
-	})
+	requirements := f.requirements(p, maxDuration)
+	assignment := p.assignment
+	p.assignment = nil
+	if assignment == nil {
+		assignment = p.pool.Assign(now, requirements)
+	}
 	if assignment == nil {
 		return false
 	}
@@ -167,7 +204,7 @@
 	if assignment.Upstream.IsDiallingHost() {
 		attempt.Relay = &upstream.Relay{
 			Service: p.service, Route: f.route.Name(), LatencyTarget: f.route.LatencyTarget(), Gathers: f.route.Gathers(),
-			Fingerprint: f.fingerprint, TriedUpstreams: slices.Clone(p.tried), IsLastAttempt: isLastAttempt,
+			Fingerprint: f.fingerprint, TriedUpstreams: slices.Clone(p.tried), IsLastAttempt: requirements.IsLastAttempt,
 		}
 	}
 	started := f.dispatcher.Group.Go(func() { f.runAttempt(ctx, p, assignment, attempt, isExtra) })
@@ -183,7 +220,8 @@
 // that responses would come after answerDueAt, as far as the route allows missing parts.
 // Attempts whose responses come too late would only delay the attempts after them. The
 // higher the expected latency of a part, the more requests abandon it. This handles a
-// load that exceeds the capacity of some shards.
+// load that exceeds the capacity of some shards. Parts that no upstream can serve come
+// first: if another part were abandoned instead, too few would remain.
 func (f *inFlightRequest) abandonSlowParts() {
 	abandonableCount := len(f.parts) - f.route.MinParts()
 	if !f.route.Gathers() || abandonableCount <= 0 {
@@ -191,36 +229,47 @@
 	}
 	maxDuration := f.answerDueAt.Sub(f.startedAt)
 	fraction := f.requestFraction()
+	var hopeless, slow []*part
 	for i := range f.parts {
 		// The first part examined differs between requests. Otherwise the same parts
 		// would always use up abandonableCount.
 		p := f.parts[(i+int(fraction*float64(len(f.parts))))%len(f.parts)]
-		expected := p.pool.ExpectedLatency(f.startedAt, f.latencyStats)
-		if expected <= maxDuration || fraction < math.Pow(float64(maxDuration)/float64(expected), abandonExponent) {
-			continue
+		expected, reachable := p.pool.ExpectedLatency(f.startedAt, f.latencyStats)
+		switch {
+		case !reachable:
+			hopeless = append(hopeless, p)
+		case expected <= maxDuration || fraction < math.Pow(float64(maxDuration)/float64(expected), abandonExponent):
+		case expected > hopelessFactor*maxDuration:
+			hopeless = append(hopeless, p)
+		default:
+			slow = append(slow, p)
 		}
+	}
+	candidates := slices.Concat(hopeless, slow)
+	for _, p := range candidates[:min(len(candidates), abandonableCount)] {
 		p.abandon(ReasonExpectedLate)
-		if abandonableCount--; abandonableCount == 0 {
-			return
-		}
 	}
 }
 
 // resumeExpectedLate resumes count parts that were abandoned as ReasonExpectedLate, to
-// replace others that have failed. It reports false, and resumes none, if fewer than
-// count of them have capacity.
+// replace others that have failed. It reports false, and resumes none, if upstreams
+// accept fewer than count of them.
 func (f *inFlightRequest) resumeExpectedLate(now time.Time, count int) bool {
-	var resumable []*part
+	var resumed []*part
 	for _, p := range f.parts {
-		if p.reason == ReasonExpectedLate && p.pool.HasCapacity(now, f.latencyStats) {
-			resumable = append(resumable, p)
+		if p.reason != ReasonExpectedLate || len(resumed) == count {
+			continue
+		}
+		if p.assignment = p.pool.Assign(now, f.requirements(p, 0)); p.assignment != nil {
+			resumed = append(resumed, p)
 		}
 	}
-	if len(resumable) < count {
+	if len(resumed) < count {
+		unassign(resumed)
 		return false
 	}
-	for _, p := range resumable[:count] {
-		p.resume(now)
+	for _, p := range resumed {
+		p.resume()
 	}
 	return true
 }
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -127,6 +127,7 @@
 		ExtraRatio:    h.Settings.ExtraRatio * usableExtraRatio,
 		ExtraSlack:    h.Settings.ExtraSlack * usableExtraSlack * h.view.loadShare,
 		Window:        time.Duration(h.Settings.ExtraWindowSeconds * float64(time.Second)),
+		LoadShare:     h.view.loadShare,
 		MaxConcurrent: plan.maxConnections,
 	}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"math"
 	"net/http"
 	"slices"
 	"sync"
@@ -66,6 +67,9 @@
 	// Window is the length of the sliding window in which extra attempts are
 	// counted.
 	Window time.Duration
+	// LoadShare is the part of the service's load that this host carries, 0 to 1. Its
+	// attempts may always use that part of an upstream's slots.
+	LoadShare float64
 	// MaxConcurrent bounds the concurrent attempts at one upstream; it does not
 	// apply to dialling hosts.
 	MaxConcurrent int
@@ -181,14 +185,6 @@
 	return p.extra.RemainingRatio(now)
 }
 
-// HasCapacity reports whether at least one upstream accepts an attempt now.
-func (p *Pool) HasCapacity(now time.Time, s *LatencyStats) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	r := Requirements{LatencyStats: s}
-	return p.bestMember(now, r, inventory.InService) != nil || p.bestMember(now, r, inventory.LastResort) != nil
-}
-
 // HasUpstream reports whether any upstream of the service is neither retired nor
 // down.
 func (p *Pool) HasUpstream(now time.Time) bool {
@@ -240,28 +236,34 @@
 	return assignment
 }
 
+// Unassign cancels an assignment whose attempt has not started.
+func (p *Pool) Unassign(assignment *Assignment) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	assignment.member.remove(assignment)
+}
+
 // ExpectedLatency returns the expected duration of an attempt at the fastest upstream;
-// zero if all upstreams are retired or down. For an upstream at its concurrency limit,
-// the expected duration includes an estimated wait until a running
+// reachable is false if all upstreams are retired or down. For an upstream at its
+// concurrency limit, the expected duration includes an estimated wait until a running
 // attempt ends.
-func (p *Pool) ExpectedLatency(now time.Time, s *LatencyStats) time.Duration {
+func (p *Pool) ExpectedLatency(now time.Time, s *LatencyStats) (expected time.Duration, reachable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	typical := s.TypicalLatency()
-	lowest := time.Duration(0)
 	for _, m := range p.members {
 		if m.upstream.Eligibility(now) == inventory.Retired || m.isDown(now) {
 			continue
 		}
-		expected := m.expectedLatency(now, typical)
-		if len(m.running) >= p.concurrencyLimit(now, m) {
-			expected = fullFactor * max(expected, s.target)
+		latency := m.expectedLatency(now, typical)
+		if len(m.running) >= p.concurrencyLimit(now, m, s) {
+			latency = fullFactor * max(latency, s.target)
 		}
-		if lowest == 0 || expected < lowest {
-			lowest = expected
+		if !reachable || latency < expected {
+			expected, reachable = latency, true
 		}
 	}
-	return lowest
+	return expected, reachable
 }
 
 // RecordOutcome records the outcome of an attempt. It returns a Crash if the outcome indicates
@@ -270,9 +272,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	m := assignment.member
-	if i := slices.Index(m.running, assignment); i >= 0 {
-		m.running = slices.Delete(m.running, i, i+1)
-	}
+	m.remove(assignment)
 	if o.ConnectDuration > 0 {
 		p.connectDuration += time.Duration(connectWeight * float64(o.ConnectDuration-p.connectDuration))
 	}
@@ -290,6 +290,9 @@
 	}
 	elapsed := now.Sub(assignment.startedAt) - o.ConnectDuration
 	slowness := float64(elapsed) / float64(max(assignment.typicalLatency, time.Microsecond))
+	if stats := assignment.latencyStats; stats.isGather && (o.Result == upstream.Answered || o.Result == upstream.Aborted) {
+		m.updateLatenessLimit(now, assignment.startedAt, elapsed, stats.target, p.connectionLimit(now, m), p.slotShare(m))
+	}
 	switch o.Result {
 	case upstream.Answered:
 		m.recordReachable()
@@ -351,15 +354,30 @@
 		return false
 	case r.DirectOnly && m.upstream.IsDiallingHost():
 		return false
-	case len(m.running) >= p.concurrencyLimit(now, m):
+	case len(m.running) >= p.concurrencyLimit(now, m, r.LatencyStats):
 		return false
 	default:
 		return !now.Before(m.noDialUntil) || p.hasConnection(m)
 	}
 }
 
-// concurrencyLimit returns how many concurrent attempts a member may get.
-func (p *Pool) concurrencyLimit(now time.Time, m *member) int {
+// concurrencyLimit returns how many concurrent attempts a member may get before another
+// attempt of a class of requests.
+func (p *Pool) concurrencyLimit(now time.Time, m *member, s *LatencyStats) int {
+	if s.isGather {
+		return m.gatherLimit(now, p.connectionLimit(now, m), p.slotShare(m))
+	}
+	return p.connectionLimit(now, m)
+}
+
+// slotShare returns how many of a member's slots this host may use, at least one.
+func (p *Pool) slotShare(m *member) int {
+	return max(1, int(math.Ceil(p.policy.LoadShare*float64(m.upstream.Slots()))))
+}
+
+// connectionLimit returns how many concurrent attempts the connections to a member
+// suffice for.
+func (p *Pool) connectionLimit(now time.Time, m *member) int {
 	if m.upstream.IsDiallingHost() {
 		return m.upstream.Slots()
 	}
