Target: count what the caller has spent before the request arrived

Cause: the answer was due 9 ms (15 ms on a new connection) before the target, counted from the request's arrival, but the target counts from before the look-up. The host waited for the parts of paused leafs and answered at 25 ms what was due at 9 ms. The caller's remaining timeout tells what it has spent: what it lacks of the longest that callers of the route send, or of the route's timeout. From 100 ms on the caller was probably refused before, and the target counts anew.

Ruled out: processor (played without), connections to leafs (nearly all reused), links, the way from the host to the caller. Tried and mended: parts abandoned as late because this caller has little time (13 of 90 missing without a try); a baseline of latency that moved only with each request, so that a host with one search a second kept its first guess for 20 s and sent late attempts at it.

--- /dev/null
+++ b/internal/dispatch/callertime.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// timeoutWindow is for how long a callerTimeout keeps the longest remaining time.
+	timeoutWindow = 10 * time.Second
+	// minTimeoutSamples is the number of requests from which on a callerTimeout knows the
+	// timeout of callers: some of them have spent no time before.
+	minTimeoutSamples = 8
+)
+
+// A callerTimeout estimates the timeout that the callers of a route set: the longest
+// time that a recent request had left. What another request lacks of it, its caller has
+// spent before it sent the request. A callerTimeout is safe for concurrent use.
+type callerTimeout struct {
+	mu sync.Mutex
+	// current and previous are the windows of the last requests.
+	current, previous timeoutSamples
+}
+
+// timeoutSamples are the requests of one window.
+type timeoutSamples struct {
+	count     int
+	longest   time.Duration
+	startedAt time.Time
+}
+
+// record adds a request and returns how much time its caller has spent before, as far as
+// earlier requests and the timeout of the route tell.
+func (t *callerTimeout) record(now time.Time, remaining, routeTimeout time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.current.startedAt) > timeoutWindow {
+		t.current, t.previous = timeoutSamples{startedAt: now}, t.current
+	}
+	t.current.count++
+	t.current.longest = max(t.current.longest, remaining)
+	observed := max(t.current.longest, t.previous.longest) - remaining
+	configured := routeTimeout - remaining
+	switch {
+	case configured < 0:
+		return observed
+	case t.current.count+t.previous.count < minTimeoutSamples:
+		return configured
+	default:
+		// The route may allow more time than its callers have, and some callers may have
+		// more time than others.
+		return min(observed, configured)
+	}
+}
+
+// timeSpent returns how much of the target the caller has spent before it sent the
+// request, on finding an address and connecting. It is zero if that took so long that
+// the caller was probably refused and told to come back: the target then counts anew.
+func (d *Dispatcher) timeSpent(now time.Time, r *Request, routeName string, routeTimeout time.Duration) time.Duration {
+	if r.Remaining <= 0 {
+		return 0
+	}
+	t, _ := d.callerTimeouts.LoadOrStore(routeName, &callerTimeout{})
+	spent := t.(*callerTimeout).record(now, r.Remaining, routeTimeout)
+	if spent >= failureRetryDelay {
+		return 0
+	}
+	return spent
+}
+
+// allowance returns how much of the target a request spends outside this host.
+func (d *Dispatcher) allowance(r *Request, spent time.Duration) time.Duration {
+	if spent == 0 && r.NewConnection {
+		return d.CallerAllowance + d.ConnectAllowance
+	}
+	return d.CallerAllowance + spent
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
@@ -47,17 +48,12 @@
 	OnFinish func(Summary)
 	// CallerAllowance is how much of a route's target the network to and from the
 	// caller takes. ConnectAllowance is how much more of it opening a connection takes,
-	// if the caller opens one for the request.
+	// if the caller opens one for the request and sends no timeout that tells.
 	CallerAllowance, ConnectAllowance time.Duration
 	Group                             *work.Group
-}
 
-// allowance returns how much of the target a request spends outside this host.
-func (d *Dispatcher) allowance(r *Request) time.Duration {
-	if r.NewConnection {
-		return d.CallerAllowance + d.ConnectAllowance
-	}
-	return d.CallerAllowance
+	// callerTimeouts holds a *callerTimeout for each route name.
+	callerTimeouts sync.Map
 }
 
 // RunAttempt runs one attempt at the upstream of an assignment and reports its outcome
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -22,10 +22,12 @@
 	// results has room for the results of all attempts, so that sending a result never
 	// blocks.
 	results chan attemptResult
-	// startedAt is when the request arrived. answerDueAt is when the answer must be sent
-	// to reach the caller within the target. deadline is when the caller's or the
+	// startedAt is when the request arrived. allowance is how much of the target is spent
+	// outside this host. answerDueAt is when the answer must be sent to reach the caller
+	// within the target. deadline is when the caller's or the
 	// route's timeout ends, whichever is earlier.
 	startedAt, answerDueAt, deadline time.Time
+	allowance                        time.Duration
 	// attempts counts all attempts, including hedges and retries.
 	attempts, hedges, retries int
 	lastFailure               string
@@ -45,8 +47,9 @@
 	}
 	f := &inFlightRequest{
 		dispatcher: d, request: request, route: route, latencyStats: d.LatencyStats(route), fingerprint: request.fingerprint(),
-		startedAt: now, answerDueAt: now.Add(route.LatencyTarget() - d.allowance(request)), deadline: now.Add(remaining),
+		startedAt: now, deadline: now.Add(remaining), allowance: d.allowance(request, d.timeSpent(now, request, route.Name(), route.Timeout())),
 	}
+	f.answerDueAt = now.Add(f.availableTime())
 	for _, s := range route.NextServices() {
 		f.parts = append(f.parts, &part{service: s, pool: d.Pool(s)})
 	}
@@ -54,6 +57,16 @@
 	return f
 }
 
+// availableTime returns how much of the target this host may use. If that is less than an
+// attempt takes, the answer will be late in any case, and the host waits for more parts.
+func (f *inFlightRequest) availableTime() time.Duration {
+	available := f.route.LatencyTarget() - f.allowance
+	if typical := f.latencyStats.TypicalLatency(); available < typical {
+		return 2 * typical
+	}
+	return available
+}
+
 func (f *inFlightRequest) run(ctx context.Context) Answer {
 	if remaining := f.dispatcher.QuarantineRemaining(f.fingerprint); remaining > 0 {
 		return Answer{Status: http.StatusServiceUnavailable, Reason: ReasonQuarantined, RetryAfter: remaining}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -152,7 +152,7 @@
 // maxRefusalRatio of the target; after that, when its response would be late.
 func (f *inFlightRequest) startBy() time.Time {
 	if f.attempts == 0 {
-		return f.startedAt.Add(max(0, time.Duration(maxRefusalRatio*float64(f.route.LatencyTarget()))-f.dispatcher.allowance(f.request)))
+		return f.startedAt.Add(max(0, time.Duration(maxRefusalRatio*float64(f.route.LatencyTarget()))-f.allowance))
 	}
 	return f.answerDueAt.Add(-f.latencyStats.TypicalLatency())
 }
@@ -227,7 +227,8 @@
 	if !f.route.Gathers() || abandonableCount <= 0 {
 		return
 	}
-	maxDuration := f.answerDueAt.Sub(f.startedAt)
+	// The time that this caller has spent before is no sign of load.
+	maxDuration := f.route.LatencyTarget() - f.dispatcher.CallerAllowance
 	fraction := f.requestFraction()
 	var hopeless, slow []*part
 	for i := range f.parts {
--- a/internal/pool/latencystats.go
+++ b/internal/pool/latencystats.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -19,11 +20,13 @@
 	// minHedgeFactor is the minimum hedge delay as a multiple of the typical
 	// latency.
 	minHedgeFactor = 1.4
-	// The baseline moves toward the median by baselineWeight of their difference, at
-	// most once in each baselineInterval. It changes this slowly because the slowness
-	// of members is relative to it, and their estimates must keep up with its changes.
-	baselineInterval = 100 * time.Millisecond
-	baselineWeight   = 0.05
+	// The baseline moves toward the median by baselineWeight of their difference in each
+	// baselineInterval, at most by maxBaselineWeight at once. It changes this slowly
+	// because the slowness of members is relative to it, and their estimates must keep
+	// up with its changes.
+	baselineInterval  = 100 * time.Millisecond
+	baselineWeight    = 0.05
+	maxBaselineWeight = 0.4
 	// singleHedgeRatio is the minimum hedge delay of a request that does not gather
 	// parts, as a ratio of the target. Such a request can wait longer for a hedge,
 	// because no other part waits for the response.
@@ -88,7 +91,9 @@
 	case s.baseline == 0:
 		s.baseline = median
 	default:
-		s.baseline += time.Duration(baselineWeight * float64(median-s.baseline))
+		intervals := float64(now.Sub(s.baselineAt)) / float64(baselineInterval)
+		weight := min(maxBaselineWeight, 1-math.Pow(1-baselineWeight, intervals))
+		s.baseline += time.Duration(weight * float64(median-s.baseline))
 	}
 	s.baselineAt = now
 }
