Start: the first list of the store may be stale

Load: 295 hosts that start at once. Each read two or three pages of the store at full price, 590 of 1,370 calls before the first second of traffic. A read that may be seconds old costs a tenth and does not count toward the store's rate; the watch that followed anyway brings the rest. Until then the copy does not count as up to date. After lost history or a failed watch the list is current.

--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -270,7 +270,7 @@
 	}
 }
 
-func (p simulatedNetwork) List(ctx context.Context, _ string) ([]keyvalue.Change, uint64, error) {
+func (p simulatedNetwork) List(ctx context.Context, _ string, _ bool) ([]keyvalue.Change, uint64, error) {
 	if err := p.callStore(ctx); err != nil {
 		return nil, 0, err
 	}
--- a/internal/keyvalue/feed.go
+++ b/internal/keyvalue/feed.go
@@ -19,8 +19,9 @@
 type Feed interface {
 	// List returns the last write of each key with a prefix, and the store's revision
 	// when the first of these keys was read. Keys that are written while the list is
-	// read may have a higher revision.
-	List(ctx context.Context, prefix string) ([]Change, uint64, error)
+	// read may have a higher revision. With allowStale, all of this may be as of some
+	// seconds ago, but still fits together; such a call costs the store little.
+	List(ctx context.Context, prefix string, allowStale bool) ([]Change, uint64, error)
 	// WatchPrefix waits up to wait for changes after a revision. It returns the
 	// changes, possibly none, and the revision up to which they are complete. It
 	// returns a *HistoryLostError if the store no longer has all changes after that
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -23,6 +23,9 @@
 	watchGracePeriod = 300 * time.Millisecond
 	// listTimeout is the timeout for reading all keys.
 	listTimeout = 1500 * time.Millisecond
+	// staleListAge is the age of a list that may be stale. It makes ShouldWatch true on
+	// any host.
+	staleListAge = time.Hour
 	// batchDelay is the delay after a change before the next watch, so that changes in
 	// quick succession cost one call.
 	batchDelay = 250 * time.Millisecond
@@ -74,6 +77,9 @@
 	// storeReachable is set if the last call to the store succeeded, not counting calls
 	// that failed because the store had discarded changes. It is set initially.
 	storeReachable bool
+	// hasListed is set once a list was read from the store. The first one may be stale:
+	// a watch that follows it brings the rest.
+	hasListed bool
 	// applyMu ensures that OnChange receives the changes in order.
 	applyMu sync.Mutex
 	// hints holds the addresses of peers that have announced a newer revision.
@@ -229,15 +235,22 @@
 	return nil
 }
 
-// list reads all keys of the store and updates the mirror with them.
+// list reads all keys of the store and updates the mirror with them. Only followStore
+// calls it.
 func (f *Follower) list(ctx context.Context) error {
 	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	all, revision, err := f.Feed.List(listCtx, "")
+	allowStale := !f.hasListed
+	all, revision, err := f.Feed.List(listCtx, "", allowStale)
 	if err != nil {
 		return fmt.Errorf("read the store: %w", err)
 	}
-	f.update(0, func(m *Mirror) bool { return m.Replace(all, revision) })
+	f.hasListed = true
+	age := time.Duration(0)
+	if allowStale {
+		age = staleListAge
+	}
+	f.update(age, func(m *Mirror) bool { return m.Replace(all, revision) })
 	return nil
 }
 
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -15,6 +15,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
 )
@@ -158,6 +159,11 @@
 	failing     bool
 	historyLost bool
 	calls       int
+	// staleRecords and staleRevision are what a list that may be stale returns; if
+	// staleRevision is zero, such a list is current.
+	staleRecords  []keyvalue.Change
+	staleRevision uint64
+	staleLists    int
 }
 
 var errStore = errors.New("store fails")
@@ -170,7 +176,7 @@
 	f.history = append(f.history, c)
 }
 
-func (f *fakeFeed) List(ctx context.Context, _ string) ([]keyvalue.Change, uint64, error) {
+func (f *fakeFeed) List(ctx context.Context, _ string, allowStale bool) ([]keyvalue.Change, uint64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
@@ -181,6 +187,12 @@
 	if f.failing {
 		return nil, 0, errStore
 	}
+	if allowStale {
+		f.staleLists++
+	}
+	if allowStale && f.staleRevision > 0 {
+		return f.staleRecords, f.staleRevision, nil
+	}
 	return f.store.Records(), f.store.Revision(), nil
 }
 
@@ -340,3 +352,39 @@
 		c.Check(<-done, qt.IsNil)
 	})
 }
+
+// TestFirstListMayBeStale lets the store answer the first list, which may be stale, with
+// the keys of some seconds ago. A watch must bring the rest at once, without a second
+// list, and the mirror must not count as up to date before. After the store has lost its
+// history, the list must be current.
+func TestFirstListMayBeStale(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		feed := &fakeFeed{store: New()}
+		feed.write("a")
+		feed.write("b")
+		feed.staleRecords, feed.staleRevision = feed.store.Records()[:1], 1
+		feed.write("c")
+		follower := newTestFollower(feed)
+		var ages []time.Duration
+		follower.OnChange = func([]keyvalue.Change, uint64) { ages = append(ages, follower.Age()) }
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		var group errgroup.Group
+		group.Go(func() error { return follower.Run(ctx) })
+		time.Sleep(10 * time.Millisecond)
+		c.Check(follower.Revision(), qt.Equals, uint64(3))
+		c.Check(feed.calls, qt.Equals, 2)
+		c.Assert(ages, qt.HasLen, 2)
+		c.Check(ages[0] >= staleListAge, qt.IsTrue, qt.Commentf("age of the stale list: %s", ages[0]))
+		c.Check(ages[1], qt.Equals, time.Duration(0))
+		feed.configure(func(f *fakeFeed) { f.historyLost = true })
+		time.Sleep(5 * time.Second)
+		feed.write("d")
+		time.Sleep(time.Second)
+		c.Check(follower.Revision(), qt.Equals, uint64(4))
+		c.Check(feed.staleLists, qt.Equals, 1)
+		cancel()
+		c.Check(group.Wait(), qt.IsNil)
+	})
+}
