--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -2,26 +2,13 @@
 
 import (
 	"context"
-	"math"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 )
 
-// abandonExponent is the exponent in the ratio of requests that do not abandon a slow
-// part: (time from startedAt to answerDueAt / expected latency)^abandonExponent. With
-// this exponent, the ratio falls steeply enough as the expected latency rises that the
-// responses to these requests are on time again.
-const abandonExponent = 6
-
-// A part whose expected latency exceeds hopelessFactor times the time until the answer is
-// due counts as one that no upstream can serve.
-const hopelessFactor = 4
-
 // maxAttemptsPerPart bounds all attempts of one part. Route.MaxAttempts bounds those
 // that an upstream may have run.
 const maxAttemptsPerPart = 6
@@ -43,55 +30,6 @@
 	}
 }
 
-// assignFirst assigns the first attempts to upstreams and reports whether these are
-// enough parts for an answer. Otherwise it keeps no assignment, because the work of the
-// parts that can start would be wasted. As far as the answer requires them, it resumes
-// parts that were abandoned as ReasonExpectedLate: a late answer is better than a
-// failure. If there are still too few, it abandons the parts for the result of
-// abandonReason; the request then fails unless enough parts remain.
-func (f *inFlightRequest) assignFirst(now time.Time) bool {
-	var assigned, resumable, waiting []*part
-	for _, p := range f.parts {
-		switch {
-		case p.reason == ReasonExpectedLate:
-			resumable = append(resumable, p)
-		case p.isDone():
-		default:
-			if p.assignment = p.pool.Assign(now, f.requirements(p, 0)); p.assignment == nil {
-				waiting = append(waiting, p)
-				continue
-			}
-			assigned = append(assigned, p)
-		}
-	}
-	for _, p := range resumable[:max(0, min(len(resumable), f.route.MinParts()-len(assigned)))] {
-		if p.assignment = p.pool.Assign(now, f.requirements(p, 0)); p.assignment != nil {
-			assigned = append(assigned, p)
-		}
-	}
-	if len(assigned) >= f.route.MinParts() {
-		for _, p := range assigned {
-			p.resume()
-		}
-		return true
-	}
-	unassign(assigned)
-	for _, p := range waiting {
-		if reason := f.abandonReason(now, p); reason != ReasonNone {
-			p.abandon(reason)
-		}
-	}
-	return false
-}
-
-// unassign cancels the assignments of parts.
-func unassign(parts []*part) {
-	for _, p := range parts {
-		p.pool.Unassign(p.assignment)
-		p.assignment = nil
-	}
-}
-
 // startNeeded starts the first attempt or a retry of a part without an attempt in
 // flight, if an upstream accepts it and the budget allows it. It abandons the part for
 // the result of abandonReason, or as ReasonFailed if no retry started and answerDueAt
@@ -147,16 +85,6 @@
 	}
 }
 
-// startBy returns when a part that waits for its first attempt is abandoned: while no
-// part has started, early enough that the refusal reaches the caller within
-// maxRefusalRatio of the target; after that, when its response would be late.
-func (f *inFlightRequest) startBy() time.Time {
-	if f.attempts == 0 {
-		return f.startedAt.Add(max(0, time.Duration(maxRefusalRatio*float64(f.route.LatencyTarget()))-f.allowance))
-	}
-	return f.answerDueAt.Add(-f.latencyStats.TypicalLatency())
-}
-
 // requirements returns the requirements on the upstream of the next attempt of a part.
 func (f *inFlightRequest) requirements(p *part, maxDuration time.Duration) pool.Requirements {
 	return pool.Requirements{
@@ -215,69 +143,3 @@
 	}
 	return true
 }
-
-// abandonSlowParts abandons parts as ReasonExpectedLate if their upstreams are so busy
-// that responses would come after answerDueAt, as far as the route allows missing parts.
-// Attempts whose responses come too late would only delay the attempts after them. The
-// higher the expected latency of a part, the more requests abandon it. This handles a
-// load that exceeds the capacity of some shards. Parts that no upstream can serve come
-// first: if another part were abandoned instead, too few would remain.
-func (f *inFlightRequest) abandonSlowParts() {
-	abandonableCount := len(f.parts) - f.route.MinParts()
-	if !f.route.Gathers() || abandonableCount <= 0 {
-		return
-	}
-	// The time that this caller has spent before is no sign of load.
-	maxDuration := f.route.LatencyTarget() - f.dispatcher.CallerAllowance
-	fraction := f.requestFraction()
-	var hopeless, slow []*part
-	for i := range f.parts {
-		// The first part examined differs between requests. Otherwise the same parts
-		// would always use up abandonableCount.
-		p := f.parts[(i+int(fraction*float64(len(f.parts))))%len(f.parts)]
-		expected, reachable := p.pool.ExpectedLatency(f.startedAt, f.latencyStats)
-		switch {
-		case !reachable:
-			hopeless = append(hopeless, p)
-		case expected <= maxDuration || fraction < math.Pow(float64(maxDuration)/float64(expected), abandonExponent):
-		case expected > hopelessFactor*maxDuration:
-			hopeless = append(hopeless, p)
-		default:
-			slow = append(slow, p)
-		}
-	}
-	candidates := slices.Concat(hopeless, slow)
-	for _, p := range candidates[:min(len(candidates), abandonableCount)] {
-		p.abandon(ReasonExpectedLate)
-	}
-}
-
-// resumeExpectedLate resumes count parts that were abandoned as ReasonExpectedLate, to
-// replace others that have failed. It reports false, and resumes none, if upstreams
-// accept fewer than count of them.
-func (f *inFlightRequest) resumeExpectedLate(now time.Time, count int) bool {
-	var resumed []*part
-	for _, p := range f.parts {
-		if p.reason != ReasonExpectedLate || len(resumed) == count {
-			continue
-		}
-		if p.assignment = p.pool.Assign(now, f.requirements(p, 0)); p.assignment != nil {
-			resumed = append(resumed, p)
-		}
-	}
-	if len(resumed) < count {
-		unassign(resumed)
-		return false
-	}
-	for _, p := range resumed {
-		p.resume()
-	}
-	return true
-}
-
-// requestFraction returns a number from 0 to 1 that is derived from the request ID and
-// spreads requests evenly.
-func (f *inFlightRequest) requestFraction() float64 {
-	const steps = 1 << 53
-	return float64(xxhash.Sum64String(f.request.ID)%steps) / steps
-}
--- /dev/null
+++ b/internal/pool/lateness.go
@@ -0,0 +1,74 @@
+package pool
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// An attempt for an answer that is gathered is late from lateRatio of the target on:
+	// the other parts and the merge need the rest.
+	lateRatio = 0.75
+	// latenessDecrease is the factor of the limit after late attempts, and
+	// latenessIncrease is added to it after an attempt that was fast enough for one more
+	// at a time.
+	latenessDecrease = 0.7
+	latenessIncrease = 0.25
+)
+
+// A latenessLimit bounds the concurrent attempts of this host at one upstream for answers
+// that are gathered. It answers a load that exceeds what the upstream can run in time: the
+// upstream then queues attempts, and all of them are late. The limit leaves as many as it
+// completes in time, and at least the host's share of its slots, which do not have to
+// queue.
+type latenessLimit struct {
+	// limit is zero for no bound. Its integer part applies.
+	limit float64
+	// lateSince is when the first attempt ended in the current series of late ones; zero
+	// if the last attempt was on time.
+	lateSince time.Time
+	// endedAt is when an attempt last ended. After estimateHoldPeriod without one, the
+	// limit does not apply.
+	endedAt time.Time
+}
+
+// apply returns how many concurrent attempts may run, at least minimum and at most
+// maximum.
+func (l *latenessLimit) apply(now time.Time, minimum, maximum int) int {
+	if l.limit == 0 || now.Sub(l.endedAt) > estimateHoldPeriod {
+		return maximum
+	}
+	return min(maximum, max(minimum, int(l.limit)))
+}
+
+// record adapts the limit to an attempt that ended now, while running others are in
+// flight. Late attempts that were started before the first late one ended do not count,
+// because the upstream may have paused.
+func (l *latenessLimit) record(now, startedAt time.Time, target time.Duration, running, minimum, maximum int) {
+	if now.Sub(l.endedAt) > estimateHoldPeriod {
+		l.limit, l.lateSince = 0, time.Time{}
+	}
+	l.endedAt = now
+	current := float64(maximum)
+	if l.limit > 0 {
+		current = min(current, l.limit)
+	}
+	elapsed, bound := float64(now.Sub(startedAt)), lateRatio*float64(target)
+	switch {
+	case elapsed > bound && l.lateSince.IsZero():
+		l.lateSince = now
+	case elapsed > bound && startedAt.After(l.lateSince):
+		l.limit = max(float64(minimum), latenessDecrease*min(current, float64(running+1)))
+		l.lateSince = now
+	case elapsed > bound:
+	default:
+		l.lateSince = time.Time{}
+		n := math.Floor(max(1, current))
+		if l.limit > 0 && elapsed*(n+1)/n <= bound {
+			l.limit += latenessIncrease
+		}
+	}
+	if l.limit >= float64(maximum) {
+		l.limit = 0
+	}
+}
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -39,14 +38,6 @@
 	// limitGrowthInterval is the interval at which the concurrency limit of an upstream
 	// grows by one, after it was reduced because of too many connections.
 	limitGrowthInterval = 150 * time.Millisecond
-	// An attempt for an answer that is gathered is late from lateRatio of the target on:
-	// the other parts and the merge need the rest.
-	lateRatio = 0.75
-	// latenessDecrease is the factor of latenessLimit after late attempts, and
-	// latenessIncrease is added to it after an attempt that was fast enough for one more
-	// at a time.
-	latenessDecrease = 0.7
-	latenessIncrease = 0.25
 	// minNoDialPeriod and maxNoDialPeriod bound how long no new connection is dialled
 	// to an upstream that had too many connections. The period doubles each time until
 	// the upstream responds.
@@ -87,14 +78,8 @@
 	// limitGrowthInterval.
 	reducedLimit   int
 	limitReducedAt time.Time
-	// latenessLimit bounds the concurrent attempts for answers that are gathered, after
-	// several of them were late; zero for no bound. Its integer part applies.
-	latenessLimit float64
-	// lateSince is when the first attempt ended in the current series of late ones; zero
-	// if the last attempt was on time.
-	lateSince time.Time
-	// endedAt is when an attempt for a gathered answer last ended.
-	endedAt time.Time
+	// lateness bounds the concurrent attempts for answers that are gathered.
+	lateness latenessLimit
 	// noDialUntil is when new connections may be dialled again, after the upstream had
 	// too many connections. noDialPeriod is for how long none was dialled the last
 	// time; zero once the upstream has responded.
@@ -152,49 +137,6 @@
 	return max(1, min(maxConcurrent, m.reducedLimit+int(now.Sub(m.limitReducedAt)/limitGrowthInterval)))
 }
 
-// gatherLimit returns how many concurrent attempts for gathered answers the member may
-// get, at least minimum and at most limit.
-func (m *member) gatherLimit(now time.Time, limit, minimum int) int {
-	if m.latenessLimit == 0 || now.Sub(m.endedAt) > estimateHoldPeriod {
-		return limit
-	}
-	return min(limit, max(minimum, int(m.latenessLimit)))
-}
-
-// updateLatenessLimit adapts latenessLimit to an attempt for a gathered answer. An
-// upstream that gets more attempts than it can run in time queues them, and all of them
-// are late. The limit leaves as many as it completes in time, and at least minimum, which
-// do not have to queue. Late attempts that were started before the first late one ended do
-// not count, because the upstream may have paused.
-func (m *member) updateLatenessLimit(now, startedAt time.Time, elapsed, target time.Duration, limit, minimum int) {
-	if now.Sub(m.endedAt) > estimateHoldPeriod {
-		m.latenessLimit, m.lateSince = 0, time.Time{}
-	}
-	m.endedAt = now
-	bound := lateRatio * float64(target)
-	current := float64(limit)
-	if m.latenessLimit > 0 {
-		current = min(current, m.latenessLimit)
-	}
-	switch {
-	case float64(elapsed) > bound && m.lateSince.IsZero():
-		m.lateSince = now
-	case float64(elapsed) > bound && startedAt.After(m.lateSince):
-		m.latenessLimit = max(float64(minimum), latenessDecrease*min(current, float64(len(m.running)+1)))
-		m.lateSince = now
-	case float64(elapsed) > bound:
-	default:
-		m.lateSince = time.Time{}
-		n := math.Floor(max(1, current))
-		if m.latenessLimit > 0 && float64(elapsed)*(n+1)/n <= bound {
-			m.latenessLimit += latenessIncrease
-		}
-	}
-	if m.latenessLimit >= float64(limit) {
-		m.latenessLimit = 0
-	}
-}
-
 // boundSlowness returns the slowness to sample from an attempt, at most
 // maxUnconfirmedSlowness until the upstream is confirmed as slow. An attempt confirms
 // this if it is slow and was started after the first slow one ended; earlier attempts
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -291,7 +291,7 @@
 	elapsed := now.Sub(assignment.startedAt) - o.ConnectDuration
 	slowness := float64(elapsed) / float64(max(assignment.typicalLatency, time.Microsecond))
 	if stats := assignment.latencyStats; stats.isGather && (o.Result == upstream.Answered || o.Result == upstream.Aborted) {
-		m.updateLatenessLimit(now, assignment.startedAt, elapsed, stats.target, p.connectionLimit(now, m), p.slotShare(m))
+		m.lateness.record(now, assignment.startedAt.Add(o.ConnectDuration), stats.target, len(m.running), p.slotShare(m), p.connectionLimit(now, m))
 	}
 	switch o.Result {
 	case upstream.Answered:
@@ -365,7 +365,7 @@
 // attempt of a class of requests.
 func (p *Pool) concurrencyLimit(now time.Time, m *member, s *LatencyStats) int {
 	if s.isGather {
-		return m.gatherLimit(now, p.connectionLimit(now, m), p.slotShare(m))
+		return m.lateness.apply(now, p.slotShare(m), p.connectionLimit(now, m))
 	}
 	return p.connectionLimit(now, m)
 }
