KNOWN-RED: trace of the addresses that a cut-off host still returns

Tried and dropped: leaving out suspect members; the host that leaves may be probed only 3.5 s after the cut, and a gate that says that it is cut off no longer updates its entry.

--- a/internal/fleettest/control_test.go
+++ b/internal/fleettest/control_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
 	"github.com/foxtailshelf/foxtailshelf/internal/entry"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 )
@@ -91,6 +93,34 @@
 	}
 }
 
+// TestCutOffHostAdvertisesLeavingHost cuts off a host, and lets another one leave, which
+// the host that is cut off cannot learn. All addresses that the host has returned must have
+// expired when the other one stops.
+func TestCutOffHostAdvertisesLeavingHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		options := DefaultOptions()
+		options.Hosts = 5
+		f := New(options)
+		f.Start()
+		defer f.Stop()
+		time.Sleep(startupPeriod)
+		cutOff := f.ShardOwner(0)
+		cutOffOwner(f)
+		leaving := f.FirstHostNotOwningShard0()
+		time.Sleep(200 * time.Millisecond)
+		leaving.Leave()
+		var expiresAt time.Time
+		for !leaving.Stopped() {
+			answer := cutOff.Entry.Addresses("attiki-1")
+			if cutOff.Entry.NotReadyReason() == "" && slices.Contains(answer.Addresses, "entry@"+leaving.Name) {
+				expiresAt = time.Now().Add(time.Duration(answer.TimeToLiveMilliseconds) * time.Millisecond)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		qt.New(t).Check(time.Now().After(expiresAt), qt.IsTrue, qt.Commentf("expires %s after the stop", time.Until(expiresAt)))
+	})
+}
+
 // checkConvergence checks that an expected configuration change was stored, that all
 // running hosts have the latest revision and exactly the running hosts as alive members,
 // and that each group has exactly one owner.
