--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 TOOL = $(GO) tool -modfile=tools.mod
 
-.PHONY: demo test lint matrix soak soak-processes bench-policy bench-capacity
+.PHONY: demo test race lint matrix soak soak-processes bench-policy bench-capacity
 
 ## demo: runs all programs on loopback with a query and a booking, and stops them; exit code 0 only if all of it worked
 demo:
@@ -11,6 +11,10 @@
 test:
 	scripts/test.sh
 
+## race: runs the short tests of the host program's decisions with the race detector; needs a C compiler
+race:
+	$(GO) test -race -short ./internal/budget ./internal/dispatch ./internal/inventory ./internal/membership ./internal/mirror ./internal/pool ./internal/quarantine ./internal/roster ./internal/routing ./internal/upstream
+
 ## lint: checks the formatting and runs vet and static analysis
 lint:
 	@unformatted=$$($(TOOL) gofumpt -l cmd internal platform | grep -v pb.go); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
--- a/internal/host/propagation_test.go
+++ b/internal/host/propagation_test.go
@@ -95,7 +95,9 @@
 				c := qt.New(t)
 				f, _ := startFleet(size)
 				f.setStoreDown(true)
+				f.mu.Lock()
 				calls := f.storeCalls
+				f.mu.Unlock()
 				time.Sleep(outagePeriod)
 				f.mu.Lock()
 				calls = f.storeCalls - calls
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -196,6 +196,12 @@
 	return f.store.Records(), f.store.Revision(), nil
 }
 
+func (f *fakeFeed) callCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
 // configure changes the behaviour of the store.
 func (f *fakeFeed) configure(change func(*fakeFeed)) {
 	f.mu.Lock()
@@ -318,7 +324,7 @@
 		f.HandlePeerRevision("peer", 4, 0)
 		time.Sleep(time.Millisecond)
 		c.Check(f.Revision(), qt.Equals, uint64(4))
-		c.Check(feed.calls, qt.Equals, 0)
+		c.Check(feed.callCount(), qt.Equals, 0)
 		time.Sleep(time.Second)
 		f.HandlePeerRevision("peer", 4, 100*time.Millisecond)
 		c.Check(f.Age(), qt.Equals, 100*time.Millisecond, qt.Commentf("a peer at the same revision confirms the mirror"))
@@ -345,7 +351,7 @@
 			time.Sleep(40 * time.Millisecond)
 			feed.write("a")
 		}
-		c.Check(feed.calls <= 45, qt.IsTrue, qt.Commentf("%d calls in 10 s", feed.calls))
+		c.Check(feed.callCount() <= 45, qt.IsTrue, qt.Commentf("%d calls in 10 s", feed.callCount()))
 		time.Sleep(time.Second)
 		c.Check(f.Revision(), qt.Equals, uint64(251))
 		cancel()
@@ -366,25 +372,26 @@
 		feed.staleRecords, feed.staleRevision = feed.store.Records()[:1], 1
 		feed.write("c")
 		follower := newTestFollower(feed)
-		var ages []time.Duration
-		follower.OnChange = func([]keyvalue.Change, uint64) { ages = append(ages, follower.Age()) }
+		ages := make(chan time.Duration, 10)
+		follower.OnChange = func([]keyvalue.Change, uint64) { ages <- follower.Age() }
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		var group errgroup.Group
 		group.Go(func() error { return follower.Run(ctx) })
 		time.Sleep(10 * time.Millisecond)
 		c.Check(follower.Revision(), qt.Equals, uint64(3))
-		c.Check(feed.calls, qt.Equals, 2)
+		c.Check(feed.callCount(), qt.Equals, 2)
 		c.Assert(ages, qt.HasLen, 2)
-		c.Check(ages[0] >= staleListAge, qt.IsTrue, qt.Commentf("age of the stale list: %s", ages[0]))
-		c.Check(ages[1], qt.Equals, time.Duration(0))
+		stale := <-ages
+		c.Check(stale >= staleListAge, qt.IsTrue, qt.Commentf("age of the stale list: %s", stale))
+		c.Check(<-ages, qt.Equals, time.Duration(0))
 		feed.configure(func(f *fakeFeed) { f.historyLost = true })
 		time.Sleep(5 * time.Second)
 		feed.write("d")
 		time.Sleep(time.Second)
 		c.Check(follower.Revision(), qt.Equals, uint64(4))
-		c.Check(feed.staleLists, qt.Equals, 1)
 		cancel()
 		c.Check(group.Wait(), qt.IsNil)
+		c.Check(feed.staleLists, qt.Equals, 1)
 	})
 }
