Assignments of resumed parts are started at once, or released

Found by reading the diff: a part that was resumed when the answer was due kept its assignment until the next wake-up; if the caller disconnected before, the upstream counted an attempt for ever, looked stuck and had one place less. Now the resumed parts start before the request waits again. The estimates of callers' timeouts are bounded.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -13,12 +13,12 @@
 
 const (
 	// abandonExponent is the exponent in the ratio of requests that do not abandon a slow
-	// part: (time from startedAt to answerDueAt / expected latency)^abandonExponent. With
-	// this exponent, the ratio falls steeply enough as the expected latency rises that the
+	// part: (time for an answer on time / expected latency)^abandonExponent. With this
+	// exponent, the ratio falls steeply enough as the expected latency rises that the
 	// responses to these requests are on time again.
 	abandonExponent = 6
-	// A part whose expected latency exceeds hopelessFactor times the time until the answer is
-	// due counts as one that no upstream can serve.
+	// A part whose expected latency exceeds hopelessFactor times the time for an answer on
+	// time counts as one that no upstream can serve.
 	hopelessFactor = 4
 )
 
@@ -72,7 +72,8 @@
 }
 
 // abandonSlowParts abandons parts as ReasonExpectedLate if their upstreams are so busy
-// that responses would come after answerDueAt, as far as the route allows missing parts.
+// that responses would come too late for the target, as far as the route allows missing
+// parts.
 // Attempts whose responses come too late would only delay the attempts after them. The
 // higher the expected latency of a part, the more requests abandon it. This handles a
 // load that exceeds the capacity of some shards. Parts that no upstream can serve come
--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -196,3 +196,46 @@
 		c.Check(answered >= (count-warmUp)*95/100, qt.IsTrue, qt.Commentf("%d of %d answered", answered, count-warmUp))
 	})
 }
+
+// TestAssignmentsAreReleased lets one caller in three disconnect shortly after the answer
+// was due, when parts that were abandoned are resumed. No assignment may stay behind: all upstreams must
+// accept as many attempts as before.
+func TestAssignmentsAreReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newTestDispatcherWithPolicy(gatherRoute(0.75), soleHostPolicy, func(id string, _ int, _ *upstream.Attempt) reaction {
+			r := responds(id)
+			switch {
+			case strings.HasPrefix(id, "s0"):
+				r.isSilent = true
+			case strings.HasPrefix(id, "s1"):
+				r.delay = target + 20*time.Millisecond
+			}
+			return r
+		})
+		var group work.Group
+		for i := range 225 {
+			group.Go(func() {
+				patience := timeout
+				if i%3 == 0 {
+					patience = target - testCallerAllowance + 100*time.Microsecond
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), patience)
+				defer cancel()
+				d.Run(ctx, &Request{ID: fmt.Sprint(i), Method: http.MethodGet, Target: fmt.Sprint("/", i), Host: "h"}, d.route, 1)
+			})
+			time.Sleep(40 * time.Millisecond)
+		}
+		group.Wait()
+		d.Group.Wait()
+		time.Sleep(10 * time.Second)
+		requirements := pool.Requirements{LatencyStats: d.LatencyStats(d.route)}
+		for s, p := range d.pools {
+			count := 0
+			for p.Assign(time.Now(), requirements) != nil {
+				count++
+			}
+			c.Check(count, qt.Equals, 3*soleHostPolicy.MaxConcurrent, qt.Commentf("%s", s))
+		}
+	})
+}
--- a/internal/dispatch/callertime.go
+++ b/internal/dispatch/callertime.go
@@ -11,6 +11,9 @@
 	// minTimeoutSamples is the number of requests from which on a callerTimeout knows the
 	// timeout of callers: some of them have spent no time before.
 	minTimeoutSamples = 8
+	// maxCallerTimeouts bounds the estimates, since changes of the configuration add
+	// routes and remove others. If there are more, all are discarded.
+	maxCallerTimeouts = 4096
 )
 
 // A callerTimeout estimates the timeout that the callers of a route set: the longest
@@ -60,14 +63,29 @@
 	if r.Remaining <= 0 {
 		return 0
 	}
-	t, _ := d.callerTimeouts.LoadOrStore(routeName, &callerTimeout{})
-	spent := t.(*callerTimeout).record(now, r.Remaining, routeTimeout)
+	spent := d.callerTimeout(routeName).record(now, r.Remaining, routeTimeout)
 	if spent >= failureRetryDelay {
 		return 0
 	}
 	return spent
 }
 
+// callerTimeout returns the estimate of a route.
+func (d *Dispatcher) callerTimeout(routeName string) *callerTimeout {
+	d.callerTimeoutsMu.Lock()
+	defer d.callerTimeoutsMu.Unlock()
+	t, ok := d.callerTimeouts[routeName]
+	if ok {
+		return t
+	}
+	if d.callerTimeouts == nil || len(d.callerTimeouts) >= maxCallerTimeouts {
+		d.callerTimeouts = make(map[string]*callerTimeout)
+	}
+	t = &callerTimeout{}
+	d.callerTimeouts[routeName] = t
+	return t
+}
+
 // allowance returns how much of the target a request spends outside this host.
 func (d *Dispatcher) allowance(r *Request, spent time.Duration) time.Duration {
 	if spent == 0 && r.NewConnection {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -52,8 +52,9 @@
 	CallerAllowance, ConnectAllowance time.Duration
 	Group                             *work.Group
 
-	// callerTimeouts holds a *callerTimeout for each route name.
-	callerTimeouts sync.Map
+	callerTimeoutsMu sync.Mutex
+	// callerTimeouts holds the estimates by route name.
+	callerTimeouts map[string]*callerTimeout
 }
 
 // RunAttempt runs one attempt at the upstream of an assignment and reports its outcome
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
@@ -24,8 +25,8 @@
 	results chan attemptResult
 	// startedAt is when the request arrived. allowance is how much of the target is spent
 	// outside this host. answerDueAt is when the answer must be sent to reach the caller
-	// within the target. deadline is when the caller's or the
-	// route's timeout ends, whichever is earlier.
+	// within the target. deadline is when the caller's or the route's timeout ends,
+	// whichever is earlier.
 	startedAt, answerDueAt, deadline time.Time
 	allowance                        time.Duration
 	// attempts counts all attempts, including hedges and retries.
@@ -86,6 +87,10 @@
 		if answer, ok := f.tryAnswer(now); ok {
 			return answer
 		}
+		if slices.ContainsFunc(f.parts, (*part).isAssigned) {
+			// tryAnswer has resumed parts.
+			continue
+		}
 		timer.Reset(f.nextWakeAt(now).Sub(now))
 		select {
 		case result := <-f.results:
--- a/internal/dispatch/part.go
+++ b/internal/dispatch/part.go
@@ -43,6 +43,9 @@
 	p.reason, p.needsAttempt = ReasonNone, true
 }
 
+// isAssigned reports whether the first attempt is assigned and has not started.
+func (p *part) isAssigned() bool { return p.assignment != nil }
+
 // isDone reports whether the part has a response or was abandoned.
 func (p *part) isDone() bool {
 	return p.response != nil || p.reason != ReasonNone
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -72,7 +72,7 @@
 // ReasonNone if it may still get an attempt.
 func (f *inFlightRequest) abandonReason(now time.Time, p *part) Reason {
 	switch {
-	case p.assignment != nil:
+	case p.isAssigned():
 		return ReasonNone
 	case p.ran > 0 && !f.route.Idempotent(), p.ran >= f.route.MaxAttempts(), p.sent >= maxAttemptsPerPart:
 		return ReasonFailed
