--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -158,6 +158,19 @@
 	c.Check(l.failed <= l.count/100, qt.IsTrue, qt.Commentf("%d failed", l.failed))
 }
 
+// reactWithDeadAndSlowShard is a reaction in which the upstreams of s0 never respond, and
+// those of s1 take longer than the target.
+func reactWithDeadAndSlowShard(id string, _ int, _ *upstream.Attempt) reaction {
+	r := responds(id)
+	switch {
+	case strings.HasPrefix(id, "s0"):
+		r.isSilent = true
+	case strings.HasPrefix(id, "s1"):
+		r.delay = target + 20*time.Millisecond
+	}
+	return r
+}
+
 // TestDeadShardIsLeftOutFirst sends 25 requests a second while the only upstreams of s0
 // never respond and those of s1 take longer than the target. One part may be missing, so
 // it must be the part of the dead shard: after the first second, all requests must be
@@ -166,16 +179,7 @@
 func TestDeadShardIsLeftOutFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		d := newTestDispatcherWithPolicy(gatherRoute(0.75), soleHostPolicy, func(id string, _ int, _ *upstream.Attempt) reaction {
-			r := responds(id)
-			switch {
-			case strings.HasPrefix(id, "s0"):
-				r.isSilent = true
-			case strings.HasPrefix(id, "s1"):
-				r.delay = target + 20*time.Millisecond
-			}
-			return r
-		})
+		d := newTestDispatcherWithPolicy(gatherRoute(0.75), soleHostPolicy, reactWithDeadAndSlowShard)
 		var mu sync.Mutex
 		var group work.Group
 		const warmUp, count = 25, 225
@@ -203,16 +207,7 @@
 func TestAssignmentsAreReleased(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		d := newTestDispatcherWithPolicy(gatherRoute(0.75), soleHostPolicy, func(id string, _ int, _ *upstream.Attempt) reaction {
-			r := responds(id)
-			switch {
-			case strings.HasPrefix(id, "s0"):
-				r.isSilent = true
-			case strings.HasPrefix(id, "s1"):
-				r.delay = target + 20*time.Millisecond
-			}
-			return r
-		})
+		d := newTestDispatcherWithPolicy(gatherRoute(0.75), soleHostPolicy, reactWithDeadAndSlowShard)
 		var group work.Group
 		for i := range 225 {
 			group.Go(func() {
