--- a/internal/keyvalue/feed.go
+++ b/internal/keyvalue/feed.go
@@ -19,8 +19,8 @@
 type Feed interface {
 	// List returns the last write of each key with a prefix, and the store's revision
 	// when the first of these keys was read. Keys that are written while the list is
-	// read may have a higher revision. With allowStale, all of this may be as of some
-	// seconds ago, but still fits together; such a call costs the store little.
+	// read may have a higher revision. With allowStale, the keys and the revision may be
+	// some seconds old, but are consistent with each other.
 	List(ctx context.Context, prefix string, allowStale bool) ([]Change, uint64, error)
 	// WatchPrefix waits up to wait for changes after a revision. It returns the
 	// changes, possibly none, and the revision up to which they are complete. It
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -67,8 +67,8 @@
 	// Window is the length of the sliding window in which extra attempts are
 	// counted.
 	Window time.Duration
-	// LoadShare is the part of the service's load that this host carries, 0 to 1. Its
-	// attempts may always use that part of an upstream's slots.
+	// LoadShare is the part of the service's load that this host carries, 0 to 1. That
+	// part of an upstream's slots is always available to this host.
 	LoadShare float64
 	// MaxConcurrent bounds the concurrent attempts at one upstream; it does not
 	// apply to dialling hosts.
