--- a/internal/dispatch/callertime.go
+++ b/internal/dispatch/callertime.go
@@ -8,8 +8,8 @@
 const (
 	// timeoutWindow is for how long a callerTimeout keeps the longest remaining time.
 	timeoutWindow = 10 * time.Second
-	// minTimeoutSamples is the number of requests from which on a callerTimeout knows the
-	// timeout of callers: some of them have spent no time before.
+	// minTimeoutSamples is the number of requests after which a callerTimeout relies on
+	// the longest remaining time: some of these callers have spent no time before.
 	minTimeoutSamples = 8
 	// maxCallerTimeouts bounds the estimates, since changes of the configuration add
 	// routes and remove others. If there are more, all are discarded.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -35,8 +35,8 @@
 	// Other listed hosts are probed only in their turn.
 	minKnownMembers = 8
 	// isolationPeriod is how long a host has had no contact with any other host when
-	// it assumes that it was cut off itself. Two hosts that are left of a small fleet
-	// hear from each other more often.
+	// it assumes that it was cut off itself. The last two hosts of a small fleet hear
+	// from each other more often.
 	isolationPeriod = 8 * ProbeInterval
 	// sendFactor times (1 + the bit length of the fleet's size) is how often one
 	// update is sent, so the number grows with the binary logarithm of the size.
