Logs and metrics that tell how crashes of upstreams are recognised

The on-call engineer could not see from logs whether a crash was missed, counted on another host only, or counted without effect. Now: the fingerprint in the line of a request, a line for each attempt without a response, one for each vanished entry, results of attempts and suspect requests as metrics. Upstream connections of a host are behind an interface, so that tests can simulate upstreams. No decision changes.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -40,6 +40,8 @@
 	// QuarantineRemaining returns how much longer a request is quarantined because it
 	// crashes upstreams; zero if it may run.
 	QuarantineRemaining func(fingerprint uint64) time.Duration
+	// OnAttempt is called when an attempt has ended.
+	OnAttempt func(a *upstream.Attempt, fingerprint uint64, o upstream.Outcome)
 	// OnCrash is called when an upstream seems to have crashed while it ran requests.
 	OnCrash func(pool.Crash)
 	// OnSuccess is called for each request that was answered with a 2xx status.
@@ -62,6 +64,7 @@
 // was refused, or if another upstream has the address.
 func (d *Dispatcher) RunAttempt(ctx context.Context, p *pool.Pool, assignment *pool.Assignment, a *upstream.Attempt) upstream.Outcome {
 	outcome := d.Exchanger.Exchange(ctx, a)
+	d.OnAttempt(a, assignment.Fingerprint(), outcome)
 	if crash := p.RecordOutcome(time.Now(), assignment, outcome); crash != nil {
 		d.OnCrash(*crash)
 	}
@@ -80,7 +83,7 @@
 		d.OnSuccess(f.fingerprint)
 	}
 	d.OnFinish(Summary{
-		RequestID: request.ID, Route: route.Name(), Version: version, Status: answer.Status, Reason: answer.Reason,
+		RequestID: request.ID, Fingerprint: f.fingerprint, Route: route.Name(), Version: version, Status: answer.Status, Reason: answer.Reason,
 		Parts: len(f.parts), MissingParts: answer.MissingParts, Attempts: f.attempts, Hedges: f.hedges, Retries: f.retries,
 		MissingDetails: f.missingDetails(), LastFailure: f.lastFailure, Elapsed: time.Since(f.startedAt),
 	})
--- a/internal/dispatch/helper_test.go
+++ b/internal/dispatch/helper_test.go
@@ -117,7 +117,7 @@
 	t.Dispatcher = &Dispatcher{
 		Exchanger: t.upstreams, Pool: func(s string) *pool.Pool { return t.pools[s] },
 		LatencyStats:        func(*routing.Route) *pool.LatencyStats { return latencyStats },
-		QuarantineRemaining: func(uint64) time.Duration { return 0 }, OnCrash: func(pool.Crash) {}, OnSuccess: func(uint64) {},
+		QuarantineRemaining: func(uint64) time.Duration { return 0 }, OnCrash: func(pool.Crash) {}, OnAttempt: func(*upstream.Attempt, uint64, upstream.Outcome) {}, OnSuccess: func(uint64) {},
 		OnFinish: t.recordSummary, CallerAllowance: testCallerAllowance, Group: &work.Group{},
 	}
 	return t
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -70,11 +70,12 @@
 
 // A Summary describes a finished request for the request log and the metrics.
 type Summary struct {
-	RequestID string
-	Route     string
-	Version   uint64
-	Status    int
-	Reason    Reason
+	RequestID   string
+	Fingerprint uint64
+	Route       string
+	Version     uint64
+	Status      int
+	Reason      Reason
 	// Parts is the number of parts of the request. MissingParts has the meaning of
 	// Answer.MissingParts. Attempts is the number of all attempts.
 	Parts, MissingParts, Attempts int
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -134,7 +134,7 @@
 
 // newPool returns a configured pool for a service. The caller holds h.mu.
 func (h *Host) newPool(service string) *pool.Pool {
-	p := &pool.Pool{DataCenter: h.Settings.DataCenter, IdleCount: h.ConnectionPool.IdleCount}
+	p := &pool.Pool{DataCenter: h.Settings.DataCenter, IdleCount: h.Upstreams.IdleCount}
 	h.configurePool(time.Now(), p, service)
 	return p
 }
@@ -167,7 +167,11 @@
 	if h.table == nil {
 		return
 	}
-	h.configurePools(h.inventory.Update(now, h.upstreamSpecs))
+	changed, ended := h.inventory.Update(now, h.upstreamSpecs)
+	h.configurePools(changed)
+	for _, u := range ended {
+		h.Log.WithFields(map[string]any{"upstream": u.ID(), "service": u.Service(), "address": u.Address()}).Info("entry of upstream vanished")
+	}
 }
 
 // updateFleetView derives the view from the current members and discards the dial
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -32,6 +33,8 @@
 	// watchWait is how long one watch of the store waits, as in package mirror.
 	watchWait = 700 * time.Millisecond
 	tableKey  = "table"
+	// upstreamKeyPrefix is the prefix of the keys of simulated upstreams.
+	upstreamKeyPrefix = "upstreams/"
 )
 
 var errUnreachable = errors.New("host or store unreachable")
@@ -53,6 +56,12 @@
 	mixedCapacities bool
 	// peerCalls counts the calls between hosts.
 	peerCalls int
+	// routes are the routes of each configuration besides the one for "/".
+	routes []routing.RouteSpec
+	// logCounts counts the log lines of each message by host.
+	logCounts map[string]map[string]int
+	// upstreams are the simulated upstreams; nil if the test sends no requests.
+	upstreams *simulatedUpstreams
 }
 
 // A hostProcess is one lifetime of one host.
@@ -70,6 +79,12 @@
 	highestVersion uint64
 }
 
+// A logCounter counts the log lines of a host.
+type logCounter struct {
+	fleet *testFleet
+	host  string
+}
+
 // A simulatedNetwork connects one host to the other hosts and to the store.
 type simulatedNetwork struct {
 	fleet *testFleet
@@ -77,20 +92,32 @@
 }
 
 var (
+	_ logrus.Hook         = logCounter{}
 	_ keyvalue.Feed       = simulatedNetwork{}
 	_ keyvalue.LeaseStore = simulatedNetwork{}
 	_ peer.HostTransport  = simulatedNetwork{}
 	_ RecordDecoder       = testDecoder{}
 )
 
-// A testDecoder decodes hosts/ADDRESS as a registration, keys that start with "up" as an
-// upstream, and all others as a configuration whose value is its version.
-type testDecoder struct{}
+// A testDecoder decodes hosts/ADDRESS as a registration, upstreams/ID as an upstream whose
+// value is its specification, other keys that start with "up" as an upstream, and all others
+// as a configuration whose value is its version.
+type testDecoder struct {
+	// routes are the routes of each configuration besides the one for "/".
+	routes []routing.RouteSpec
+}
 
-func (testDecoder) DecodeRecord(r keyvalue.Change) (DecodedRecord, error) {
+func (d testDecoder) DecodeRecord(r keyvalue.Change) (DecodedRecord, error) {
 	if address, ok := strings.CutPrefix(r.Key(), "hosts/"); ok {
 		return DecodedRecord{PeerAddress: address, PeerRegistration: string(r.Value())}, nil
 	}
+	if strings.HasPrefix(r.Key(), upstreamKeyPrefix) {
+		var spec inventory.UpstreamSpec
+		if err := json.Unmarshal(r.Value(), &spec); err != nil {
+			return DecodedRecord{}, fmt.Errorf("read upstream: %w", err)
+		}
+		return DecodedRecord{Upstream: &spec}, nil
+	}
 	if strings.HasPrefix(r.Key(), "up") {
 		return DecodedRecord{Upstream: &inventory.UpstreamSpec{ID: r.Key(), Service: "s", Address: r.Key(), Slots: 2}}, nil
 	}
@@ -99,13 +126,27 @@
 		return DecodedRecord{}, fmt.Errorf("read version: %w", err)
 	}
 	spec := routing.RouteSpec{Host: "h", Prefix: "/", Destinations: []routing.Destination{{Service: "s", Weight: 1}}}
-	return DecodedRecord{Table: routing.NewTable(version, []routing.RouteSpec{spec}, nil, routing.Limits{})}, nil
+	return DecodedRecord{Table: routing.NewTable(version, append([]routing.RouteSpec{spec}, d.routes...), nil, routing.Limits{})}, nil
 }
 
 func (testDecoder) RegistrationKey(address string) string { return "hosts/" + address }
 
 func newTestFleet() *testFleet {
-	return &testFleet{hosts: make(map[string]*hostProcess), records: make(map[string]keyvalue.Change), revision: 1}
+	return &testFleet{hosts: make(map[string]*hostProcess), logCounts: make(map[string]map[string]int), records: make(map[string]keyvalue.Change), revision: 1}
+}
+
+// Levels implements logrus.Hook.
+func (logCounter) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire implements logrus.Hook.
+func (l logCounter) Fire(e *logrus.Entry) error {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	if l.fleet.logCounts[e.Message] == nil {
+		l.fleet.logCounts[e.Message] = make(map[string]int)
+	}
+	l.fleet.logCounts[e.Message][l.host]++
+	return nil
 }
 
 func (f *testFleet) put(key, value string) {
@@ -121,6 +162,13 @@
 	f.history = append(f.history, c)
 }
 
+func (f *testFleet) remove(key string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.write(keyvalue.NewRemoval(key, f.revision+1))
+	delete(f.records, key)
+}
+
 func (f *testFleet) setStoreDown(down bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -137,6 +185,7 @@
 func (f *testFleet) start(address string, seeds []string) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	log.AddHook(logCounter{fleet: f, host: address})
 	p := simulatedNetwork{fleet: f, self: address}
 	incarnation := uint64(time.Now().UnixMicro())
 	h := &Host{
@@ -144,8 +193,8 @@
 			DataCenter: "z", Peers: seeds, ExtraRatio: 0.2, ExtraSlack: fleetExtraSlack, ExtraWindowSeconds: 10, CallerListen: address, PeerListen: address,
 			GraceSeconds: 6,
 		},
-		Self: roster.NewMember(address, "z", address, "", incarnation, roster.Alive).WithCapacity(f.capacityOf(address)), Feed: p, LeaseStore: p, HostTransport: p, Decoder: testDecoder{},
-		ConnectionPool: &upstream.ConnectionPool{}, Metrics: NewMetrics(prometheus.NewRegistry()), Log: log, Seed: incarnation,
+		Self: roster.NewMember(address, "z", address, "", incarnation, roster.Alive).WithCapacity(f.capacityOf(address)), Feed: p, LeaseStore: p, HostTransport: p, Decoder: testDecoder{routes: f.routes},
+		Upstreams: f.upstreamTransport(address), Metrics: NewMetrics(prometheus.NewRegistry()), Log: log, Seed: incarnation,
 	}
 	h.Init()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -156,6 +205,14 @@
 	r.group.Go(func() { _ = h.Run(ctx) })
 }
 
+// upstreamTransport returns the connections of a host to the upstreams.
+func (f *testFleet) upstreamTransport(host string) UpstreamTransport {
+	if f.upstreams == nil {
+		return &upstream.ConnectionPool{}
+	}
+	return &simulatedTransport{upstreams: f.upstreams, host: host, idle: make(map[string]int)}
+}
+
 // capacityOf returns the capacity of a host. In a fleet with mixed capacities, the
 // first 6 hosts are large and the others small.
 func (f *testFleet) capacityOf(address string) int {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -57,6 +57,8 @@
 	PeerRegistration string
 }
 
+var _ UpstreamTransport = (*upstream.ConnectionPool)(nil)
+
 // A RecordDecoder decodes the keys and values of the store.
 type RecordDecoder interface {
 	// DecodeRecord decodes a record. It returns the zero value for a key that hosts do
@@ -66,18 +68,25 @@
 	RegistrationKey(address string) string
 }
 
+// An UpstreamTransport sends attempts to upstreams over connections that it keeps.
+type UpstreamTransport interface {
+	upstream.Exchanger
+	// CloseExpired closes the idle connections that have expired.
+	CloseExpired(now time.Time)
+}
+
 // A Host is the state of one host process. Its exported fields are set before Init.
 type Host struct {
-	Settings       Settings
-	Self           roster.Member
-	Feed           keyvalue.Feed
-	LeaseStore     keyvalue.LeaseStore
-	HostTransport  peer.HostTransport
-	Decoder        RecordDecoder
-	ConnectionPool *upstream.ConnectionPool
-	Metrics        *Metrics
-	Log            logrus.FieldLogger
-	Seed           uint64
+	Settings      Settings
+	Self          roster.Member
+	Feed          keyvalue.Feed
+	LeaseStore    keyvalue.LeaseStore
+	HostTransport peer.HostTransport
+	Decoder       RecordDecoder
+	Upstreams     UpstreamTransport
+	Metrics       *Metrics
+	Log           logrus.FieldLogger
+	Seed          uint64
 
 	group      work.Group
 	fleet      *membership.Fleet
@@ -132,10 +141,11 @@
 	}
 	h.follower.Init()
 	h.dispatcher = &dispatch.Dispatcher{
-		Exchanger:           &relay.Exchanger{Direct: h.ConnectionPool, HostTransport: h.HostTransport},
+		Exchanger:           &relay.Exchanger{Direct: h.Upstreams, HostTransport: h.HostTransport},
 		Pool:                h.pool,
 		LatencyStats:        h.routeLatencyStats,
 		QuarantineRemaining: h.quarantineRemaining,
+		OnAttempt:           h.requestLog.recordAttempt,
 		OnCrash:             h.handleCrash,
 		OnSuccess:           h.handleSuccess,
 		OnFinish:            h.requestLog.record,
@@ -265,8 +275,9 @@
 	for {
 		select {
 		case now := <-ticker.C:
-			h.ConnectionPool.CloseExpired(now)
+			h.Upstreams.CloseExpired(now)
 			h.updateInventory(now)
+			h.updateSuspectMetrics(now)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -162,6 +162,18 @@
 	}
 }
 
+// updateSuspectMetrics sets the number of suspect requests by decision.
+func (h *Host) updateSuspectMetrics(now time.Time) {
+	h.crashTrackerMu.Lock()
+	counts := h.crashTracker.Counts(now)
+	h.crashTrackerMu.Unlock()
+	for decision, label := range map[quarantine.Decision]string{
+		quarantine.Suspect: "suspect", quarantine.AwaitingTest: "awaiting-test", quarantine.Quarantined: "quarantined",
+	} {
+		h.Metrics.suspectRequests.WithLabelValues(label).Set(float64(counts[decision]))
+	}
+}
+
 func (h *Host) quarantineNotices() []*wire.Notice {
 	h.crashTrackerMu.Lock()
 	defer h.crashTrackerMu.Unlock()
--- a/internal/host/requestlog.go
+++ b/internal/host/requestlog.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/dispatch"
+	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 )
 
 const (
@@ -26,6 +27,8 @@
 	answers              *prometheus.CounterVec
 	answerSeconds        *prometheus.HistogramVec
 	attempts             *prometheus.CounterVec
+	attemptResults       *prometheus.CounterVec
+	suspectRequests      *prometheus.GaugeVec
 	missingParts         prometheus.Counter
 	unloggedLines        prometheus.Counter
 	badRecords           prometheus.Counter
@@ -46,6 +49,12 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "foxtailshelf_attempts_total", Help: "Attempts at upstreams by cause: first, late, retry.",
 		}, []string{"cause"}),
+		attemptResults: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "foxtailshelf_attempt_results_total", Help: "Attempts at upstreams by result.",
+		}, []string{"result"}),
+		suspectRequests: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "foxtailshelf_suspect_requests", Help: "Requests that seem to crash upstreams by decision: suspect, awaiting-test, quarantined.",
+		}, []string{"decision"}),
 		missingParts: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "foxtailshelf_missing_parts_total", Help: "Parts that were not in an answer.",
 		}),
@@ -62,7 +71,7 @@
 			Name: "foxtailshelf_configuration_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	registry.MustRegister(m.answers, m.answerSeconds, m.attempts, m.missingParts, m.unloggedLines, m.badRecords, m.relayedAttempts, m.configurationVersion)
+	registry.MustRegister(m.answers, m.answerSeconds, m.attempts, m.attemptResults, m.suspectRequests, m.missingParts, m.unloggedLines, m.badRecords, m.relayedAttempts, m.configurationVersion)
 	return m
 }
 
@@ -102,13 +111,33 @@
 		return
 	}
 	l.log.WithFields(logrus.Fields{
-		"request": s.RequestID, "route": s.Route, "version": s.Version, "status": s.Status, "reason": string(s.Reason),
+		"request": s.RequestID, "fingerprint": formatFingerprint(s.Fingerprint), "route": s.Route, "version": s.Version, "status": s.Status, "reason": string(s.Reason),
 		"parts": s.Parts, "missing": s.MissingParts, "attempts": s.Attempts, "late": s.Hedges, "retried": s.Retries,
 		"lacking": s.MissingDetails, "failure": s.LastFailure, "took-ms": s.Elapsed.Milliseconds(),
 		"store-age-ms": l.mirrorAge().Milliseconds(),
 	}).Info("request answered")
 }
 
+// recordAttempt updates the metrics with an attempt that has ended, and logs it if its
+// upstream sent no complete response, subject to the limit of lines.
+func (l *requestLog) recordAttempt(a *upstream.Attempt, fingerprint uint64, o upstream.Outcome) {
+	l.metrics.attemptResults.WithLabelValues(o.Result.String()).Inc()
+	if o.Result != upstream.Broken && o.Result != upstream.Unreachable {
+		return
+	}
+	if !l.allowLine() {
+		l.metrics.unloggedLines.Inc()
+		return
+	}
+	l.log.WithFields(logrus.Fields{
+		"request": a.RequestID, "fingerprint": formatFingerprint(fingerprint), "upstream": a.UpstreamID, "result": o.Result.String(),
+		"refused": o.ConnectionRefused, "relayed": a.Relay != nil,
+	}).WithError(o.Err).Info("attempt without a response")
+}
+
+// formatFingerprint returns the fingerprint of a request as it is logged.
+func formatFingerprint(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
+
 // allowLine counts a line and reports whether it is within the limit of the current second.
 func (l *requestLog) allowLine() bool {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/host/upstreams_test.go
@@ -0,0 +1,277 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
+	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
+)
+
+const (
+	// upstreamRunTime is how long an upstream runs a request, crashDelay how long it runs a
+	// crashing request before it ends.
+	upstreamRunTime = 5 * time.Millisecond
+	crashDelay      = 2 * time.Millisecond
+	// dialTimeout is the timeout of connecting, as in package upstream.
+	dialTimeout = 400 * time.Millisecond
+	// upstreamDownTime is how long after its end an upstream is back as a new lifetime.
+	upstreamDownTime = 5 * time.Second
+	// entryLifetime is how long the entry of an upstream outlasts its end.
+	entryLifetime = 3 * time.Second
+	// crashingTarget is the start of the target of requests that crash upstreams.
+	crashingTarget = "/crash"
+)
+
+// An endMode is how an upstream ends.
+type endMode string
+
+const (
+	// closesConnections ends close all connections, and new ones are refused.
+	closesConnections endMode = "closes connections"
+	// goesSilent ends leave all connections open without a response, and new ones are not
+	// established.
+	goesSilent endMode = "goes silent"
+)
+
+// A simulatedUpstream is one lifetime of an upstream.
+type simulatedUpstream struct {
+	spec inventory.UpstreamSpec
+	// ended is closed at the end of the lifetime. mode is set before.
+	ended chan struct{}
+	mode  endMode
+}
+
+// An upstreamArrival is a request that an upstream began to run.
+type upstreamArrival struct {
+	at                    time.Time
+	host, target, request string
+	upstream              string
+}
+
+// An upstreamEnd is the end of an upstream; target is that of the request that crashed it,
+// if any.
+type upstreamEnd struct {
+	at     time.Time
+	target string
+}
+
+// simulatedUpstreams are the upstreams of all services of a testFleet.
+type simulatedUpstreams struct {
+	fleet *testFleet
+	// mode is how upstreams end.
+	mode endMode
+	// keepsID is set if an upstream has the same ID in its next lifetime.
+	keepsID bool
+
+	mu        sync.Mutex
+	byAddress map[string]*simulatedUpstream
+	lifetimes int
+	arrivals  []upstreamArrival
+	ends      []upstreamEnd
+}
+
+// A simulatedTransport is the UpstreamTransport of one lifetime of a host.
+type simulatedTransport struct {
+	upstreams *simulatedUpstreams
+	host      string
+
+	mu sync.Mutex
+	// idle counts the idle connections by upstream.
+	idle map[string]int
+}
+
+var _ UpstreamTransport = (*simulatedTransport)(nil)
+
+// addService starts the upstreams of a service.
+func (s *simulatedUpstreams) addService(service string, count int) {
+	for i := range count {
+		s.start(service, fmt.Sprintf("%s-%d:1", service, i))
+	}
+}
+
+// start starts a lifetime of an upstream at an address and writes its entry.
+func (s *simulatedUpstreams) start(service, address string) {
+	s.mu.Lock()
+	if s.byAddress == nil {
+		s.byAddress = make(map[string]*simulatedUpstream)
+	}
+	s.lifetimes++
+	id := "i-" + address
+	if !s.keepsID {
+		id = fmt.Sprintf("i-%d", s.lifetimes)
+	}
+	u := &simulatedUpstream{
+		spec: inventory.UpstreamSpec{
+			ID: id, StartedAtMillis: time.Now().UnixMilli(), Service: service, Address: address, DataCenter: "z", Slots: 4,
+		},
+		ended: make(chan struct{}),
+	}
+	s.byAddress[address] = u
+	s.mu.Unlock()
+	value, err := json.Marshal(u.spec)
+	if err != nil {
+		panic(err)
+	}
+	s.fleet.put(upstreamKeyPrefix+id, string(value))
+}
+
+// end ends a lifetime. Its entry vanishes after entryLifetime, and a new lifetime starts
+// after upstreamDownTime.
+func (s *simulatedUpstreams) end(u *simulatedUpstream, target string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if u.hasEnded() {
+		return
+	}
+	u.mode = s.mode
+	close(u.ended)
+	s.ends = append(s.ends, upstreamEnd{at: time.Now(), target: target})
+	time.AfterFunc(entryLifetime, func() { s.fleet.remove(upstreamKeyPrefix + u.spec.ID) })
+	time.AfterFunc(upstreamDownTime, func() { s.start(u.spec.Service, u.spec.Address) })
+}
+
+func (u *simulatedUpstream) hasEnded() bool {
+	select {
+	case <-u.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *simulatedUpstreams) at(address string) *simulatedUpstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byAddress[address]
+}
+
+// crashesOf returns the times at which requests with a target crashed upstreams.
+func (s *simulatedUpstreams) crashesOf(target string) (times []time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.ends {
+		if e.target == target {
+			times = append(times, e.at)
+		}
+	}
+	return times
+}
+
+// arrivalsOf returns the arrivals of requests with a target after a time.
+func (s *simulatedUpstreams) arrivalsOf(target string, after time.Time) (list []upstreamArrival) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.arrivals {
+		if a.target == target && a.at.After(after) {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+func (t *simulatedTransport) CloseExpired(time.Time) {}
+
+func (t *simulatedTransport) CloseIdleConnections(upstreamID string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.idle, upstreamID)
+}
+
+func (t *simulatedTransport) IdleCount(upstreamID string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.idle[upstreamID]
+}
+
+func (t *simulatedTransport) Exchange(ctx context.Context, a *upstream.Attempt) upstream.Outcome {
+	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
+	defer cancel()
+	u, connectDuration, outcome := t.connect(ctx, a)
+	if u == nil {
+		return outcome
+	}
+	outcome = t.run(ctx, u, a)
+	outcome.ConnectDuration = connectDuration
+	if outcome.Result == upstream.Answered && !a.RequireNewConnection {
+		t.mu.Lock()
+		t.idle[a.UpstreamID]++
+		t.mu.Unlock()
+	}
+	return outcome
+}
+
+// connect takes an idle connection or opens one. It returns nil and the outcome if there is
+// no connection.
+func (t *simulatedTransport) connect(ctx context.Context, a *upstream.Attempt) (*simulatedUpstream, time.Duration, upstream.Outcome) {
+	u := t.upstreams.at(a.Address)
+	isOpen := u != nil && u.spec.ID == a.UpstreamID && !(u.hasEnded() && u.mode == closesConnections)
+	t.mu.Lock()
+	if !isOpen {
+		delete(t.idle, a.UpstreamID)
+	}
+	reuse := isOpen && !a.RequireNewConnection && t.idle[a.UpstreamID] > 0
+	if reuse {
+		t.idle[a.UpstreamID]--
+	}
+	t.mu.Unlock()
+	if reuse {
+		return u, 0, upstream.Outcome{}
+	}
+	time.Sleep(networkDelay)
+	switch {
+	case u == nil, u.hasEnded() && u.mode == closesConnections:
+		return nil, 0, upstream.Outcome{Result: upstream.Unreachable, ConnectionRefused: true, Err: errors.New("connection refused")}
+	case u.hasEnded():
+		sleepUntilDone(ctx, dialTimeout)
+		return nil, 0, upstream.Outcome{Result: upstream.Unreachable, Err: errors.New("connect timeout")}
+	default:
+		return u, networkDelay, upstream.Outcome{}
+	}
+}
+
+// run sends an attempt over a connection and waits for its outcome.
+func (t *simulatedTransport) run(ctx context.Context, u *simulatedUpstream, a *upstream.Attempt) upstream.Outcome {
+	time.Sleep(networkDelay)
+	if u.spec.ID != a.UpstreamID {
+		return upstream.Outcome{Result: upstream.Misdirected, Response: upstream.Response{Status: 421}}
+	}
+	duration := upstreamRunTime
+	if !u.hasEnded() {
+		s := t.upstreams
+		s.mu.Lock()
+		s.arrivals = append(s.arrivals, upstreamArrival{at: time.Now(), host: t.host, target: a.Target, request: a.RequestID, upstream: u.spec.ID})
+		s.mu.Unlock()
+		if strings.HasPrefix(a.Target, crashingTarget) {
+			time.AfterFunc(crashDelay, func() { s.end(u, a.Target) })
+		}
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-u.ended:
+		if u.mode == closesConnections {
+			return upstream.Outcome{Result: upstream.Broken, Err: io.EOF}
+		}
+		<-ctx.Done()
+	case <-timer.C:
+		return upstream.Outcome{Result: upstream.Answered, Response: upstream.Response{
+			Status: 200, Body: make([]byte, 16), Signature: u.spec.Service + a.RequestID,
+		}}
+	case <-ctx.Done():
+	}
+	return upstream.Outcome{Result: upstream.Aborted, Err: ctx.Err()}
+}
+
+func sleepUntilDone(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -127,9 +127,10 @@
 
 // Update replaces all entries with those that the store holds now. An upstream that
 // no longer has an entry is removed by the first later Update at which it is Retired.
-// Update returns the sorted names of the services whose upstreams changed.
-func (i *Inventory) Update(now time.Time, specs []UpstreamSpec) []string {
-	var changed []string
+// Update returns the sorted names of the services whose upstreams changed, and the
+// upstreams that seem to have ended without notice: their entry has vanished, or is of
+// another lifetime, and they were not draining.
+func (i *Inventory) Update(now time.Time, specs []UpstreamSpec) (changed []string, ended []Upstream) {
 	seen := make(map[string]bool, len(specs))
 	for _, s := range specs {
 		seen[s.ID] = true
@@ -140,6 +141,9 @@
 			if isKnown && old.spec.Service != s.Service {
 				changed = append(changed, old.spec.Service)
 			}
+			if isKnown && !u.HasSameLifetime(old) && old.drainingSince.IsZero() && old.missingSince.IsZero() {
+				ended = append(ended, old)
+			}
 			i.put(u)
 		}
 	}
@@ -152,13 +156,16 @@
 			u.missingSince = now
 			i.upstreams[id] = u
 			changed = append(changed, u.spec.Service)
+			if u.drainingSince.IsZero() {
+				ended = append(ended, u)
+			}
 		case u.Eligibility(now) == Retired:
 			i.remove(u)
 			changed = append(changed, u.spec.Service)
 		}
 	}
 	slices.Sort(changed)
-	return slices.Compact(changed)
+	return slices.Compact(changed), ended
 }
 
 // ForService returns the upstreams of a service, sorted by id.
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -21,6 +21,12 @@
 	return all
 }
 
+// changedServices updates an inventory and returns the services whose upstreams changed.
+func changedServices(i *Inventory, now time.Time, specs []UpstreamSpec) []string {
+	changed, _ := i.Update(now, specs)
+	return changed
+}
+
 // TestMissingEntries checks that Update returns the services with a change. An
 // upstream whose entry has vanished stays usable as a last resort for
 // missingGracePeriod, since an outage of the store may be the cause; it is in service
@@ -28,9 +34,9 @@
 func TestMissingEntries(t *testing.T) {
 	c := qt.New(t)
 	i := New()
-	c.Check(i.Update(start, []UpstreamSpec{newSpec("a"), newSpec("b")}), qt.DeepEquals, []string{"s"})
-	c.Check(i.Update(start, []UpstreamSpec{newSpec("a"), newSpec("b")}), qt.HasLen, 0)
-	c.Check(i.Update(start, []UpstreamSpec{newSpec("a")}), qt.DeepEquals, []string{"s"})
+	c.Check(changedServices(i, start, []UpstreamSpec{newSpec("a"), newSpec("b")}), qt.DeepEquals, []string{"s"})
+	c.Check(changedServices(i, start, []UpstreamSpec{newSpec("a"), newSpec("b")}), qt.HasLen, 0)
+	c.Check(changedServices(i, start, []UpstreamSpec{newSpec("a")}), qt.DeepEquals, []string{"s"})
 	c.Check(eligibilityByID(i, start.Add(missingGracePeriod)), qt.DeepEquals, map[string]Eligibility{"a": InService, "b": LastResort})
 	c.Check(eligibilityByID(i, start.Add(missingGracePeriod+1)), qt.DeepEquals, map[string]Eligibility{"a": InService, "b": Retired})
 	backAt := start.Add(time.Second)
@@ -78,5 +84,26 @@
 	c.Check(after.ColdUntil(), qt.Equals, start.Add(time.Minute+time.Millisecond))
 	moved := cold
 	moved.Service = "t"
-	c.Check(i.Update(start.Add(time.Minute), []UpstreamSpec{moved}), qt.DeepEquals, []string{"s", "t"})
+	c.Check(changedServices(i, start.Add(time.Minute), []UpstreamSpec{moved}), qt.DeepEquals, []string{"s", "t"})
+}
+
+// TestUpstreamsEndedWithoutNotice checks which upstreams Update reports as ended: those
+// whose entry has vanished or is of another lifetime, once each, but none that was draining.
+func TestUpstreamsEndedWithoutNotice(t *testing.T) {
+	c := qt.New(t)
+	i := New()
+	restarted, draining := newSpec("a"), newSpec("b")
+	i.Update(start, []UpstreamSpec{newSpec("a"), newSpec("b"), newSpec("c")})
+	restarted.StartedAtMillis++
+	draining.Draining = true
+	ids := func(now time.Time, specs ...UpstreamSpec) (list []string) {
+		_, ended := i.Update(now, specs)
+		for _, u := range ended {
+			list = append(list, u.ID())
+		}
+		return list
+	}
+	c.Check(ids(start, restarted, draining, newSpec("c")), qt.DeepEquals, []string{"a"})
+	c.Check(ids(start.Add(time.Second), restarted), qt.DeepEquals, []string{"c"})
+	c.Check(ids(start.Add(2*time.Second), restarted), qt.HasLen, 0)
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -107,6 +107,9 @@
 	fingerprint uint64
 }
 
+// Fingerprint identifies the request of the attempt.
+func (a *Assignment) Fingerprint() uint64 { return a.fingerprint }
+
 // A Crash reports that an upstream refused a connection within crashDetectionWindow
 // after established ones broke. Fingerprints are those of the requests whose
 // connections broke.
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -190,6 +190,16 @@
 	}
 }
 
+// Counts returns the number of requests by decision, those without a record excluded.
+func (t *Tracker) Counts(now time.Time) map[Decision]int {
+	counts := make(map[Decision]int)
+	for f := range t.suspects {
+		decision, _ := t.Check(now, f)
+		counts[decision]++
+	}
+	return counts
+}
+
 // Notices returns notices of the quarantined requests, at most limit of them.
 func (t *Tracker) Notices(now time.Time, limit int) []Notice {
 	var notices []Notice
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -27,6 +27,26 @@
 	Aborted
 )
 
+// String returns the result as it is logged and counted.
+func (r Result) String() string {
+	switch r {
+	case Answered:
+		return "answered"
+	case Refused:
+		return "refused"
+	case Misdirected:
+		return "misdirected"
+	case Unreachable:
+		return "unreachable"
+	case Broken:
+		return "broken"
+	case Aborted:
+		return "aborted"
+	default:
+		return "unknown"
+	}
+}
+
 // An Attempt is one request to one upstream.
 type Attempt struct {
 	Method string
