--- /dev/null
+++ b/internal/host/crashing_test.go
@@ -0,0 +1,301 @@
+package host
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/dispatch"
+	"github.com/foxtailshelf/foxtailshelf/internal/routing"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
+)
+
+const (
+	crashTestHost    = "search"
+	crashTestShards  = 10
+	crashTestTimeout = 2500 * time.Millisecond
+	// settlePeriod is how long after the third crash of upstreams by one request hosts may
+	// take to learn of it. A host counts only if it was not disturbed for as long.
+	settlePeriod = 4 * time.Second
+	// maxLateRepetitions is how many repetitions of the request may reach upstreams after
+	// the settle period, and how many upstreams they may reach.
+	maxLateRepetitions = 3
+	// ordinaryInterval is the interval of ordinary requests beside the crashing one.
+	ordinaryInterval = 40 * time.Millisecond
+	cutDuration      = 3 * time.Second
+)
+
+// A crashPlay is one play of a request that crashes upstreams and is sent again.
+type crashPlay struct {
+	size int
+	mode endMode
+	// single is set if the request runs on one upstream instead of all shards.
+	single bool
+	// interval is the time between two repetitions, repetitions how many there are, and
+	// copies how many are sent at once, each to another host.
+	interval            time.Duration
+	repetitions, copies int
+	// disturb is called after each repetition; it returns the hosts that it disturbed and
+	// for how long.
+	disturb func(f *testFleet, addresses []string, random *rand.Rand, n int) ([]string, time.Duration)
+	keepsID bool
+}
+
+// A crashResult is what a crashPlay has seen.
+type crashResult struct {
+	// crashes counts all upstreams that the request crashed. lateRequests and lateArrivals
+	// count the repetitions and their arrivals after the settle period.
+	crashes, lateRequests, lateArrivals int
+	// ordinary and served count the ordinary requests after the upstreams were back.
+	ordinary, served int
+	answers          map[string]int
+}
+
+// A disturbance is a time in which a host does not count as undisturbed.
+type disturbance struct {
+	host     string
+	from, to time.Time
+}
+
+// startSearchFleet starts hosts with ten shards of three upstreams and a service with ten.
+func startSearchFleet(size int, mode endMode, keepsID bool) (*testFleet, []string) {
+	f := newTestFleet()
+	var shards []string
+	for i := range crashTestShards {
+		shards = append(shards, fmt.Sprint("shard-", i))
+	}
+	route := routing.RouteSpec{
+		Host: crashTestHost, MaxAttempts: 3, Timeout: crashTestTimeout, LatencyTarget: 150 * time.Millisecond, Idempotent: true,
+	}
+	search, lookup := route, route
+	search.Name, search.Prefix, search.Shards, search.MaxRecords, search.MinShardRatio = "search", "/", shards, 10, 0.89
+	lookup.Name, lookup.Prefix, lookup.Destinations = "lookup", crashingTarget+"/single/", []routing.Destination{{Service: "letters", Weight: 1}}
+	lookup.LatencyTarget = 600 * time.Millisecond
+	other := lookup
+	other.Name, other.Prefix = "other", "/single/"
+	f.routes = []routing.RouteSpec{search, lookup, other}
+	f.put(tableKey, "1")
+	f.upstreams = &simulatedUpstreams{fleet: f, mode: mode, keepsID: keepsID}
+	for _, s := range shards {
+		f.upstreams.addService(s, 3)
+	}
+	f.upstreams.addService("letters", 10)
+	var addresses []string
+	for i := range size {
+		addresses = append(addresses, fmt.Sprint("host-", i))
+	}
+	for _, a := range addresses {
+		f.start(a, addresses[:3])
+	}
+	time.Sleep(8*time.Second + time.Duration(size)*50*time.Millisecond)
+	return f, addresses
+}
+
+// ask sends a request to a host and returns its answer; the zero Answer if the host is not
+// running.
+func (f *testFleet) ask(address, target, id string) dispatch.Answer {
+	f.mu.Lock()
+	r := f.hosts[address]
+	f.mu.Unlock()
+	if r == nil {
+		return dispatch.Answer{}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), crashTestTimeout)
+	defer cancel()
+	return r.host.Answer(ctx, &dispatch.Request{ID: id, Method: "GET", Target: target, Host: crashTestHost, Remaining: crashTestTimeout})
+}
+
+// run plays the request and returns what was seen.
+func (p crashPlay) run() crashResult {
+	f, addresses := startSearchFleet(p.size, p.mode, p.keepsID)
+	random := rand.New(rand.NewPCG(uint64(p.size), 7))
+	target, ordinaryTarget := crashingTarget, "/"
+	if p.single {
+		target, ordinaryTarget = crashingTarget+"/single/x", "/single/"
+	}
+	ordinary := newOrdinaryLoad(f, addresses, ordinaryTarget)
+	var group work.Group
+	copies := max(1, p.copies)
+	answers := make(chan dispatch.Answer, p.repetitions*copies)
+	var disturbances []disturbance
+	for n := range p.repetitions {
+		for i := range copies {
+			address := addresses[(n*copies+i)%len(addresses)]
+			group.Go(func() { answers <- f.ask(address, target, fmt.Sprintf("crash-%d-%d", n, i)) })
+		}
+		if p.disturb != nil {
+			hosts, duration := p.disturb(f, addresses, random, n)
+			for _, h := range hosts {
+				disturbances = append(disturbances, disturbance{host: h, from: time.Now(), to: time.Now().Add(duration + settlePeriod)})
+			}
+		}
+		time.Sleep(p.interval)
+	}
+	time.Sleep(2 * crashTestTimeout)
+	ordinary.stop()
+	group.Wait()
+	close(answers)
+	result := crashResult{answers: make(map[string]int)}
+	for a := range answers {
+		result.answers[fmt.Sprint(a.Status, " ", a.Reason)]++
+	}
+	result.count(f.upstreams, target, disturbances)
+	if crashes := f.upstreams.crashesOf(target); len(crashes) >= 3 {
+		result.ordinary, result.served = ordinary.count(crashes[2].Add(settlePeriod + 2*upstreamDownTime))
+	}
+	f.stopAll()
+	return result
+}
+
+// count counts the crashes by requests with a target and the late repetitions that
+// undisturbed hosts sent to upstreams.
+func (r *crashResult) count(s *simulatedUpstreams, target string, disturbances []disturbance) {
+	crashes := s.crashesOf(target)
+	r.crashes = len(crashes)
+	if len(crashes) < 3 {
+		return
+	}
+	requests := make(map[string]bool)
+	for _, a := range s.arrivalsOf(target, crashes[2].Add(settlePeriod)) {
+		isDisturbed := false
+		for _, d := range disturbances {
+			isDisturbed = isDisturbed || (d.host == a.host && !a.at.Before(d.from) && a.at.Before(d.to))
+		}
+		if !isDisturbed {
+			requests[a.request] = true
+			r.lateArrivals++
+		}
+	}
+	r.lateRequests = len(requests)
+}
+
+// An ordinaryLoad sends requests, each with a target of its own, to all hosts in turn.
+type ordinaryLoad struct {
+	done     chan struct{}
+	group    work.Group
+	answered chan ordinaryAnswer
+}
+
+type ordinaryAnswer struct {
+	at     time.Time
+	status int
+}
+
+func newOrdinaryLoad(f *testFleet, addresses []string, target string) *ordinaryLoad {
+	l := &ordinaryLoad{done: make(chan struct{}), answered: make(chan ordinaryAnswer, 10_000)}
+	l.group.Go(func() {
+		var group work.Group
+		defer group.Wait()
+		for n := 0; ; n++ {
+			select {
+			case <-l.done:
+				return
+			case <-time.After(ordinaryInterval):
+			}
+			address := addresses[n*7%len(addresses)]
+			group.Go(func() {
+				at := time.Now()
+				l.answered <- ordinaryAnswer{at: at, status: f.ask(address, fmt.Sprint(target, "ordinary-", n), fmt.Sprint("o-", n)).Status}
+			})
+		}
+	})
+	return l
+}
+
+func (l *ordinaryLoad) stop() {
+	close(l.done)
+	l.group.Wait()
+	close(l.answered)
+}
+
+// count returns how many requests were sent after a time, and how many of them were served.
+func (l *ordinaryLoad) count(after time.Time) (sent, served int) {
+	for a := range l.answered {
+		if a.at.Before(after) {
+			continue
+		}
+		sent++
+		if a.status == 200 {
+			served++
+		}
+	}
+	return sent, served
+}
+
+// disturbHosts restarts a host, disconnects one or has the store fail, in turn.
+func disturbHosts(f *testFleet, addresses []string, random *rand.Rand, n int) ([]string, time.Duration) {
+	h := addresses[random.IntN(len(addresses))]
+	switch n % 5 {
+	case 1:
+		f.stop(h)
+		f.start(h, addresses[:3])
+		return []string{h}, 0
+	case 3:
+		set := func(isolated bool) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if r := f.hosts[h]; r != nil {
+				r.isolated = isolated
+			}
+		}
+		set(true)
+		time.AfterFunc(cutDuration, func() { set(false) })
+		return []string{h}, cutDuration
+	case 4:
+		f.setStoreDown(n%2 == 0)
+	}
+	return nil, 0
+}
+
+// crashOtherUpstreams ends each upstream with a probability, as in a mass crash.
+func crashOtherUpstreams(f *testFleet, _ []string, random *rand.Rand, n int) ([]string, time.Duration) {
+	const endRatio = 0.2
+	if n%4 != 0 {
+		return nil, 0
+	}
+	f.upstreams.endSome(random, endRatio)
+	return nil, 0
+}
+
+// TestRequestThatCrashesUpstreamsIsStopped sends such a request again and again.
+func TestRequestThatCrashesUpstreamsIsStopped(t *testing.T) {
+	calm := crashPlay{interval: 700 * time.Millisecond, repetitions: 36}
+	many, disturbed, massCrash, sameID := calm, calm, calm, calm
+	many.copies, many.interval, many.repetitions = 4, 300*time.Millisecond, 60
+	disturbed.disturb, disturbed.repetitions = disturbHosts, 50
+	massCrash.disturb = crashOtherUpstreams
+	sameID.keepsID = true
+	for size, plays := range map[int]map[string]crashPlay{
+		7:  {"calm": calm, "copies": many, "disturbed-hosts": disturbed, "other-crashes": massCrash, "same-id": sameID},
+		63: {"calm": calm, "disturbed-hosts": disturbed},
+	} {
+		for name, p := range plays {
+			for _, mode := range []endMode{closesConnections, goesSilent} {
+				for _, single := range []bool{false, true} {
+					p.size, p.mode, p.single = size, mode, single
+					kind := "search"
+					if single {
+						kind = "single"
+					}
+					t.Run(fmt.Sprintf("%d/%s/%s/%s", size, name, mode, kind), func(t *testing.T) { runCrashPlay(t, p) })
+				}
+			}
+		}
+	}
+}
+
+func runCrashPlay(t *testing.T, p crashPlay) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := p.run()
+		t.Logf("%+v", r)
+		c.Check(r.crashes >= 3, qt.IsTrue)
+		c.Check(r.lateRequests <= maxLateRepetitions, qt.IsTrue)
+		c.Check(r.lateArrivals <= maxLateRepetitions, qt.IsTrue)
+	})
+}
--- a/internal/host/upstreams_test.go
+++ b/internal/host/upstreams_test.go
@@ -6,6 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -34,10 +37,10 @@
 
 const (
 	// closesConnections ends close all connections, and new ones are refused.
-	closesConnections endMode = "closes connections"
+	closesConnections endMode = "closing"
 	// goesSilent ends leave all connections open without a response, and new ones are not
 	// established.
-	goesSilent endMode = "goes silent"
+	goesSilent endMode = "silent"
 )
 
 // A simulatedUpstream is one lifetime of an upstream.
@@ -137,6 +140,21 @@
 	time.AfterFunc(upstreamDownTime, func() { s.start(u.spec.Service, u.spec.Address) })
 }
 
+// endSome ends each upstream with a probability.
+func (s *simulatedUpstreams) endSome(random *rand.Rand, probability float64) {
+	s.mu.Lock()
+	var chosen []*simulatedUpstream
+	for _, address := range slices.Sorted(maps.Keys(s.byAddress)) {
+		if random.Float64() < probability {
+			chosen = append(chosen, s.byAddress[address])
+		}
+	}
+	s.mu.Unlock()
+	for _, u := range chosen {
+		s.end(u, "")
+	}
+}
+
 func (u *simulatedUpstream) hasEnded() bool {
 	select {
 	case <-u.ended:
