--- a/internal/host/crashing_test.go
+++ b/internal/host/crashing_test.go
@@ -283,7 +283,7 @@
 	}
 	for size, plays := range sizes {
 		for name, p := range plays {
-			for _, mode := range []endMode{closesConnections, goesSilent} {
+			for _, mode := range []endMode{closesConnections, goesSilent, hangs} {
 				for _, single := range []bool{false, true} {
 					p.size, p.mode, p.single = size, mode, single
 					kind := "search"
--- a/internal/host/upstreams_test.go
+++ b/internal/host/upstreams_test.go
@@ -41,14 +41,21 @@
 	// goesSilent ends leave all connections open without a response, and new ones are not
 	// established.
 	goesSilent endMode = "silent"
+	// hangs ends are like goesSilent ends, but new connections are still established for
+	// hangDuration.
+	hangs endMode = "hanging"
 )
 
+const hangDuration = time.Second
+
 // A simulatedUpstream is one lifetime of an upstream.
 type simulatedUpstream struct {
 	spec inventory.UpstreamSpec
 	// ended is closed at the end of the lifetime. mode is set before.
 	ended chan struct{}
 	mode  endMode
+	// hangsUntil is when new connections are no longer established after the end.
+	hangsUntil time.Time
 }
 
 // An upstreamArrival is a request that an upstream began to run.
@@ -134,6 +141,9 @@
 		return
 	}
 	u.mode = s.mode
+	if u.mode == hangs {
+		u.hangsUntil = time.Now().Add(hangDuration)
+	}
 	close(u.ended)
 	s.ends = append(s.ends, upstreamEnd{at: time.Now(), target: target})
 	time.AfterFunc(entryLifetime, func() { s.fleet.remove(upstreamKeyPrefix + u.spec.ID) })
@@ -155,6 +165,12 @@
 	}
 }
 
+// refusesToConnect reports whether the upstream has ended and new connections are not
+// established.
+func (u *simulatedUpstream) refusesToConnect() bool {
+	return u.hasEnded() && !time.Now().Before(u.hangsUntil)
+}
+
 func (u *simulatedUpstream) hasEnded() bool {
 	select {
 	case <-u.ended:
@@ -231,7 +247,7 @@
 	switch {
 	case u == nil, u.hasEnded() && u.mode == closesConnections:
 		return upstream.NotListening
-	case u.hasEnded():
+	case u.refusesToConnect():
 		sleepUntilDone(ctx, dialTimeout)
 		return upstream.NoResponse
 	default:
@@ -260,7 +276,7 @@
 	switch {
 	case u == nil, u.hasEnded() && u.mode == closesConnections:
 		return nil, 0, upstream.Outcome{Result: upstream.Unreachable, ConnectionRefused: true, Err: errors.New("connection refused")}
-	case u.hasEnded():
+	case u.refusesToConnect():
 		sleepUntilDone(ctx, dialTimeout)
 		return nil, 0, upstream.Outcome{Result: upstream.Unreachable, Err: errors.New("connect timeout")}
 	default:
