Test of a store that comes back from a copy, known red

After the loss all hosts keep their records of before: the watch gets 410, and the list at a lower revision is passed over.

--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -46,6 +46,11 @@
 	records  map[string]keyvalue.Change
 	history  []keyvalue.Change
 	revision uint64
+	// leases are the leases that have been granted, lastLease the last of them.
+	leases    map[uint64]bool
+	lastLease uint64
+	// era counts the returns of the store from a copy.
+	era uint64
 	// discardedRevision is the revision up to which the store has discarded its
 	// history.
 	discardedRevision uint64
@@ -132,7 +137,7 @@
 func (testDecoder) RegistrationKey(address string) string { return "hosts/" + address }
 
 func newTestFleet() *testFleet {
-	return &testFleet{hosts: make(map[string]*hostProcess), logCounts: make(map[string]map[string]int), records: make(map[string]keyvalue.Change), revision: 1}
+	return &testFleet{hosts: make(map[string]*hostProcess), logCounts: make(map[string]map[string]int), leases: make(map[uint64]bool), records: make(map[string]keyvalue.Change), revision: 1}
 }
 
 // Levels implements logrus.Hook.
@@ -356,7 +361,7 @@
 	}
 	for deadline := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
 		p.fleet.mu.Lock()
-		revision, isDiscarded := p.fleet.revision, after < p.fleet.discardedRevision
+		revision, isDiscarded := p.fleet.revision, after < p.fleet.discardedRevision || after > p.fleet.revision
 		var events []keyvalue.Change
 		for _, h := range p.fleet.history {
 			if h.Revision() > after {
@@ -382,11 +387,23 @@
 }
 
 func (p simulatedNetwork) GrantLease(ctx context.Context, _ time.Duration) (uint64, error) {
-	return 1, p.callStore(ctx)
+	if err := p.callStore(ctx); err != nil {
+		return 0, err
+	}
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	p.fleet.lastLease++
+	p.fleet.leases[p.fleet.lastLease] = true
+	return p.fleet.lastLease, nil
 }
 
-func (p simulatedNetwork) RenewLease(ctx context.Context, _ uint64) (bool, error) {
-	return true, p.callStore(ctx)
+func (p simulatedNetwork) RenewLease(ctx context.Context, lease uint64) (bool, error) {
+	if err := p.callStore(ctx); err != nil {
+		return false, err
+	}
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	return p.fleet.leases[lease], nil
 }
 
 func (p simulatedNetwork) PutLeased(ctx context.Context, key string, value []byte, _ uint64) error {
