--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -34,17 +34,18 @@
 
 // A cachedRecord is a decoded record at a revision of its key.
 type cachedRecord struct {
-	revision uint64
+	revision keyvalue.Revision
 	DecodedRecord
 	// peer is the registered host if PeerAddress is set.
 	peer roster.Member
 }
 
 // handleRecords applies all records of the mirror after a change of the mirror.
-func (h *Host) handleRecords(records []keyvalue.Change, revision uint64) {
+func (h *Host) handleRecords(records []keyvalue.Change, revision keyvalue.Revision) {
 	now := time.Now()
 	var peers []roster.Member
 	h.mu.Lock()
+	h.beginEra(now, revision)
 	h.upstreamSpecs = h.upstreamSpecs[:0]
 	cached := make(map[string]cachedRecord, len(records))
 	for _, r := range records {
@@ -67,7 +68,25 @@
 	h.updateInventory(now)
 	h.announceEntryAddress()
 	h.group.Go(func() { h.fleet.SendUpdates(context.Background()) })
-	h.Log.WithField("revision", revision).Debug("store records applied")
+	h.Log.WithField("revision", revision.String()).Debug("store records applied")
+}
+
+// beginEra prepares for records of a store that has come back from a copy, if the revision
+// is of a later era than the last one. The caller holds h.mu.
+func (h *Host) beginEra(now time.Time, revision keyvalue.Revision) {
+	before := h.recordsRevision
+	h.recordsRevision = revision
+	if before == 0 || revision.Era() <= before.Era() {
+		return
+	}
+	h.Log.WithFields(map[string]any{"revision": revision.String(), "before": before.String()}).Warn("store has come back from a copy")
+	h.Metrics.storeEras.Inc()
+	h.inventory.BeginEra(now)
+	select {
+	case h.eraChanges <- struct{}{}:
+	default:
+		// The registration is already due.
+	}
 }
 
 // activate replaces the active configuration if the given configuration is newer. It
--- a/internal/host/crashing_test.go
+++ b/internal/host/crashing_test.go
@@ -17,7 +17,7 @@
 )
 
 var (
-	crashTestSize = flag.Int("crash-hosts", 0, "number of hosts in the plays of crashing requests; 0 for 7 and 63")
+	fleetSize     = flag.Int("fleet-size", 0, "number of hosts in the plays of crashing requests and of a store back from a copy; 0 for 7 and 63")
 	crashTestSeed = flag.Uint64("crash-seed", 7, "seed of the plays of crashing requests")
 )
 
@@ -278,8 +278,8 @@
 	sameID.keepsID = true
 	all := map[string]crashPlay{"calm": calm, "copies": many, "disturbed-hosts": disturbed, "other-crashes": massCrash, "same-id": sameID}
 	sizes := map[int]map[string]crashPlay{7: all, 63: {"calm": calm, "disturbed-hosts": disturbed}}
-	if *crashTestSize > 0 {
-		sizes = map[int]map[string]crashPlay{*crashTestSize: all}
+	if *fleetSize > 0 {
+		sizes = map[int]map[string]crashPlay{*fleetSize: all}
 	}
 	for size, plays := range sizes {
 		for name, p := range plays {
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -154,15 +154,24 @@
 	return nil
 }
 
+// inEra returns a change as the store states it in an era.
+func inEra(c keyvalue.Change, era uint64) keyvalue.Change {
+	revision := keyvalue.NewRevision(era, c.Revision().Number())
+	if c.Deleted() {
+		return keyvalue.NewRemoval(c.Key(), revision)
+	}
+	return keyvalue.NewChange(c.Key(), c.Value(), revision)
+}
+
 func (f *testFleet) put(key, value string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.write(keyvalue.NewChange(key, []byte(value), f.revision+1))
+	f.write(keyvalue.NewChange(key, []byte(value), keyvalue.NewRevision(0, f.revision+1)))
 }
 
 // write applies a change to the store. The caller holds f.mu.
 func (f *testFleet) write(c keyvalue.Change) {
-	f.revision = c.Revision()
+	f.revision = c.Revision().Number()
 	f.records[c.Key()] = c
 	f.history = append(f.history, c)
 }
@@ -170,7 +179,7 @@
 func (f *testFleet) remove(key string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.write(keyvalue.NewRemoval(key, f.revision+1))
+	f.write(keyvalue.NewRemoval(key, keyvalue.NewRevision(0, f.revision+1)))
 	delete(f.records, key)
 }
 
@@ -342,7 +351,7 @@
 	}
 }
 
-func (p simulatedNetwork) List(ctx context.Context, _ string, _ bool) ([]keyvalue.Change, uint64, error) {
+func (p simulatedNetwork) List(ctx context.Context, _ string, _ bool) ([]keyvalue.Change, keyvalue.Revision, error) {
 	if err := p.callStore(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -350,22 +359,23 @@
 	defer p.fleet.mu.Unlock()
 	var all []keyvalue.Change
 	for _, r := range p.fleet.records {
-		all = append(all, r)
+		all = append(all, inEra(r, p.fleet.era))
 	}
-	return all, p.fleet.revision, nil
+	return all, keyvalue.NewRevision(p.fleet.era, p.fleet.revision), nil
 }
 
-func (p simulatedNetwork) WatchPrefix(ctx context.Context, _ string, after uint64, wait time.Duration) ([]keyvalue.Change, uint64, error) {
+func (p simulatedNetwork) WatchPrefix(ctx context.Context, _ string, after keyvalue.Revision, wait time.Duration) ([]keyvalue.Change, keyvalue.Revision, error) {
 	if err := p.callStore(ctx); err != nil {
 		return nil, 0, err
 	}
 	for deadline := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
 		p.fleet.mu.Lock()
-		revision, isDiscarded := p.fleet.revision, after < p.fleet.discardedRevision || after > p.fleet.revision
+		revision := keyvalue.NewRevision(p.fleet.era, p.fleet.revision)
+		isDiscarded := after.Number() < p.fleet.discardedRevision || after.Number() > p.fleet.revision
 		var events []keyvalue.Change
 		for _, h := range p.fleet.history {
-			if h.Revision() > after {
-				events = append(events, h)
+			if h.Revision().Number() > after.Number() {
+				events = append(events, inEra(h, p.fleet.era))
 			}
 		}
 		r := p.fleet.hosts[p.self]
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -94,11 +94,16 @@
 	requestLog *requestLog
 	// fleetChanges holds a value while a change of the members is not applied yet.
 	fleetChanges chan struct{}
+	// eraChanges holds a value while this host has to register again, because the store has
+	// come back from a copy.
+	eraChanges chan struct{}
 
 	mu sync.RWMutex
 	// table is the active configuration, nil before the first one. Its version never
 	// decreases.
 	table *routing.Table
+	// recordsRevision is the revision of the last records that were applied.
+	recordsRevision keyvalue.Revision
 	// upstreamSpecs are all upstreams that are listed in the store.
 	upstreamSpecs []inventory.UpstreamSpec
 	inventory     *inventory.Inventory
@@ -128,6 +133,7 @@
 	h.latencyStats = make(map[string]*pool.LatencyStats)
 	h.dialPlans = make(map[planKey]dialPlan)
 	h.fleetChanges = make(chan struct{}, 1)
+	h.eraChanges = make(chan struct{}, 1)
 	h.cachedRecords = make(map[string]cachedRecord)
 	h.addressCache = make(map[string][]string)
 	h.guard = newCrashGuard(h)
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -21,11 +21,13 @@
 
 // Difference implements peer.HostHandler.
 func (h *Host) Difference(_ context.Context, request *wire.DifferenceRequest) (*wire.DifferenceReply, error) {
-	d := h.follower.Difference(request.GetHaveRevision())
-	reply := &wire.DifferenceReply{Revision: d.Revision, Whole: d.Full, AgeMicros: d.Age.Microseconds()}
+	d := h.follower.Difference(keyvalue.NewRevision(request.GetHaveEra(), request.GetHaveRevision()))
+	reply := &wire.DifferenceReply{
+		Revision: d.Revision.Number(), Era: d.Revision.Era(), Whole: d.Full, AgeMicros: d.Age.Microseconds(),
+	}
 	for _, c := range d.Changes {
 		reply.Records = append(reply.Records, &wire.Record{
-			Key: c.Key(), Value: c.Value(), Revision: c.Revision(), Deleted: c.Deleted(),
+			Key: c.Key(), Value: c.Value(), Revision: c.Revision().Number(), Era: c.Revision().Era(), Deleted: c.Deleted(),
 		})
 	}
 	return reply, nil
@@ -36,7 +38,7 @@
 	sender := peer.DecodeMember(request.GetSender())
 	h.fleet.HandleUpdates(sender, peer.DecodeMembers(request.GetRumours()))
 	h.guard.applyNotices(sender.Host(), request.GetNotices())
-	h.follower.HandlePeerRevision(sender.GateAddress(), request.GetRevision(), time.Duration(request.GetAgeMicros())*time.Microsecond)
+	h.follower.HandlePeerRevision(sender.GateAddress(), keyvalue.NewRevision(request.GetEra(), request.GetRevision()), time.Duration(request.GetAgeMicros())*time.Microsecond)
 	reply := &wire.ExchangeReply{}
 	if request.GetProbe() != nil {
 		probeCtx, cancel := context.WithTimeout(ctx, indirectProbeTimeout)
@@ -46,7 +48,9 @@
 	}
 	self, updates := h.fleet.NextUpdates(sender.GateAddress())
 	reply.Sender, reply.Rumours = peer.EncodeMember(self), peer.EncodeMembers(updates)
-	reply.Revision, reply.AgeMicros, reply.Notices = h.follower.Revision(), h.follower.Age().Microseconds(), h.guard.notices(request.GetAllNotices())
+	revision := h.follower.Revision()
+	reply.Revision, reply.Era, reply.AgeMicros = revision.Number(), revision.Era(), h.follower.Age().Microseconds()
+	reply.Notices = h.guard.notices(request.GetAllNotices())
 	return reply, nil
 }
 
@@ -55,9 +59,10 @@
 // that member answered.
 func (h *Host) exchangeGossip(ctx context.Context, address string, probe *roster.Member) (bool, error) {
 	self, updates := h.fleet.NextUpdates(address)
+	revision := h.follower.Revision()
 	request := &wire.ExchangeRequest{
 		Sender: peer.EncodeMember(self), Rumours: peer.EncodeMembers(updates), Notices: h.guard.notices(false), AllNotices: h.guard.lacksNotices(),
-		Revision: h.follower.Revision(), AgeMicros: h.follower.Age().Microseconds(),
+		Revision: revision.Number(), Era: revision.Era(), AgeMicros: h.follower.Age().Microseconds(),
 	}
 	if probe != nil {
 		request.Probe = peer.EncodeMember(*probe)
@@ -70,25 +75,26 @@
 	h.fleet.HandleUpdates(sender, peer.DecodeMembers(reply.GetRumours()))
 	h.guard.recordContact()
 	h.guard.applyNotices(sender.Host(), reply.GetNotices())
-	h.follower.HandlePeerRevision(sender.GateAddress(), reply.GetRevision(), time.Duration(reply.GetAgeMicros())*time.Microsecond)
+	h.follower.HandlePeerRevision(sender.GateAddress(), keyvalue.NewRevision(reply.GetEra(), reply.GetRevision()), time.Duration(reply.GetAgeMicros())*time.Microsecond)
 	return reply.GetProbeAnswered(), nil
 }
 
 // fetchDifference requests the changes after a revision from another host.
-func (h *Host) fetchDifference(ctx context.Context, address string, have uint64) (mirror.Difference, error) {
-	reply, err := h.HostTransport.Difference(ctx, address, &wire.DifferenceRequest{HaveRevision: have})
+func (h *Host) fetchDifference(ctx context.Context, address string, have keyvalue.Revision) (mirror.Difference, error) {
+	reply, err := h.HostTransport.Difference(ctx, address, &wire.DifferenceRequest{HaveRevision: have.Number(), HaveEra: have.Era()})
 	if err != nil {
 		return mirror.Difference{}, fmt.Errorf("request changes from peer: %w", err)
 	}
 	d := mirror.Difference{
-		Full: reply.GetWhole(), Revision: reply.GetRevision(), Age: time.Duration(reply.GetAgeMicros()) * time.Microsecond,
+		Full: reply.GetWhole(), Revision: keyvalue.NewRevision(reply.GetEra(), reply.GetRevision()), Age: time.Duration(reply.GetAgeMicros()) * time.Microsecond,
 	}
 	for _, r := range reply.GetRecords() {
+		revision := keyvalue.NewRevision(r.GetEra(), r.GetRevision())
 		if r.GetDeleted() {
-			d.Changes = append(d.Changes, keyvalue.NewRemoval(r.GetKey(), r.GetRevision()))
+			d.Changes = append(d.Changes, keyvalue.NewRemoval(r.GetKey(), revision))
 			continue
 		}
-		d.Changes = append(d.Changes, keyvalue.NewChange(r.GetKey(), r.GetValue(), r.GetRevision()))
+		d.Changes = append(d.Changes, keyvalue.NewChange(r.GetKey(), r.GetValue(), revision))
 	}
 	return d, nil
 }
--- a/internal/host/registration.go
+++ b/internal/host/registration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -21,19 +22,40 @@
 	// registrationTimeout is the timeout of all calls of one registration or renewal
 	// together.
 	registrationTimeout = 2 * time.Second
+	// After the store has come back from a copy, the hosts register again within
+	// registrationSpread, so that they do not all call the store at once. A failed attempt is
+	// repeated maxRegistrationRetries times at registrationRetryInterval.
+	registrationSpread        = 1500 * time.Millisecond
+	registrationRetryInterval = time.Second
+	maxRegistrationRetries    = 3
 )
 
 // keepRegistered keeps this host registered in the store, where starting hosts find
 // other hosts, until the context ends.
 func (h *Host) keepRegistered(ctx context.Context) {
 	lease := uint64(0)
+	retries := 0
 	for ctx.Err() == nil {
 		next, err := h.renewOrRegister(ctx, lease)
 		if err != nil {
 			h.Log.WithError(err).Debug("registration not renewed")
 		}
 		lease = next
-		work.Sleep(ctx, renewInterval)
+		delay := renewInterval
+		if lease == 0 && retries > 0 {
+			retries--
+			delay = registrationRetryInterval
+		}
+		timer := time.NewTimer(delay)
+		select {
+		case <-timer.C:
+		case <-h.eraChanges:
+			// The lease may be lost, or be granted to another host.
+			lease, retries = 0, maxRegistrationRetries
+			work.Sleep(ctx, rand.N(registrationSpread))
+		case <-ctx.Done():
+		}
+		timer.Stop()
 	}
 }
 
--- a/internal/host/requestlog.go
+++ b/internal/host/requestlog.go
@@ -33,6 +33,7 @@
 	suspectRequests      *prometheus.GaugeVec
 	testRuns             *prometheus.CounterVec
 	upstreamCrashes      prometheus.Counter
+	storeEras            prometheus.Counter
 	missingParts         prometheus.Counter
 	unloggedLines        prometheus.Counter
 	badRecords           prometheus.Counter
@@ -65,6 +66,9 @@
 		upstreamCrashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "foxtailshelf_upstream_crashes_total", Help: "Upstreams that ended while they ran a request, counted for each request.",
 		}),
+		storeEras: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "foxtailshelf_store_eras_total", Help: "Returns of the store from a copy that this host has seen.",
+		}),
 		missingParts: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "foxtailshelf_missing_parts_total", Help: "Parts that were not in an answer.",
 		}),
@@ -81,7 +85,7 @@
 			Name: "foxtailshelf_configuration_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	registry.MustRegister(m.answers, m.answerSeconds, m.attempts, m.attemptResults, m.suspectRequests, m.testRuns, m.upstreamCrashes, m.missingParts, m.unloggedLines, m.badRecords, m.relayedAttempts, m.configurationVersion)
+	registry.MustRegister(m.answers, m.answerSeconds, m.attempts, m.attemptResults, m.suspectRequests, m.testRuns, m.upstreamCrashes, m.storeEras, m.missingParts, m.unloggedLines, m.badRecords, m.relayedAttempts, m.configurationVersion)
 	return m
 }
 
--- a/internal/host/state.go
+++ b/internal/host/state.go
@@ -4,9 +4,11 @@
 type State struct {
 	// Version is the version of the active configuration; zero before the first one.
 	Version uint64 `json:"version"`
-	// Revision is the revision of the mirror, MirrorAgeMillis the time since the mirror
+	// Revision is the revision of the mirror, Era the era of the store that it belongs to,
+	// MirrorAgeMillis the time since the mirror
 	// was last confirmed to be up to date.
 	Revision        uint64   `json:"revision"`
+	Era             uint64   `json:"era"`
 	MirrorAgeMillis int64    `json:"age-milliseconds"`
 	Upstreams       int      `json:"upstreams"`
 	Members         []string `json:"members"`
@@ -15,7 +17,8 @@
 
 // State returns the current state for operators.
 func (h *Host) State() State {
-	s := State{Revision: h.follower.Revision(), MirrorAgeMillis: h.follower.Age().Milliseconds(), Members: []string{}}
+	revision := h.follower.Revision()
+	s := State{Revision: revision.Number(), Era: revision.Era(), MirrorAgeMillis: h.follower.Age().Milliseconds(), Members: []string{}}
 	for _, m := range h.fleet.Members() {
 		s.Members = append(s.Members, m.Host()+" "+string(m.State()))
 	}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -20,6 +20,14 @@
 	// drainGracePeriod is how long a draining upstream may still be used if no other
 	// is available.
 	drainGracePeriod = time.Second
+	// eraGracePeriod is how long an upstream without an entry may still be used after the
+	// store has come back from a copy, which may lack the entry until it is written again.
+	eraGracePeriod = 2 * time.Second
+	// departureMemory is how long an upstream that has left is remembered, so that a copy of
+	// the store does not bring it back. Copies are seconds old. maxDepartures bounds the
+	// upstreams that are remembered.
+	departureMemory = time.Minute
+	maxDepartures   = 4096
 )
 
 // Eligibility says whether an upstream may get new attempts.
@@ -50,6 +58,8 @@
 	DataCenter      string
 	Slots           int
 	Draining        bool
+	// Sequence rises with each write of the entry in one lifetime of the upstream.
+	Sequence int64
 	// ColdRemaining is for how much longer the upstream is slow after its start.
 	ColdRemaining time.Duration
 }
@@ -73,6 +83,22 @@
 	upstreams map[string]Upstream
 	// byService holds the ids of each service's upstreams.
 	byService map[string]map[string]bool
+	// departures holds the upstreams that have left recently, by lifetime.
+	departures map[uint64]departure
+	// eraBegunAt is when the store last came back from a copy; zero if it has not.
+	eraBegunAt time.Time
+}
+
+// A departure is what is remembered of an upstream that has left or is draining.
+type departure struct {
+	// at is when the departure was seen, and sequence that of the last entry before.
+	at       time.Time
+	sequence int64
+	// isDraining is set if the upstream was draining, and not set if its entry vanished.
+	isDraining bool
+	// isOlderEra is set if the store has come back from a copy since: an entry with the same
+	// or a lower sequence is then of the time before the departure.
+	isOlderEra bool
 }
 
 // Address returns the address at which the upstream listens.
@@ -135,7 +161,19 @@
 
 // New returns an empty Inventory.
 func New() *Inventory {
-	return &Inventory{upstreams: make(map[string]Upstream), byService: make(map[string]map[string]bool)}
+	return &Inventory{
+		upstreams: make(map[string]Upstream), byService: make(map[string]map[string]bool), departures: make(map[uint64]departure),
+	}
+}
+
+// BeginEra must be called before the first Update with entries of a store that has come
+// back from a copy.
+func (i *Inventory) BeginEra(now time.Time) {
+	i.eraBegunAt = now
+	for key, d := range i.departures {
+		d.isOlderEra, d.at = true, now
+		i.departures[key] = d
+	}
 }
 
 // Update replaces all entries with those that the store holds now. An upstream that
@@ -146,9 +184,16 @@
 func (i *Inventory) Update(now time.Time, specs []UpstreamSpec) (changed []string, ended []Upstream) {
 	seen := make(map[string]bool, len(specs))
 	for _, s := range specs {
+		s, isGone := i.checkDeparture(s)
+		if isGone {
+			continue
+		}
 		seen[s.ID] = true
 		old, isKnown := i.upstreams[s.ID]
 		u := updatedUpstream(now, old, isKnown, s)
+		if u.IsDraining() {
+			i.recordDeparture(now, u)
+		}
 		if !isKnown || u != old {
 			changed = append(changed, s.Service)
 			if isKnown && old.spec.Service != s.Service {
@@ -167,9 +212,15 @@
 		switch {
 		case u.missingSince.IsZero():
 			u.missingSince = now
+			isLost := !i.eraBegunAt.IsZero() && now.Sub(i.eraBegunAt) < eraGracePeriod
+			if isLost {
+				u.missingSince = i.eraBegunAt.Add(eraGracePeriod - missingGracePeriod)
+			} else {
+				i.recordDeparture(now, u)
+			}
 			i.upstreams[id] = u
 			changed = append(changed, u.spec.Service)
-			if u.drainingSince.IsZero() {
+			if u.drainingSince.IsZero() && !isLost {
 				ended = append(ended, u)
 			}
 		case u.Eligibility(now) == Retired:
@@ -194,6 +245,42 @@
 // Len returns the number of known upstreams.
 func (i *Inventory) Len() int { return len(i.upstreams) }
 
+// checkDeparture returns an entry as it counts. If it is of the time before its upstream
+// left, the upstream is still draining, or isGone is set.
+func (i *Inventory) checkDeparture(s UpstreamSpec) (checked UpstreamSpec, isGone bool) {
+	if len(i.departures) == 0 {
+		return s, false
+	}
+	key := Upstream{spec: s}.LifetimeKey()
+	d, ok := i.departures[key]
+	switch {
+	case !ok:
+	case !d.isOlderEra || s.Sequence > d.sequence:
+		delete(i.departures, key)
+	case d.isDraining:
+		s.Draining = true
+	default:
+		return s, true
+	}
+	return s, false
+}
+
+// recordDeparture remembers an upstream that is draining or whose entry has vanished.
+func (i *Inventory) recordDeparture(now time.Time, u Upstream) {
+	if len(i.departures) >= maxDepartures {
+		for key, d := range i.departures {
+			if now.Sub(d.at) > departureMemory {
+				delete(i.departures, key)
+			}
+		}
+	}
+	key := u.LifetimeKey()
+	if old, ok := i.departures[key]; len(i.departures) >= maxDepartures && !ok || ok && old.isOlderEra {
+		return
+	}
+	i.departures[key] = departure{at: now, sequence: u.spec.Sequence, isDraining: u.IsDraining() && u.missingSince.IsZero()}
+}
+
 // put stores an upstream in place of the one with the same id, if any.
 func (i *Inventory) put(u Upstream) {
 	if old, isKnown := i.upstreams[u.spec.ID]; isKnown {
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -107,3 +107,36 @@
 	c.Check(ids(start.Add(time.Second), restarted), qt.DeepEquals, []string{"c"})
 	c.Check(ids(start.Add(2*time.Second), restarted), qt.HasLen, 0)
 }
+
+// TestCopyOfStoreBringsNoUpstreamBack checks that entries of a copy of the store from before
+// an upstream left or began to drain do not count, until the upstream writes its entry
+// again, and that an upstream without an entry in the copy is kept for eraGracePeriod.
+func TestCopyOfStoreBringsNoUpstreamBack(t *testing.T) {
+	c := qt.New(t)
+	i := New()
+	spec := func(id string, sequence int64, draining bool) UpstreamSpec {
+		s := newSpec(id)
+		s.Sequence, s.Draining = sequence, draining
+		return s
+	}
+	i.Update(start, []UpstreamSpec{spec("gone", 3, false), spec("draining", 3, false), spec("new", 1, false)})
+	i.Update(start.Add(time.Second), []UpstreamSpec{spec("draining", 4, true), spec("new", 1, false)})
+	later := start.Add(time.Second + missingGracePeriod + 1)
+	i.Update(later, []UpstreamSpec{spec("draining", 4, true), spec("new", 1, false)})
+	i.BeginEra(later)
+	_, ended := i.Update(later, []UpstreamSpec{spec("gone", 3, false), spec("draining", 3, false)})
+	c.Check(ended, qt.HasLen, 0)
+	eligibilities := func(now time.Time) map[string]Eligibility {
+		list := make(map[string]Eligibility)
+		for _, u := range i.ForService("s") {
+			list[u.ID()] = u.Eligibility(now)
+		}
+		return list
+	}
+	c.Check(eligibilities(later), qt.DeepEquals, map[string]Eligibility{"draining": Retired, "new": LastResort})
+	c.Check(eligibilities(later.Add(eraGracePeriod))["new"], qt.Equals, LastResort)
+	c.Check(eligibilities(later.Add(eraGracePeriod + 1))["new"], qt.Equals, Retired)
+	written := later.Add(500 * time.Millisecond)
+	i.Update(written, []UpstreamSpec{spec("gone", 4, false), spec("draining", 5, true), spec("new", 2, false)})
+	c.Check(eligibilities(written), qt.DeepEquals, map[string]Eligibility{"gone": InService, "draining": Retired, "new": InService})
+}
--- a/internal/keyvalue/feed.go
+++ b/internal/keyvalue/feed.go
@@ -10,7 +10,7 @@
 type Change struct {
 	key      string
 	value    []byte
-	revision uint64
+	revision Revision
 	deleted  bool
 }
 
@@ -21,12 +21,13 @@
 	// when the first of these keys was read. Keys that are written while the list is
 	// read may have a higher revision. With allowStale, the keys and the revision may be
 	// some seconds old, but are consistent with each other.
-	List(ctx context.Context, prefix string, allowStale bool) ([]Change, uint64, error)
+	List(ctx context.Context, prefix string, allowStale bool) ([]Change, Revision, error)
 	// WatchPrefix waits up to wait for changes after a revision. It returns the
 	// changes, possibly none, and the revision up to which they are complete. It
 	// returns a *HistoryLostError if the store no longer has all changes after that
-	// revision.
-	WatchPrefix(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Change, uint64, error)
+	// revision. The revision that it returns is of a later era if the store has come
+	// back from a copy; the changes are then not complete.
+	WatchPrefix(ctx context.Context, prefix string, after Revision, wait time.Duration) ([]Change, Revision, error)
 }
 
 // A LeaseStore is a store with keys that expire unless their lease is renewed. It is safe for
@@ -42,15 +43,15 @@
 
 // A HistoryLostError means that the store has discarded changes after the revision
 // After.
-type HistoryLostError struct{ AfterRevision uint64 }
+type HistoryLostError struct{ AfterRevision Revision }
 
 // NewChange returns the Change that writes a key.
-func NewChange(key string, value []byte, revision uint64) Change {
+func NewChange(key string, value []byte, revision Revision) Change {
 	return Change{key: key, value: value, revision: revision}
 }
 
 // NewRemoval returns the Change that removes a key.
-func NewRemoval(key string, revision uint64) Change {
+func NewRemoval(key string, revision Revision) Change {
 	return Change{key: key, revision: revision, deleted: true}
 }
 
@@ -61,12 +62,12 @@
 func (c Change) Key() string { return c.key }
 
 // Revision returns the revision of the store at which the key was changed.
-func (c Change) Revision() uint64 { return c.revision }
+func (c Change) Revision() Revision { return c.revision }
 
 // Value returns the value; it must not be changed.
 func (c Change) Value() []byte { return c.value }
 
 // Error implements error.
 func (e *HistoryLostError) Error() string {
-	return fmt.Sprintf("the store has discarded the changes after revision %d", e.AfterRevision)
+	return fmt.Sprintf("the store has discarded the changes after revision %v", e.AfterRevision)
 }
--- a/internal/mirror/bench_test.go
+++ b/internal/mirror/bench_test.go
@@ -18,12 +18,12 @@
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	m := New()
-	for i := range uint64(upstreams) {
+	for i := range keyvalue.Revision(upstreams) {
 		m.Apply([]keyvalue.Change{keyvalue.NewChange(fmt.Sprint("u/", i), []byte(value), i+1)}, i+1)
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
-	revision := uint64(upstreams)
+	revision := keyvalue.Revision(upstreams)
 	for b.Loop() {
 		revision++
 		m.Apply([]keyvalue.Change{keyvalue.NewChange(fmt.Sprint("u/", revision%upstreams), []byte(value), revision)}, revision)
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -50,7 +50,7 @@
 	Changes []keyvalue.Change
 	// Full is set if Changes holds all keys and replaces the receiver's copy.
 	Full     bool
-	Revision uint64
+	Revision keyvalue.Revision
 	// Age is the time since Revision was last confirmed to be the newest.
 	Age time.Duration
 }
@@ -60,14 +60,14 @@
 type Follower struct {
 	Feed keyvalue.Feed
 	// Fetch requests the changes after haveRevision from the peer at an address.
-	Fetch func(ctx context.Context, address string, haveRevision uint64) (Difference, error)
+	Fetch func(ctx context.Context, address string, haveRevision keyvalue.Revision) (Difference, error)
 	// ShouldWatch reports whether this host reads the store itself, given the age of
 	// its mirror. For a watcher, a host that reads the store for all hosts,
 	// ShouldWatch is true at any age.
 	ShouldWatch func(age time.Duration) bool
 	// OnChange is called with all records after each change of the mirror, never
 	// concurrently.
-	OnChange func(records []keyvalue.Change, revision uint64)
+	OnChange func(records []keyvalue.Change, revision keyvalue.Revision)
 	Log      logrus.FieldLogger
 
 	mu     sync.Mutex
@@ -80,6 +80,9 @@
 	// hasListed is set once a list was read from the store. The first one may be stale:
 	// a watch that follows it brings the rest.
 	hasListed bool
+	// hasCurrent is set once a list that was not stale, or a watch, has succeeded. Only
+	// followStore uses it.
+	hasCurrent bool
 	// applyMu ensures that OnChange receives the changes in order.
 	applyMu sync.Mutex
 	// hints holds the addresses of peers that have announced a newer revision.
@@ -108,7 +111,7 @@
 }
 
 // Difference returns the changes that a peer at haveRevision lacks.
-func (f *Follower) Difference(haveRevision uint64) Difference {
+func (f *Follower) Difference(haveRevision keyvalue.Revision) Difference {
 	age := f.Age()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -123,14 +126,18 @@
 // peer's revision is newer than the mirror, it queues a fetch of the peer's changes.
 // If the revisions are equal, the mirror was up to date when the peer's copy was, so
 // it records the peer's age.
-func (f *Follower) HandlePeerRevision(address string, revision uint64, age time.Duration) {
+func (f *Follower) HandlePeerRevision(address string, revision keyvalue.Revision, age time.Duration) {
 	f.mu.Lock()
-	isBehind := revision > f.mirror.Revision()
-	if !isBehind && revision == f.mirror.Revision() {
+	own := f.mirror.Revision()
+	isBehind := revision > own && revision.IsPlausibleAfter(own)
+	if revision == own {
 		f.confirm(age)
 	}
 	f.mu.Unlock()
 	if !isBehind {
+		if revision > own {
+			f.Log.WithField("peer", address).WithField("revision", revision.String()).Warn("revision of a peer is implausible; ignored")
+		}
 		return
 	}
 	select {
@@ -140,7 +147,7 @@
 }
 
 // Revision returns the revision up to which the mirror is complete.
-func (f *Follower) Revision() uint64 {
+func (f *Follower) Revision() keyvalue.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.mirror.Revision()
@@ -228,6 +235,13 @@
 	if err != nil {
 		return fmt.Errorf("watch the store: %w", err)
 	}
+	if revision.Era() > after.Era() {
+		return fmt.Errorf("watch the store, now at %v: %w", revision, &keyvalue.HistoryLostError{AfterRevision: after})
+	}
+	if revision < after {
+		return fmt.Errorf("watch the store: response at %v is older than the mirror at %v", revision, after)
+	}
+	f.hasCurrent = true
 	changed := f.update(0, func(m *Mirror) bool { return m.Apply(changes, revision) })
 	if changed {
 		work.Sleep(ctx, batchDelay)
@@ -246,11 +260,22 @@
 		return fmt.Errorf("read the store: %w", err)
 	}
 	f.hasListed = true
-	age := time.Duration(0)
 	if allowStale {
-		age = staleListAge
+		f.update(staleListAge, func(m *Mirror) bool { return m.Replace(all, revision) })
+		return nil
 	}
-	f.update(age, func(m *Mirror) bool { return m.Replace(all, revision) })
+	if own := f.Revision(); revision.Era() < own.Era() {
+		return fmt.Errorf("read the store: list at %v is of an earlier era than the mirror at %v", revision, own)
+	}
+	isFirst := !f.hasCurrent
+	f.hasCurrent = true
+	f.update(0, func(m *Mirror) bool {
+		if isFirst && revision < m.Revision() {
+			// The first list was stale, of before the store's return from a copy.
+			m.Reset()
+		}
+		return m.Replace(all, revision)
+	})
 	return nil
 }
 
@@ -259,7 +284,7 @@
 func (f *Follower) logReachability(err error) {
 	var lost *keyvalue.HistoryLostError
 	if errors.As(err, &lost) {
-		f.Log.WithField("revision", lost.AfterRevision).Info("store has discarded the changes after this revision; reading all keys")
+		f.Log.WithField("revision", lost.AfterRevision.String()).Info("store has discarded the changes after this revision; reading all keys")
 		return
 	}
 	f.mu.Lock()
@@ -270,7 +295,7 @@
 	case changed && err != nil:
 		f.Log.WithError(err).Warn("store lost")
 	case changed:
-		f.Log.WithField("revision", f.Revision()).Info("store is back")
+		f.Log.WithField("revision", f.Revision().String()).Info("store is back")
 	}
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -17,28 +17,38 @@
 type Mirror struct {
 	records map[string]keyvalue.Change
 	// removals holds the revision of the removal of each removed key.
-	removals map[string]uint64
+	removals map[string]keyvalue.Revision
 	// discardedRevision is the highest revision of a removal that was discarded from
 	// removals.
-	discardedRevision uint64
+	discardedRevision keyvalue.Revision
 	// removals is incomplete between the revisions gapFrom and gapTo, because a list
 	// at gapTo replaced the mirror at gapFrom. A key that was added and removed
 	// between the two revisions was neither in the mirror nor in the list.
-	gapFrom, gapTo uint64
-	revision       uint64
+	gapFrom, gapTo keyvalue.Revision
+	revision       keyvalue.Revision
 }
 
 // New returns an empty Mirror.
 func New() *Mirror {
-	return &Mirror{records: make(map[string]keyvalue.Change), removals: make(map[string]uint64)}
+	return &Mirror{records: make(map[string]keyvalue.Change), removals: make(map[string]keyvalue.Revision)}
 }
 
 // Apply applies changes that are complete up to a revision. It reports whether the
 // mirror changed. Changes up to the mirror's own revision are skipped, because the
 // mirror contains them already, and a delayed change would restore a key that has
 // been removed since. A change that is not newer than the record or removal of the
-// same key is skipped too.
-func (m *Mirror) Apply(changes []keyvalue.Change, revision uint64) bool {
+// same key is skipped too. Changes of another era than the mirror's are skipped, because
+// they do not say what the store has lost.
+func (m *Mirror) Apply(changes []keyvalue.Change, revision keyvalue.Revision) bool {
+	isEmpty := m.revision == 0 && len(m.records) == 0
+	if !isEmpty && revision.Era() != m.revision.Era() {
+		return false
+	}
+	return m.apply(changes, revision)
+}
+
+// apply is Apply for changes of any era.
+func (m *Mirror) apply(changes []keyvalue.Change, revision keyvalue.Revision) bool {
 	changed := false
 	for _, c := range changes {
 		if c.Revision() > m.revision {
@@ -50,10 +60,11 @@
 }
 
 // Difference returns the changes after haveRevision, in the order of revisions. If
-// haveRevision is zero or the removals after it are incomplete, Difference returns the
-// records of all keys and full is set.
-func (m *Mirror) Difference(haveRevision uint64) (changes []keyvalue.Change, full bool) {
-	full = haveRevision < m.discardedRevision || haveRevision == 0 || (haveRevision > m.gapFrom && haveRevision < m.gapTo)
+// haveRevision is zero or of another era, or the removals after it are incomplete,
+// Difference returns the records of all keys and full is set.
+func (m *Mirror) Difference(haveRevision keyvalue.Revision) (changes []keyvalue.Change, full bool) {
+	full = haveRevision < m.discardedRevision || haveRevision == 0 || haveRevision.Era() != m.revision.Era() ||
+		(haveRevision > m.gapFrom && haveRevision < m.gapTo)
 	for _, r := range m.records {
 		if full || r.Revision() > haveRevision {
 			changes = append(changes, r)
@@ -79,7 +90,7 @@
 // changed. Keys that are missing in the list are removed from the mirror, except keys
 // that were written after the revision of the list. If the mirror is at a higher
 // revision than the list, no key is removed.
-func (m *Mirror) Replace(all []keyvalue.Change, revision uint64) bool {
+func (m *Mirror) Replace(all []keyvalue.Change, revision keyvalue.Revision) bool {
 	if revision < m.revision {
 		return m.Apply(all, revision)
 	}
@@ -95,15 +106,18 @@
 			changed = true
 		}
 	}
-	return m.Apply(all, revision) || changed
+	return m.apply(all, revision) || changed
 }
 
+// Reset makes the mirror empty.
+func (m *Mirror) Reset() { *m = *New() }
+
 // Revision returns the revision up to which the mirror is complete.
-func (m *Mirror) Revision() uint64 { return m.revision }
+func (m *Mirror) Revision() keyvalue.Revision { return m.revision }
 
 // recordGap records that removals is incomplete from the mirror's revision to
 // toRevision. The mirror keeps a single gap, which grows to include each new gap.
-func (m *Mirror) recordGap(toRevision uint64) {
+func (m *Mirror) recordGap(toRevision keyvalue.Revision) {
 	if m.gapTo == 0 {
 		m.gapFrom = m.revision
 	}
@@ -128,7 +142,7 @@
 
 // remove removes a key and keeps the removal. Above maxRemovals, the oldest removal is
 // discarded.
-func (m *Mirror) remove(key string, revision uint64) {
+func (m *Mirror) remove(key string, revision keyvalue.Revision) {
 	delete(m.records, key)
 	m.removals[key] = revision
 	if len(m.removals) <= maxRemovals {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -20,7 +20,7 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
 )
 
-func put(key string, revision uint64) keyvalue.Change {
+func put(key string, revision keyvalue.Revision) keyvalue.Change {
 	return keyvalue.NewChange(key, []byte(fmt.Sprint(key, revision)), revision)
 }
 
@@ -39,7 +39,7 @@
 	m := New()
 	c.Check(m.Apply([]keyvalue.Change{put("a", 2), put("b", 3)}, 3), qt.IsTrue)
 	c.Check(m.Apply([]keyvalue.Change{put("a", 1), put("b", 3)}, 2), qt.IsFalse)
-	c.Check(m.Revision(), qt.Equals, uint64(3))
+	c.Check(m.Revision(), qt.Equals, keyvalue.Revision(3))
 	c.Check(m.Apply([]keyvalue.Change{keyvalue.NewRemoval("a", 4)}, 4), qt.IsTrue)
 	c.Check(m.Apply([]keyvalue.Change{put("a", 2)}, 4), qt.IsFalse, qt.Commentf("older write after its removal"))
 	c.Check(m.Replace([]keyvalue.Change{put("c", 6)}, 5), qt.IsTrue, qt.Commentf("written between two pages of the list"))
@@ -78,11 +78,11 @@
 	store := New()
 	var history []keyvalue.Change
 	copies := []*Mirror{New(), New(), New()}
-	seen := make([]map[string]uint64, len(copies))
+	seen := make([]map[string]keyvalue.Revision, len(copies))
 	for i := range seen {
-		seen[i] = make(map[string]uint64)
+		seen[i] = make(map[string]keyvalue.Revision)
 	}
-	revision := uint64(1)
+	revision := keyvalue.Revision(1)
 	for range 20_000 {
 		i := random.IntN(len(copies))
 		m := copies[i]
@@ -137,7 +137,7 @@
 	c := qt.New(t)
 	m := New()
 	m.Apply([]keyvalue.Change{put("kept", 1)}, 1)
-	revision := uint64(1)
+	revision := keyvalue.Revision(1)
 	for i := range maxRemovals + 10 {
 		key := fmt.Sprint("k", i)
 		m.Apply([]keyvalue.Change{put(key, revision+1), keyvalue.NewRemoval(key, revision+2)}, revision+2)
@@ -162,7 +162,7 @@
 	// staleRecords and staleRevision are what a list that may be stale returns; if
 	// staleRevision is zero, such a list is current.
 	staleRecords  []keyvalue.Change
-	staleRevision uint64
+	staleRevision keyvalue.Revision
 	staleLists    int
 }
 
@@ -176,7 +176,7 @@
 	f.history = append(f.history, c)
 }
 
-func (f *fakeFeed) List(ctx context.Context, _ string, allowStale bool) ([]keyvalue.Change, uint64, error) {
+func (f *fakeFeed) List(ctx context.Context, _ string, allowStale bool) ([]keyvalue.Change, keyvalue.Revision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
@@ -217,7 +217,7 @@
 	<-ctx.Done()
 }
 
-func (f *fakeFeed) WatchPrefix(ctx context.Context, _ string, after uint64, wait time.Duration) ([]keyvalue.Change, uint64, error) {
+func (f *fakeFeed) WatchPrefix(ctx context.Context, _ string, after keyvalue.Revision, wait time.Duration) ([]keyvalue.Change, keyvalue.Revision, error) {
 	f.configure(func(f *fakeFeed) { f.calls++ })
 	for deadline := time.Now().Add(wait); ; time.Sleep(time.Millisecond) {
 		events, revision, done, err := f.poll(ctx, after)
@@ -229,7 +229,7 @@
 
 // poll returns the changes after a revision. done is set if poll returns changes or
 // an error.
-func (f *fakeFeed) poll(ctx context.Context, after uint64) (events []keyvalue.Change, revision uint64, done bool, err error) {
+func (f *fakeFeed) poll(ctx context.Context, after keyvalue.Revision) (events []keyvalue.Change, revision keyvalue.Revision, done bool, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
@@ -254,7 +254,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	f := &Follower{
-		Feed: feed, ShouldWatch: func(time.Duration) bool { return true }, OnChange: func([]keyvalue.Change, uint64) {}, Log: log,
+		Feed: feed, ShouldWatch: func(time.Duration) bool { return true }, OnChange: func([]keyvalue.Change, keyvalue.Revision) {}, Log: log,
 	}
 	f.Init()
 	return f
@@ -291,11 +291,11 @@
 				run := func() { done <- f.Run(ctx) }
 				startInBubble(run)
 				time.Sleep(1500 * time.Millisecond)
-				c.Assert(f.Revision(), qt.Equals, uint64(1))
+				c.Assert(f.Revision(), qt.Equals, keyvalue.Revision(1))
 				test.injectFailure(feed)
 				feed.write("b")
 				time.Sleep(test.maxPropagationTime)
-				c.Check(f.Revision(), qt.Equals, uint64(2))
+				c.Check(f.Revision(), qt.Equals, keyvalue.Revision(2))
 				cancel()
 				c.Check(<-done, qt.IsNil)
 			})
@@ -315,7 +315,7 @@
 		source.Apply(Difference{Changes: []keyvalue.Change{put("a", 4)}, Full: true, Revision: 4})
 		f := newTestFollower(feed)
 		f.ShouldWatch = func(time.Duration) bool { return false }
-		f.Fetch = func(_ context.Context, _ string, have uint64) (Difference, error) {
+		f.Fetch = func(_ context.Context, _ string, have keyvalue.Revision) (Difference, error) {
 			return source.Difference(have), nil
 		}
 		ctx, cancel := context.WithCancel(context.Background())
@@ -323,7 +323,7 @@
 		startInBubble(func() { done <- f.Run(ctx) })
 		f.HandlePeerRevision("peer", 4, 0)
 		time.Sleep(time.Millisecond)
-		c.Check(f.Revision(), qt.Equals, uint64(4))
+		c.Check(f.Revision(), qt.Equals, keyvalue.Revision(4))
 		c.Check(feed.callCount(), qt.Equals, 0)
 		time.Sleep(time.Second)
 		f.HandlePeerRevision("peer", 4, 100*time.Millisecond)
@@ -353,7 +353,7 @@
 		}
 		c.Check(feed.callCount() <= 45, qt.IsTrue, qt.Commentf("%d calls in 10 s", feed.callCount()))
 		time.Sleep(time.Second)
-		c.Check(f.Revision(), qt.Equals, uint64(251))
+		c.Check(f.Revision(), qt.Equals, keyvalue.Revision(251))
 		cancel()
 		c.Check(<-done, qt.IsNil)
 	})
@@ -373,13 +373,13 @@
 		feed.write("c")
 		follower := newTestFollower(feed)
 		ages := make(chan time.Duration, 10)
-		follower.OnChange = func([]keyvalue.Change, uint64) { ages <- follower.Age() }
+		follower.OnChange = func([]keyvalue.Change, keyvalue.Revision) { ages <- follower.Age() }
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		var group errgroup.Group
 		group.Go(func() error { return follower.Run(ctx) })
 		time.Sleep(10 * time.Millisecond)
-		c.Check(follower.Revision(), qt.Equals, uint64(3))
+		c.Check(follower.Revision(), qt.Equals, keyvalue.Revision(3))
 		c.Check(feed.callCount(), qt.Equals, 2)
 		c.Assert(ages, qt.HasLen, 2)
 		stale := <-ages
@@ -389,7 +389,7 @@
 		time.Sleep(5 * time.Second)
 		feed.write("d")
 		time.Sleep(time.Second)
-		c.Check(follower.Revision(), qt.Equals, uint64(4))
+		c.Check(follower.Revision(), qt.Equals, keyvalue.Revision(4))
 		cancel()
 		c.Check(group.Wait(), qt.IsNil)
 		c.Check(feed.staleLists, qt.Equals, 1)
--- a/internal/mirror/model_test.go
+++ b/internal/mirror/model_test.go
@@ -16,6 +16,13 @@
 // written again; another key is written once.
 var modelHistory = []keyvalue.Change{put("a", 1), put("b", 2), keyvalue.NewRemoval("a", 3), put("a", 4)}
 
+// modelHistoryAfterLoss holds the changes that the store makes after it has come back from a
+// copy. They get the revisions that follow the copy.
+var modelHistoryAfterLoss = []keyvalue.Change{keyvalue.NewRemoval("a", 0), put("b", 0)}
+
+// modelLossChangeCount is how many changes of modelHistoryAfterLoss the store makes.
+var modelLossChangeCount = flag.Int("model-loss-steps", 1, "how many changes the store makes in the model after its loss, up to 2")
+
 var modelKeys = []string{"a", "b"}
 
 // modelChangeCount is how many changes of modelHistory the store makes.
@@ -32,7 +39,7 @@
 type modelMessage struct {
 	to       int
 	changes  []keyvalue.Change
-	revision uint64
+	revision keyvalue.Revision
 	full     bool
 	// firstPageEnd is the last key of the first page of a list; it is empty once the second
 	// page is read.
@@ -41,10 +48,16 @@
 
 // A modelState is the state of the store, the copies, and the messages in flight.
 type modelState struct {
-	// changeCount is how many changes of modelHistory the store has made.
+	// changeCount is how many changes the store has made.
 	changeCount int
-	copies      [modelCopyCount]*Mirror
-	messages    []modelMessage
+	// changeLimit is how many changes of modelHistory the store makes.
+	changeLimit int
+	// mayLose is set if the store may come back from a copy, once. hasLost is set after
+	// that, and copiedCount is how many changes the copy had.
+	mayLose, hasLost bool
+	copiedCount      int
+	copies           [modelCopyCount]*Mirror
+	messages         []modelMessage
 }
 
 // TestEveryInterleaving explores all orders in which two copies can watch, list and
@@ -53,8 +66,18 @@
 // no copy may return to an older state or lack a change up to its revision. The model
 // must have more than 10,000 states.
 func TestEveryInterleaving(t *testing.T) {
+	exploreModel(t, modelState{changeLimit: *modelChangeCount})
+}
+
+// TestEveryInterleavingWithLoss is TestEveryInterleaving with a store that comes back from a
+// copy, once, and then makes other changes with revisions that it has given out before.
+func TestEveryInterleavingWithLoss(t *testing.T) {
+	exploreModel(t, modelState{changeLimit: 2, mayLose: true})
+}
+
+// exploreModel checks all states that are reachable from an initial state with empty copies.
+func exploreModel(t *testing.T, initial modelState) {
 	c := qt.New(t)
-	initial := modelState{}
 	for i := range initial.copies {
 		initial.copies[i] = New()
 	}
@@ -75,6 +98,36 @@
 	c.Check(len(seen) > 10_000, qt.IsTrue)
 }
 
+// era returns the era of the store.
+func (s modelState) era() uint64 {
+	if s.hasLost {
+		return 1
+	}
+	return 0
+}
+
+// history returns the changes that the store has made in its present content.
+func (s modelState) history() []keyvalue.Change {
+	if !s.hasLost {
+		return modelHistory[:s.changeCount]
+	}
+	var list []keyvalue.Change
+	for i, h := range slices.Concat(modelHistory[:s.copiedCount], modelHistoryAfterLoss[:s.changeCount-s.copiedCount]) {
+		revision := keyvalue.NewRevision(1, uint64(i+1))
+		if h.Deleted() {
+			list = append(list, keyvalue.NewRemoval(h.Key(), revision))
+			continue
+		}
+		list = append(list, keyvalue.NewChange(h.Key(), h.Value(), revision))
+	}
+	return list
+}
+
+// revision returns the revision of the store.
+func (s modelState) revision() keyvalue.Revision {
+	return keyvalue.NewRevision(s.era(), uint64(s.changeCount))
+}
+
 func (s modelState) clone() modelState {
 	for i, m := range s.copies {
 		s.copies[i] = &Mirror{
@@ -94,9 +147,15 @@
 		change(&next)
 		all = append(all, next)
 	}
-	if s.changeCount < *modelChangeCount {
+	switch {
+	case s.hasLost && s.changeCount < s.copiedCount+*modelLossChangeCount, !s.hasLost && s.changeCount < s.changeLimit:
 		add(func(n *modelState) { n.changeCount++ })
 	}
+	for copied := range s.changeCount {
+		if s.mayLose && !s.hasLost && copied > 0 {
+			add(func(n *modelState) { n.hasLost, n.copiedCount, n.changeCount = true, copied, copied })
+		}
+	}
 	for i, m := range s.messages {
 		if m.firstPageEnd != "" {
 			add(func(n *modelState) { n.messages[i] = s.readSecondPage(m) })
@@ -120,15 +179,19 @@
 // to a watch, the first page of a list, or a difference from the other copy.
 func (s modelState) possibleMessages(to int) []modelMessage {
 	have := s.copies[to].Revision()
-	watch := modelMessage{to: to, revision: uint64(s.changeCount)}
-	for _, h := range modelHistory[:s.changeCount] {
-		if h.Revision() > have {
-			watch.changes = append(watch.changes, h)
+	list := modelMessage{to: to, revision: s.revision(), full: true, firstPageEnd: "a"}
+	list.changes = s.storedRecords(func(key string) bool { return key <= list.firstPageEnd })
+	messages := []modelMessage{list}
+	// A Follower drops the response to a watch from another era.
+	if have.Era() == s.era() || have == 0 {
+		watch := modelMessage{to: to, revision: s.revision()}
+		for _, h := range s.history() {
+			if h.Revision() > have {
+				watch.changes = append(watch.changes, h)
+			}
 		}
+		messages = append(messages, watch)
 	}
-	list := modelMessage{to: to, revision: uint64(s.changeCount), full: true, firstPageEnd: "a"}
-	list.changes = s.storedRecords(func(key string) bool { return key <= list.firstPageEnd })
-	messages := []modelMessage{watch, list}
 	if other := s.copies[1-to]; other.Revision() > have {
 		changes, full := other.Difference(have)
 		messages = append(messages, modelMessage{to: to, changes: changes, revision: other.Revision(), full: full})
@@ -141,13 +204,17 @@
 	after := m.firstPageEnd
 	m.changes = append(slices.Clone(m.changes), s.storedRecords(func(key string) bool { return key > after })...)
 	m.firstPageEnd = ""
+	if m.revision.Era() != s.era() {
+		// A list whose pages are of different eras is dropped.
+		m.changes, m.revision, m.full = nil, 0, false
+	}
 	return m
 }
 
 // storedRecords returns the records of the store whose key is wanted, sorted by key.
 func (s modelState) storedRecords(isWanted func(key string) bool) []keyvalue.Change {
 	store := New()
-	store.Apply(modelHistory[:s.changeCount], uint64(s.changeCount))
+	store.Apply(s.history(), s.revision())
 	records := slices.DeleteFunc(store.Records(), func(r keyvalue.Change) bool { return !isWanted(r.Key()) })
 	slices.SortFunc(records, func(a, b keyvalue.Change) int { return strings.Compare(a.Key(), b.Key()) })
 	return records
@@ -178,15 +245,15 @@
 			if m.latestRevision(key) < previous.copies[i].latestRevision(key) {
 				c.Fatalf("copy %d returned to an older revision of key %s: %+v", i, key, s)
 			}
-			last := uint64(0)
-			for _, h := range modelHistory[:min(int(m.Revision()), s.changeCount)] {
-				if h.Key() == key {
-					last = h.Revision()
+			last := keyvalue.NewRemoval(key, 0)
+			for _, h := range s.history() {
+				if h.Key() == key && h.Revision() <= m.Revision() && m.Revision().Era() == s.era() {
+					last = h
 				}
 			}
 			_, hasKey := m.records[key]
-			if m.latestRevision(key) < last && (hasKey || !modelHistory[last-1].Deleted()) {
-				c.Fatalf("copy %d lacks key %s at revision %d: %+v", i, key, last, s)
+			if m.latestRevision(key) < last.Revision() && (hasKey || !last.Deleted()) {
+				c.Fatalf("copy %d lacks key %s at revision %v: %+v", i, key, last.Revision(), s)
 			}
 		}
 	}
@@ -197,7 +264,7 @@
 	final := s.clone()
 	stored := final.storedRecords(func(string) bool { return true })
 	for i, m := range final.copies {
-		m.Replace(stored, uint64(final.changeCount))
+		m.Replace(stored, final.revision())
 		if len(m.records) != len(stored) {
 			c.Fatalf("copy %d has %d keys, want %d: %+v", i, len(m.records), len(stored), s)
 		}
@@ -210,18 +277,18 @@
 }
 
 // latestRevision returns the revision of the last change of a key in the mirror.
-func (m *Mirror) latestRevision(key string) uint64 {
+func (m *Mirror) latestRevision(key string) keyvalue.Revision {
 	return max(m.records[key].Revision(), m.removals[key])
 }
 
 // key returns a string that is different for different states.
 func (s modelState) key() string {
-	b := []byte{byte(s.changeCount)}
+	b := []byte{byte(s.changeCount), byte(s.copiedCount), byte(s.era())}
 	for _, m := range s.copies {
 		for _, key := range modelKeys {
-			b = append(b, byte(m.records[key].Revision()), byte(m.removals[key]))
+			b = append(b, revisionByte(m.records[key].Revision()), revisionByte(m.removals[key]))
 		}
-		b = append(b, byte(m.revision), byte(m.gapFrom), byte(m.gapTo))
+		b = append(b, revisionByte(m.revision), revisionByte(m.gapFrom), revisionByte(m.gapTo))
 	}
 	messages := make([]string, 0, len(s.messages))
 	for _, m := range s.messages {
@@ -233,12 +300,15 @@
 
 // key returns a string that is different for different messages.
 func (m modelMessage) key() string {
-	b := []byte{'m', byte(m.to), byte(m.revision), byte(len(m.firstPageEnd))}
+	b := []byte{'m', byte(m.to), revisionByte(m.revision), byte(len(m.firstPageEnd))}
 	if m.full {
 		b = append(b, 'w')
 	}
 	for _, c := range m.changes {
-		b = append(b, c.Key()[0], byte(c.Revision()))
+		b = append(b, c.Key()[0], revisionByte(c.Revision()))
 	}
 	return string(b)
 }
+
+// revisionByte returns a byte that is different for different revisions of the model.
+func revisionByte(r keyvalue.Revision) byte { return byte(r.Era()<<4 | r.Number()) }
