Upstreams that state that they leave, or ask for rest, get no requests

Cause: only the entry of the store counted as a notice of leaving; a refusal counted as one failure and nothing more.

Leaving: read from every response, also a failure or one to another request; the upstream is draining from then on for this lifetime, whatever its entry says or if it was away. Rest: no attempt of this host until its end, kept by lifetime; a time that is no number, negative or over ten minutes is bounded and logged. If all upstreams of a service rest, the part is left out or the request refused at once, to come back after the first rest and a spread. Dialling hosts report both.

--- a/internal/dispatch/conclude.go
+++ b/internal/dispatch/conclude.go
@@ -108,6 +108,34 @@
 	return details
 }
 
+// retryDelayWithoutUpstream returns when a caller may come back who was refused because a
+// service has no upstream: if upstreams rest, after the first rest at all of them, and up
+// to maxRestSpread later, so that not all callers come back at once.
+func (f *inFlightRequest) retryDelayWithoutUpstream() time.Duration {
+	now := time.Now()
+	var longest time.Duration
+	for _, p := range f.parts {
+		if p.reason != ReasonNoUpstream {
+			continue
+		}
+		if until := p.pool.RestingUntil(now); until.Sub(now) > longest {
+			longest = until.Sub(now)
+		}
+	}
+	if longest == 0 {
+		return noUpstreamRetryDelay
+	}
+	spread := min(maxRestSpread, time.Duration(restSpreadRatio*float64(longest)))
+	return longest + time.Duration(f.requestFraction()*float64(spread))
+}
+
+const (
+	// restSpreadRatio and maxRestSpread bound the spread of callers that come back after
+	// the rest of upstreams, as a ratio of the time until then and absolutely.
+	restSpreadRatio = 0.25
+	maxRestSpread   = 500 * time.Millisecond
+)
+
 // failureAnswer returns the answer to a request that could not be served. Its status
 // implies that the request was not run only if no upstream has run it and none may
 // still run it.
@@ -119,7 +147,7 @@
 	answer := Answer{Status: http.StatusServiceUnavailable, Reason: reason, MissingParts: len(f.parts), RetryAfter: failureRetryDelay}
 	switch {
 	case reason == ReasonNoUpstream:
-		answer.RetryAfter = noUpstreamRetryDelay
+		answer.RetryAfter = f.retryDelayWithoutUpstream()
 	case reason == ReasonQuarantined && f.verdict.Wait > 0:
 		answer.RetryAfter = f.verdict.Wait
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/singleflight"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
 	"github.com/foxtailshelf/foxtailshelf/internal/routing"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
@@ -41,6 +42,9 @@
 	Guard        CrashGuard
 	// OnAttempt is called when an attempt has ended.
 	OnAttempt func(a *upstream.Attempt, fingerprint uint64, o upstream.Outcome)
+	// OnLeaving is called when an upstream has stated that it leaves, before the attempt
+	// counts as ended. If u is a dialling host, forwardedTo is the ID of the upstream.
+	OnLeaving func(u inventory.Upstream, forwardedTo string)
 	// OnFinish is called with the summary of each finished request.
 	OnFinish func(Summary)
 	// CallerAllowance is how much of a route's target the network to and from the
@@ -67,10 +71,13 @@
 		outcome.UpstreamEnded = d.hasEnded(a.Address)
 	}
 	d.OnAttempt(a, assignment.Fingerprint(), outcome)
+	if outcome.Leaving {
+		d.OnLeaving(assignment.Upstream, outcome.ForwardedTo)
+	}
 	if crashes := p.RecordOutcome(time.Now(), assignment, outcome); len(crashes) > 0 {
 		d.Guard.RecordCrashes(crashes)
 	}
-	if outcome.Result == upstream.Broken || outcome.Result == upstream.Misdirected || outcome.ConnectionRefused {
+	if outcome.Leaving || outcome.Result == upstream.Broken || outcome.Result == upstream.Misdirected || outcome.ConnectionRefused {
 		d.Exchanger.CloseIdleConnections(a.UpstreamID)
 	}
 	return outcome
--- a/internal/dispatch/helper_test.go
+++ b/internal/dispatch/helper_test.go
@@ -172,7 +172,8 @@
 		Exchanger: t.upstreams, Pool: func(s string) *pool.Pool { return t.pools[s] },
 		LatencyStats: func(*routing.Route) *pool.LatencyStats { return latencyStats },
 		Guard:        &fakeGuard{}, OnAttempt: func(*upstream.Attempt, uint64, upstream.Outcome) {},
-		OnFinish: t.recordSummary, CallerAllowance: testCallerAllowance, Group: &work.Group{},
+		OnLeaving: func(inventory.Upstream, string) {},
+		OnFinish:  t.recordSummary, CallerAllowance: testCallerAllowance, Group: &work.Group{},
 	}
 	return t
 }
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
@@ -200,6 +201,26 @@
 	}
 }
 
+// recordLeaving records that an upstream has stated that it leaves. If u is a dialling host,
+// forwardedTo is the ID of the upstream.
+func (h *Host) recordLeaving(u inventory.Upstream, forwardedTo string) {
+	id := u.ID()
+	if u.IsDiallingHost() {
+		id = forwardedTo
+	}
+	h.mu.Lock()
+	service := h.inventory.RecordLeaving(time.Now(), id)
+	if service != "" {
+		h.configurePools([]string{service})
+	}
+	h.mu.Unlock()
+	if service == "" {
+		return
+	}
+	h.Metrics.leavingUpstreams.Inc()
+	h.Log.WithFields(map[string]any{"upstream": id, "service": service, "relayed": u.IsDiallingHost()}).Info("upstream states that it leaves")
+}
+
 // updateFleetView derives the view from the current members and discards the dial
 // plans, which were computed from the previous view.
 func (h *Host) updateFleetView() {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -150,6 +150,7 @@
 		LatencyStats:     h.routeLatencyStats,
 		Guard:            h.guard,
 		OnAttempt:        h.requestLog.recordAttempt,
+		OnLeaving:        h.recordLeaving,
 		OnFinish:         h.requestLog.record,
 		CallerAllowance:  callerRoundTripTime + callerOverhead,
 		ConnectAllowance: callerRoundTripTime,
--- a/internal/host/requestlog.go
+++ b/internal/host/requestlog.go
@@ -34,6 +34,8 @@
 	testRuns             *prometheus.CounterVec
 	upstreamCrashes      prometheus.Counter
 	storeEras            prometheus.Counter
+	leavingUpstreams     prometheus.Counter
+	rests                prometheus.Counter
 	missingParts         prometheus.Counter
 	unloggedLines        prometheus.Counter
 	badRecords           prometheus.Counter
@@ -69,6 +71,12 @@
 		storeEras: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "foxtailshelf_store_eras_total", Help: "Returns of the store from a copy that this host has seen.",
 		}),
+		leavingUpstreams: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "foxtailshelf_leaving_upstreams_total", Help: "Upstreams that have stated that they leave.",
+		}),
+		rests: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "foxtailshelf_rests_total", Help: "Responses of upstreams that ask for rest.",
+		}),
 		missingParts: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "foxtailshelf_missing_parts_total", Help: "Parts that were not in an answer.",
 		}),
@@ -85,7 +93,7 @@
 			Name: "foxtailshelf_configuration_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	registry.MustRegister(m.answers, m.answerSeconds, m.attempts, m.attemptResults, m.suspectRequests, m.testRuns, m.upstreamCrashes, m.storeEras, m.missingParts, m.unloggedLines, m.badRecords, m.relayedAttempts, m.configurationVersion)
+	registry.MustRegister(m.answers, m.answerSeconds, m.attempts, m.attemptResults, m.suspectRequests, m.testRuns, m.upstreamCrashes, m.storeEras, m.leavingUpstreams, m.rests, m.missingParts, m.unloggedLines, m.badRecords, m.relayedAttempts, m.configurationVersion)
 	return m
 }
 
@@ -140,6 +148,9 @@
 // upstream sent no complete response, subject to the limit of lines.
 func (l *requestLog) recordAttempt(a *upstream.Attempt, fingerprint uint64, o upstream.Outcome) {
 	l.metrics.attemptResults.WithLabelValues(o.Result.String()).Inc()
+	if !o.RestUntil.IsZero() || o.RestErr != nil {
+		l.recordRest(a, o)
+	}
 	if o.Result != upstream.Broken && o.Result != upstream.Unreachable {
 		return
 	}
@@ -153,6 +164,26 @@
 	}).WithError(o.Err).Info("attempt without a response")
 }
 
+// recordRest updates the metrics with an upstream that asks for rest, and logs it subject
+// to the limit of lines.
+func (l *requestLog) recordRest(a *upstream.Attempt, o upstream.Outcome) {
+	l.metrics.rests.Inc()
+	if !l.allowLine() {
+		l.metrics.unloggedLines.Inc()
+		return
+	}
+	id := a.UpstreamID
+	if o.ForwardedTo != "" {
+		id = o.ForwardedTo
+	}
+	line := l.log.WithFields(logrus.Fields{"request": a.RequestID, "upstream": id, "rest-ms": max(0, time.Until(o.RestUntil)).Milliseconds(), "relayed": a.Relay != nil})
+	if o.RestErr != nil {
+		line.WithError(o.RestErr).Warn("upstream asks for rest for an implausible time")
+		return
+	}
+	line.Info("upstream asks for rest")
+}
+
 // verdictFields returns the evidence for a verdict as it is logged.
 func verdictFields(v quarantine.Verdict) logrus.Fields {
 	source := v.Source
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -28,6 +29,9 @@
 	// upstreams that are remembered.
 	departureMemory = time.Minute
 	maxDepartures   = 4096
+	// leavingMemory is how long upstreams that have stated that they leave are remembered if
+	// there are more than maxDepartures.
+	leavingMemory = 10 * time.Minute
 )
 
 // Eligibility says whether an upstream may get new attempts.
@@ -85,6 +89,9 @@
 	byService map[string]map[string]bool
 	// departures holds the upstreams that have left recently, by lifetime.
 	departures map[uint64]departure
+	// leavingSince holds, by lifetime, since when upstreams have stated that they leave. It
+	// outlasts their entries.
+	leavingSince map[uint64]time.Time
 	// eraBegunAt is when the store last came back from a copy; zero if it has not.
 	eraBegunAt time.Time
 }
@@ -163,6 +170,7 @@
 func New() *Inventory {
 	return &Inventory{
 		upstreams: make(map[string]Upstream), byService: make(map[string]map[string]bool), departures: make(map[uint64]departure),
+		leavingSince: make(map[uint64]time.Time),
 	}
 }
 
@@ -176,6 +184,29 @@
 	}
 }
 
+// RecordLeaving records that an upstream has stated that it leaves. It is draining from then
+// on, whatever its entry says, until its lifetime ends. RecordLeaving returns its service,
+// and an empty string if the upstream is unknown or was known to leave.
+func (i *Inventory) RecordLeaving(now time.Time, id string) (service string) {
+	u, ok := i.upstreams[id]
+	if !ok {
+		return ""
+	}
+	key := u.LifetimeKey()
+	if _, known := i.leavingSince[key]; known {
+		return ""
+	}
+	if len(i.leavingSince) >= maxDepartures {
+		maps.DeleteFunc(i.leavingSince, func(_ uint64, since time.Time) bool { return now.Sub(since) > leavingMemory })
+	}
+	i.leavingSince[key] = now
+	if u.drainingSince.IsZero() {
+		u.drainingSince = now
+		i.upstreams[id] = u
+	}
+	return u.spec.Service
+}
+
 // Update replaces all entries with those that the store holds now. An upstream that
 // no longer has an entry is removed by the first later Update at which it is Retired.
 // Update returns the sorted names of the services whose upstreams changed, and the
@@ -191,6 +222,9 @@
 		seen[s.ID] = true
 		old, isKnown := i.upstreams[s.ID]
 		u := updatedUpstream(now, old, isKnown, s)
+		if since, leaving := i.leavingSince[u.LifetimeKey()]; leaving && len(i.leavingSince) > 0 && u.drainingSince.IsZero() {
+			u.drainingSince = since
+		}
 		if u.IsDraining() {
 			i.recordDeparture(now, u)
 		}
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -140,3 +140,29 @@
 	i.Update(written, []UpstreamSpec{spec("gone", 4, false), spec("draining", 5, true), spec("new", 2, false)})
 	c.Check(eligibilities(written), qt.DeepEquals, map[string]Eligibility{"gone": InService, "draining": Retired, "new": InService})
 }
+
+// TestLeavingUpstreamStaysLeaving checks that an upstream that has stated that it leaves gets
+// no attempts after drainGracePeriod, whatever its entry says later, also after the entry
+// was away, until a new lifetime begins.
+func TestLeavingUpstreamStaysLeaving(t *testing.T) {
+	c := qt.New(t)
+	i := New()
+	i.Update(start, []UpstreamSpec{newSpec("a")})
+	c.Check(i.RecordLeaving(start, "a"), qt.Equals, "s")
+	c.Check(i.RecordLeaving(start, "a"), qt.Equals, "", qt.Commentf("known"))
+	c.Check(i.RecordLeaving(start, "b"), qt.Equals, "", qt.Commentf("unknown"))
+	c.Check(i.ForService("s")[0].Eligibility(start), qt.Equals, LastResort)
+	later := start.Add(drainGracePeriod + 1)
+	i.Update(later, []UpstreamSpec{newSpec("a")})
+	c.Check(i.ForService("s")[0].Eligibility(later), qt.Equals, Retired)
+	i.Update(later, nil)
+	i.Update(later.Add(missingGracePeriod+1), nil)
+	c.Check(i.ForService("s"), qt.HasLen, 0)
+	back := later.Add(time.Minute)
+	i.Update(back, []UpstreamSpec{newSpec("a")})
+	c.Check(i.ForService("s")[0].Eligibility(back), qt.Equals, Retired)
+	restarted := newSpec("a")
+	restarted.StartedAtMillis++
+	i.Update(back, []UpstreamSpec{restarted})
+	c.Check(i.ForService("s")[0].Eligibility(back), qt.Equals, InService)
+}
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -75,6 +75,8 @@
 	// last down; zero once the upstream has responded.
 	downUntil  time.Time
 	downPeriod time.Duration
+	// restUntil is until when the upstream wants no requests of this host.
+	restUntil time.Time
 	// reducedLimit is the concurrency limit that was set at limitReducedAt, when the
 	// upstream had too many connections. From then on the limit grows by one every
 	// limitGrowthInterval.
@@ -124,6 +126,9 @@
 	return now.Before(m.downUntil)
 }
 
+// isResting reports whether the upstream wants no requests of this host.
+func (m *member) isResting(now time.Time) bool { return now.Before(m.restUntil) }
+
 // expectedFailureRatio returns the probability with which an attempt is expected to
 // fail, 0 to 1.
 func (m *member) expectedFailureRatio(now time.Time) float64 {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -3,6 +3,7 @@
 package pool
 
 import (
+	"maps"
 	"math"
 	"net/http"
 	"slices"
@@ -137,6 +138,9 @@
 	// connectDuration is a moving average of the duration of connecting.
 	connectDuration time.Duration
 	unanswered      unansweredAttempts
+	// restUntil holds until when upstreams want no requests, by lifetime, so that an
+	// upstream whose entry was away rests on.
+	restUntil map[uint64]time.Time
 }
 
 // Configure sets the current upstreams of the service and the policy. An upstream of
@@ -147,6 +151,7 @@
 	if p.extra == nil {
 		p.extra = budget.NewWindow(now, policy.Window, policy.ExtraRatio, policy.ExtraSlack)
 		p.connectDuration = initialConnectDuration
+		p.restUntil = make(map[uint64]time.Time)
 	}
 	p.extra.SetLimits(policy.ExtraRatio, policy.ExtraSlack)
 	p.policy = policy
@@ -156,13 +161,16 @@
 	for _, u := range upstreams {
 		i := slices.IndexFunc(old, func(m *member) bool { return m.upstream.HasSameLifetime(u) })
 		if i < 0 {
-			p.members = append(p.members, newMember(u))
+			m := newMember(u)
+			m.restUntil = p.restUntil[u.LifetimeKey()]
+			p.members = append(p.members, m)
 			continue
 		}
 		old[i].upstream = u
 		p.members = append(p.members, old[i])
 	}
 	p.unanswered.removeExpired(now)
+	maps.DeleteFunc(p.restUntil, func(_ uint64, until time.Time) bool { return !until.After(now) })
 }
 
 // RecordRequest counts a request for the service, which raises the budget for extra
@@ -181,6 +189,20 @@
 	return p.extra.RemainingRatio(now)
 }
 
+// RestingUntil returns when the first of the upstreams that rest may be used again; zero if
+// none rests.
+func (p *Pool) RestingUntil(now time.Time) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var first time.Time
+	for _, m := range p.members {
+		if m.isResting(now) && m.upstream.Eligibility(now) != inventory.Retired && (first.IsZero() || m.restUntil.Before(first)) {
+			first = m.restUntil
+		}
+	}
+	return first
+}
+
 // HasResponded reports whether the upstream of an assignment has responded to any attempt
 // after a time.
 func (p *Pool) HasResponded(a *Assignment, after time.Time) bool {
@@ -189,13 +211,13 @@
 	return a.member.respondedAt.After(after)
 }
 
-// HasUpstream reports whether any upstream of the service is neither retired nor
-// down.
+// HasUpstream reports whether any upstream of the service is neither retired nor down nor
+// resting.
 func (p *Pool) HasUpstream(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.ContainsFunc(p.members, func(m *member) bool {
-		return m.upstream.Eligibility(now) != inventory.Retired && !m.isDown(now)
+		return m.upstream.Eligibility(now) != inventory.Retired && !m.isDown(now) && !m.isResting(now)
 	})
 }
 
@@ -248,7 +270,7 @@
 }
 
 // ExpectedLatency returns the expected duration of an attempt at the fastest upstream;
-// reachable is false if all upstreams are retired or down. For an upstream at its
+// reachable is false if all upstreams are retired, down or resting. For an upstream at its
 // concurrency limit, the expected duration includes an estimated wait until a running
 // attempt ends.
 func (p *Pool) ExpectedLatency(now time.Time, s *LatencyStats) (expected time.Duration, reachable bool) {
@@ -256,7 +278,7 @@
 	defer p.mu.Unlock()
 	typical := s.TypicalLatency()
 	for _, m := range p.members {
-		if m.upstream.Eligibility(now) == inventory.Retired || m.isDown(now) {
+		if m.upstream.Eligibility(now) == inventory.Retired || m.isDown(now) || m.isResting(now) {
 			continue
 		}
 		latency := m.expectedLatency(now, typical)
@@ -301,9 +323,28 @@
 	if o.Load != nil {
 		m.load, m.loadAt = *o.Load, now
 	}
+	if !o.RestUntil.IsZero() {
+		p.recordRest(m, o)
+	}
 	return p.updateMember(now, m, assignment, o)
 }
 
+// recordRest records until when an upstream wants no requests: the member's, or the one to
+// which another host forwarded the attempt.
+func (p *Pool) recordRest(m *member, o upstream.Outcome) {
+	if o.ForwardedTo != "" {
+		i := slices.IndexFunc(p.members, func(m *member) bool { return m.upstream.ID() == o.ForwardedTo })
+		if i < 0 {
+			return
+		}
+		m = p.members[i]
+	}
+	if o.RestUntil.After(m.restUntil) {
+		m.restUntil = o.RestUntil
+		p.restUntil[m.upstream.LifetimeKey()] = o.RestUntil
+	}
+}
+
 // updateMember updates a member with the outcome of an attempt and returns the result
 // of RecordOutcome.
 func (p *Pool) updateMember(now time.Time, m *member, assignment *Assignment, o upstream.Outcome) []Crash {
@@ -378,7 +419,7 @@
 // attempt now.
 func (p *Pool) acceptsAttempt(now time.Time, m *member, r Requirements, eligibility inventory.Eligibility) bool {
 	switch {
-	case m.upstream.Eligibility(now) != eligibility || m.isDown(now) || slices.Contains(r.TriedUpstreams, m.upstream.ID()):
+	case m.upstream.Eligibility(now) != eligibility || m.isDown(now) || m.isResting(now) || slices.Contains(r.TriedUpstreams, m.upstream.ID()):
 		return false
 	case r.DirectOnly && m.upstream.IsDiallingHost():
 		return false
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -369,3 +369,35 @@
 	c.Check(single.HedgeDelay(1), qt.Equals, 32*time.Millisecond)
 	c.Check(fmt.Sprint(latencyStats.TypicalLatency()), qt.Equals, "13.055ms")
 }
+
+// TestRestingUpstream checks that an upstream that asks for rest gets no attempts until its
+// rest has ended, also if its entry is away meanwhile, and that the pool tells when the
+// first of several rests ends.
+func TestRestingUpstream(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(newPolicy())
+	rest := func(id string, d time.Duration) {
+		var others []string
+		for _, o := range []string{"a", "b", "c"} {
+			if o != id {
+				others = append(others, o)
+			}
+		}
+		a := f.Assign(f.now, Requirements{LatencyStats: f.latencyStats, TriedUpstreams: others})
+		c.Assert(a, qt.IsNotNil)
+		f.RecordOutcome(f.now, a, upstream.Outcome{Result: upstream.Refused, RestUntil: f.now.Add(d)})
+	}
+	rest("a", 2*time.Second)
+	c.Check(f.Assign(f.now, Requirements{LatencyStats: f.latencyStats, TriedUpstreams: []string{"b", "c"}}), qt.IsNil)
+	c.Check(f.HasUpstream(f.now), qt.IsTrue)
+	rest("b", 3*time.Second)
+	rest("c", 4*time.Second)
+	c.Check(f.HasUpstream(f.now), qt.IsFalse)
+	c.Check(f.RestingUntil(f.now), qt.Equals, f.now.Add(2*time.Second))
+	all := []inventory.Upstream{f.members[0].upstream, f.members[1].upstream, f.members[2].upstream}
+	f.Configure(f.now, nil, newPolicy())
+	f.Configure(f.now, all, newPolicy())
+	c.Check(f.HasUpstream(f.now), qt.IsFalse, qt.Commentf("the entries were away"))
+	c.Check(f.HasUpstream(f.now.Add(2*time.Second)), qt.IsTrue)
+	c.Check(f.RestingUntil(f.now.Add(4*time.Second)).IsZero(), qt.IsTrue)
+}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -9,6 +9,9 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
 )
 
+// maxRelayedRest bounds the rest of an upstream that another host reports.
+const maxRelayedRest = 10 * time.Minute
+
 // DecodeAttempt returns the attempt that another host requests. UpstreamID, Address
 // and Relay are not set. The deadline is computed from now and the remaining time in
 // the message.
@@ -22,7 +25,10 @@
 // DecodeOutcome returns the outcome of a forwarded attempt, as the dialling host
 // reports it.
 func DecodeOutcome(r *wire.RelayReply) upstream.Outcome {
-	outcome := upstream.Outcome{ForwardedTo: r.GetUpstream(), UpstreamEnded: r.GetEnded()}
+	outcome := upstream.Outcome{ForwardedTo: r.GetUpstream(), UpstreamEnded: r.GetEnded(), Leaving: r.GetLeaving()}
+	if rest := time.Duration(r.GetRestMicros()) * time.Microsecond; rest > 0 {
+		outcome.RestUntil = time.Now().Add(min(rest, maxRelayedRest))
+	}
 	if r.GetFailure() != "" {
 		outcome.Err = errors.New(r.GetFailure())
 	}
@@ -56,7 +62,10 @@
 // EncodeOutcome returns the message that reports the outcome of a forwarded attempt to
 // the host that requested it.
 func EncodeOutcome(upstreamID string, o upstream.Outcome) *wire.RelayReply {
-	reply := &wire.RelayReply{Upstream: upstreamID, Status: int32(o.Response.Status), Ended: o.UpstreamEnded}
+	reply := &wire.RelayReply{Upstream: upstreamID, Status: int32(o.Response.Status), Ended: o.UpstreamEnded, Leaving: o.Leaving}
+	if !o.RestUntil.IsZero() {
+		reply.RestMicros = max(0, time.Until(o.RestUntil)).Microseconds()
+	}
 	if o.Err != nil {
 		reply.Failure = o.Err.Error()
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -84,6 +84,8 @@
 		{"unreachable", "u-1", upstream.Outcome{Result: upstream.Unreachable, ConnectionRefused: true}, upstream.Outcome{Result: upstream.Refused, NotForwarded: true}},
 		{"no upstream", "", upstream.Outcome{Result: upstream.Refused}, upstream.Outcome{Result: upstream.Refused, NotForwarded: true}},
 		{"broken", "u-1", upstream.Outcome{Result: upstream.Broken}, upstream.Outcome{Result: upstream.Broken, ForwardedTo: "u-1"}},
+		{"upstream leaves", "u-1", upstream.Outcome{Result: upstream.Answered, Response: answer, Leaving: true}, upstream.Outcome{Result: upstream.Answered, Response: answer, Leaving: true, ForwardedTo: "u-1"}},
+		{"upstream has ended", "u-1", upstream.Outcome{Result: upstream.Broken, UpstreamEnded: true}, upstream.Outcome{Result: upstream.Broken, UpstreamEnded: true, ForwardedTo: "u-1"}},
 		{"aborted at the dialling host", "u-1", upstream.Outcome{Result: upstream.Aborted}, upstream.Outcome{Result: upstream.Broken, ForwardedTo: "u-1"}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -150,3 +152,14 @@
 	}
 	group.Wait()
 }
+
+// TestRestIsRelayed checks that the host that asked for an attempt learns until when the
+// upstream wants no requests, and that it bounds the time.
+func TestRestIsRelayed(t *testing.T) {
+	c := qt.New(t)
+	for _, rest := range []time.Duration{500 * time.Millisecond, 24 * time.Hour} {
+		reply := EncodeOutcome("u-1", upstream.Outcome{Result: upstream.Refused, RestUntil: time.Now().Add(rest)})
+		got := time.Until(DecodeOutcome(reply).RestUntil)
+		c.Check(got <= min(rest, maxRelayedRest) && got > min(rest, maxRelayedRest)-time.Second, qt.IsTrue, qt.Commentf("%v for %v", got, rest))
+	}
+}
--- a/internal/upstream/connectionpool.go
+++ b/internal/upstream/connectionpool.go
@@ -154,6 +154,8 @@
 		return failedOutcome(ctx, fmt.Errorf("send request: %w", err)), 0
 	}
 	strayResponses := 0
+	isLeaving := false
+	defer func() { outcome.Leaving = isLeaving }()
 	for {
 		response, err := http.ReadResponse(conn.reader, &http.Request{Method: a.Method})
 		if err != nil {
@@ -162,11 +164,12 @@
 		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
+		metadata := c.Protocol.Decode(response)
+		isLeaving = isLeaving || metadata.Leaving
 		body, err := readBody(response)
 		if err != nil {
 			return failedOutcome(ctx, fmt.Errorf("read response: %w", err)), 0
 		}
-		metadata := c.Protocol.Decode(response)
 		if metadata.RequestID != "" && metadata.RequestID != a.RequestID && strayResponses < maxStrayResponses {
 			// This is a second response to an earlier request. The response to this
 			// request may follow.
@@ -174,7 +177,7 @@
 			continue
 		}
 		outcome = newOutcome(a, response, body, metadata)
-		if outcome.Result == Broken || strayResponses > 0 || conn.reader.Buffered() > 0 {
+		if outcome.Result == Broken || isLeaving || strayResponses > 0 || conn.reader.Buffered() > 0 {
 			return outcome, 0
 		}
 		return outcome, keepAlivePeriod(response)
@@ -305,9 +308,13 @@
 // newOutcome returns the outcome of an exchange with a complete response.
 func newOutcome(a *Attempt, response *http.Response, body []byte, metadata ResponseMetadata) Outcome {
 	outcome := Outcome{
-		Result: Answered, Load: metadata.Load, ConnectionClosing: response.Close,
+		Result: Answered, Load: metadata.Load,
 		Response: Response{Status: response.StatusCode, Header: response.Header, Body: body, Signature: metadata.Signature},
 	}
+	if metadata.Rest > 0 {
+		outcome.RestUntil = time.Now().Add(metadata.Rest)
+	}
+	outcome.RestErr = metadata.RestErr
 	switch {
 	case metadata.RequestID != a.RequestID && (metadata.RequestID != "" || !metadata.NotRun):
 		return Outcome{Result: Broken, Err: fmt.Errorf("response states request id %q instead of the attempt's", metadata.RequestID)}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -128,6 +128,12 @@
 	Misdirected bool
 	// Load is nil if the response does not state it.
 	Load *Load
+	// Leaving is set if the upstream states that it leaves.
+	Leaving bool
+	// Rest is how long the upstream wants no requests; zero if the response does not ask for
+	// rest. RestErr is set if it states an implausible time.
+	Rest    time.Duration
+	RestErr error
 }
 
 // An Outcome is the result of an exchange with its details.
@@ -156,10 +162,15 @@
 	ForwardedTo string
 	// NotForwarded is set if another host forwarded the attempt to no upstream.
 	NotForwarded bool
-	// ConnectionClosing is set if the upstream closes the connection after the
-	// response.
-	ConnectionClosing bool
-	Err               error
+	// Leaving is set if the upstream has stated that it leaves, in the response or in one
+	// to another request.
+	Leaving bool
+	// RestUntil is until when the upstream wants no requests; zero if it has not asked for
+	// rest.
+	RestUntil time.Time
+	// RestErr is set if the upstream has asked for rest for an implausible time.
+	RestErr error
+	Err     error
 }
 
 // A Field is one header field of an HTTP message. Its value must not contain line
