--- a/internal/dispatch/crashing.go
+++ b/internal/dispatch/crashing.go
@@ -268,7 +268,7 @@
 	var candidates []probeResult
 	for _, p := range f.parts {
 		for _, a := range p.inFlight {
-			if p.pool.HasResponded(a, a.Midpoint(now)) {
+			if p.pool.IsUpstreamResponding(now, a) {
 				f.isUpstreamAlive = true
 				return
 			}
@@ -277,7 +277,7 @@
 			}
 		}
 	}
-	// Upstreams of dialling hosts cannot be probed from here.
+	// Upstreams behind dialling hosts cannot be probed, so that hedges to them do not wait.
 	f.isUpstreamAlive = len(candidates) == 0
 	for _, r := range candidates[:min(maxSilenceProbes, len(candidates))] {
 		f.dispatcher.Group.Go(func() {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -39,7 +39,8 @@
 	Pool func(service string) *pool.Pool
 	// LatencyStats returns the latency statistics of a route's requests, never nil.
 	LatencyStats func(route *routing.Route) *pool.LatencyStats
-	Guard        CrashGuard
+	// Guard keeps requests that crash upstreams from running.
+	Guard CrashGuard
 	// OnAttempt is called when an attempt has ended.
 	OnAttempt func(a *upstream.Attempt, fingerprint uint64, o upstream.Outcome)
 	// OnLeaving is called when an upstream has stated that it leaves, before the attempt
--- a/internal/host/crashguard.go
+++ b/internal/host/crashguard.go
@@ -28,7 +28,8 @@
 	maxAllNotices    = 256
 	// maxCrashesPerNotice bounds the crashes in one notice. More change no decision.
 	maxCrashesPerNotice = 4
-	// maxEvidenceAge bounds the age of crashes that other hosts report.
+	// maxEvidenceAge bounds the age of crashes that other hosts report. No evidence counts
+	// for longer.
 	maxEvidenceAge = 20 * time.Minute
 	// A host may lack notices for newcomerPeriod after its start, and after contactGap
 	// without an answer of another host.
@@ -41,6 +42,8 @@
 	// are asked for permission. If none answers, this host decides itself.
 	testRunCallTimeout = 250 * time.Millisecond
 	maxExaminers       = 2
+	// testRunSource is the source of evidence that came with a call about a test run.
+	testRunSource = "test-run call"
 )
 
 // A crashGuard is the dispatch.CrashGuard of a host. It shares evidence with the other
@@ -200,9 +203,9 @@
 }
 
 // handleTestRun handles the call of another host about a test run.
-func (g *crashGuard) handleTestRun(source string, request *wire.TestRunRequest) *wire.TestRunReply {
+func (g *crashGuard) handleTestRun(request *wire.TestRunRequest) *wire.TestRunReply {
 	fingerprint := request.GetNotice().GetFingerprint()
-	g.applyNotice(source, request.GetNotice())
+	g.applyNotice(testRunSource, request.GetNotice())
 	reply := &wire.TestRunReply{}
 	switch request.GetEvent() {
 	case wire.TestRunEvent_TEST_RUN_EVENT_BEGIN:
@@ -395,8 +398,5 @@
 
 // TestRun implements peer.HostHandler.
 func (h *Host) TestRun(_ context.Context, request *wire.TestRunRequest) (*wire.TestRunReply, error) {
-	return h.guard.handleTestRun(testRunCaller, request), nil
+	return h.guard.handleTestRun(request), nil
 }
-
-// testRunCaller is the source of evidence that came with a call about a test run.
-const testRunCaller = "host that asks for a test run"
--- a/internal/host/crashing_test.go
+++ b/internal/host/crashing_test.go
@@ -91,15 +91,7 @@
 		f.upstreams.addService(s, 3)
 	}
 	f.upstreams.addService("letters", 10)
-	var addresses []string
-	for i := range size {
-		addresses = append(addresses, fmt.Sprint("host-", i))
-	}
-	for _, a := range addresses {
-		f.start(a, addresses[:3])
-	}
-	time.Sleep(8*time.Second + time.Duration(size)*50*time.Millisecond)
-	return f, addresses
+	return f, f.startHosts(size)
 }
 
 // ask sends a request to a host and returns its answer; the zero Answer if the host is not
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -475,6 +475,11 @@
 	f := newTestFleet()
 	f.put(tableKey, "1")
 	f.mixedCapacities = size > 7
+	return f, f.startHosts(size)
+}
+
+// startHosts starts hosts and waits until they have discovered each other.
+func (f *testFleet) startHosts(size int) []string {
 	var addresses []string
 	for i := range size {
 		addresses = append(addresses, fmt.Sprint("host-", i))
@@ -485,7 +490,7 @@
 	// The hosts discover each other during the sleep; each host sends 2 probes a
 	// second.
 	time.Sleep(8*time.Second + time.Duration(size)*50*time.Millisecond)
-	return f, addresses
+	return addresses
 }
 
 // disconnect disconnects count random hosts: from the store if storeOnly is set, else
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -107,11 +107,6 @@
 // Fingerprint identifies the request of the attempt.
 func (a *Assignment) Fingerprint() uint64 { return a.fingerprint }
 
-// Midpoint returns the middle between the start of the attempt and now.
-func (a *Assignment) Midpoint(now time.Time) time.Time {
-	return a.startedAt.Add(now.Sub(a.startedAt) / 2)
-}
-
 // A Crash reports an attempt that got no response from an upstream that has ended.
 type Crash struct {
 	Upstream    inventory.Upstream
@@ -203,12 +198,12 @@
 	return first
 }
 
-// HasResponded reports whether the upstream of an assignment has responded to any attempt
-// after a time.
-func (p *Pool) HasResponded(a *Assignment, after time.Time) bool {
+// IsUpstreamResponding reports whether the upstream of an assignment has responded to any
+// attempt in the second half of the time since the assignment.
+func (p *Pool) IsUpstreamResponding(now time.Time, a *Assignment) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return a.member.respondedAt.After(after)
+	return a.member.respondedAt.After(a.startedAt.Add(now.Sub(a.startedAt) / 2))
 }
 
 // HasUpstream reports whether any upstream of the service is neither retired nor down nor
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -63,8 +63,8 @@
 }
 
 // A Tracker counts for each request the crashes of upstreams that ran it, if each
-// request runs on one upstream before the others. It
-// identifies requests by fingerprint. It is not safe for concurrent use.
+// request runs on one upstream before the others. It identifies requests by
+// fingerprint. It is not safe for concurrent use.
 type Tracker struct {
 	suspects map[uint64]*suspect
 	// lostAt is when each upstream was last lost, for the upstreams lost within
