--- a/internal/host/crashing_test.go
+++ b/internal/host/crashing_test.go
@@ -50,6 +50,8 @@
 	// for how long.
 	disturb func(f *testFleet, addresses []string, random *rand.Rand, n int) ([]string, time.Duration)
 	keepsID bool
+	// maxConnections is the connection limit of upstreams; zero for none.
+	maxConnections int
 }
 
 // A crashResult is what a crashPlay has seen.
@@ -70,6 +72,12 @@
 
 // startSearchFleet starts hosts with ten shards of three upstreams and a service with ten.
 func startSearchFleet(size int, mode endMode, keepsID bool) (*testFleet, []string) {
+	return startLimitedSearchFleet(size, mode, keepsID, 0)
+}
+
+// startLimitedSearchFleet is startSearchFleet with upstreams that accept maxConnections
+// connections; zero for no limit.
+func startLimitedSearchFleet(size int, mode endMode, keepsID bool, maxConnections int) (*testFleet, []string) {
 	f := newTestFleet()
 	var shards []string
 	for i := range crashTestShards {
@@ -85,6 +93,9 @@
 	other := lookup
 	other.Name, other.Prefix = "other", "/single/"
 	f.routes = []routing.RouteSpec{search, lookup, other}
+	for _, s := range append([]string{"letters"}, shards...) {
+		f.services = append(f.services, routing.ServiceSpec{Name: s, MaxConnections: maxConnections})
+	}
 	f.put(tableKey, "1")
 	f.upstreams = &simulatedUpstreams{fleet: f, mode: mode, keepsID: keepsID}
 	for _, s := range shards {
@@ -110,7 +121,7 @@
 
 // run plays the request and returns what was seen.
 func (p crashPlay) run() crashResult {
-	f, addresses := startSearchFleet(p.size, p.mode, p.keepsID)
+	f, addresses := startLimitedSearchFleet(p.size, p.mode, p.keepsID, p.maxConnections)
 	random := rand.New(rand.NewPCG(uint64(p.size), *crashTestSeed))
 	target, ordinaryTarget := crashingTarget, "/"
 	if p.single {
@@ -263,13 +274,14 @@
 // TestRequestThatCrashesUpstreamsIsStopped sends such a request again and again.
 func TestRequestThatCrashesUpstreamsIsStopped(t *testing.T) {
 	calm := crashPlay{interval: 700 * time.Millisecond, repetitions: 36}
-	many, disturbed, massCrash, sameID := calm, calm, calm, calm
+	many, disturbed, massCrash, sameID, relayed := calm, calm, calm, calm, calm
 	many.copies, many.interval, many.repetitions = 4, 300*time.Millisecond, 60
 	disturbed.disturb, disturbed.repetitions = disturbHosts, 50
 	massCrash.disturb = crashOtherUpstreams
 	sameID.keepsID = true
+	relayed.maxConnections = 8
 	all := map[string]crashPlay{"calm": calm, "copies": many, "disturbed-hosts": disturbed, "other-crashes": massCrash, "same-id": sameID}
-	sizes := map[int]map[string]crashPlay{7: all, 63: {"calm": calm, "disturbed-hosts": disturbed}}
+	sizes := map[int]map[string]crashPlay{7: all, 63: {"calm": calm, "disturbed-hosts": disturbed, "relayed": relayed}}
 	if *fleetSize > 0 {
 		sizes = map[int]map[string]crashPlay{*fleetSize: all}
 	}
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -63,6 +63,8 @@
 	peerCalls int
 	// routes are the routes of each configuration besides the one for "/".
 	routes []routing.RouteSpec
+	// services are the services with a connection limit.
+	services []routing.ServiceSpec
 	// logCounts counts the log lines of each message by host.
 	logCounts map[string]map[string]int
 	// upstreams are the simulated upstreams; nil if the test sends no requests.
@@ -109,7 +111,8 @@
 // as a configuration whose value is its version.
 type testDecoder struct {
 	// routes are the routes of each configuration besides the one for "/".
-	routes []routing.RouteSpec
+	routes   []routing.RouteSpec
+	services []routing.ServiceSpec
 }
 
 func (d testDecoder) DecodeRecord(r keyvalue.Change) (DecodedRecord, error) {
@@ -131,7 +134,7 @@
 		return DecodedRecord{}, fmt.Errorf("read version: %w", err)
 	}
 	spec := routing.RouteSpec{Host: "h", Prefix: "/", Destinations: []routing.Destination{{Service: "s", Weight: 1}}}
-	return DecodedRecord{Table: routing.NewTable(version, append([]routing.RouteSpec{spec}, d.routes...), nil, routing.Limits{})}, nil
+	return DecodedRecord{Table: routing.NewTable(version, append([]routing.RouteSpec{spec}, d.routes...), d.services, routing.Limits{})}, nil
 }
 
 func (testDecoder) RegistrationKey(address string) string { return "hosts/" + address }
@@ -207,7 +210,7 @@
 			DataCenter: "z", Peers: seeds, ExtraRatio: 0.2, ExtraSlack: fleetExtraSlack, ExtraWindowSeconds: 10, CallerListen: address, PeerListen: address,
 			GraceSeconds: 6,
 		},
-		Self: roster.NewMember(address, "z", address, "", incarnation, roster.Alive).WithCapacity(f.capacityOf(address)), Feed: p, LeaseStore: p, HostTransport: p, Decoder: testDecoder{routes: f.routes},
+		Self: roster.NewMember(address, "z", address, "", incarnation, roster.Alive).WithCapacity(f.capacityOf(address)), Feed: p, LeaseStore: p, HostTransport: p, Decoder: testDecoder{routes: f.routes, services: f.services},
 		Upstreams: f.upstreamTransport(address), Metrics: NewMetrics(prometheus.NewRegistry()), Log: log, Seed: incarnation,
 	}
 	h.Init()
--- a/internal/host/upstreams_test.go
+++ b/internal/host/upstreams_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
@@ -54,6 +55,10 @@
 	// ended is closed at the end of the lifetime. mode is set before.
 	ended chan struct{}
 	mode  endMode
+	// leaving is set while all responses state that the upstream leaves. Requests are refused
+	// until restsUntil with the wish for rest until then.
+	leaving    atomic.Bool
+	restsUntil atomic.Pointer[time.Time]
 	// hangsUntil is when new connections are no longer established after the end.
 	hangsUntil time.Time
 }
@@ -309,7 +314,10 @@
 		}
 		<-ctx.Done()
 	case <-timer.C:
-		return upstream.Outcome{Result: upstream.Answered, Response: upstream.Response{
+		if until := u.restsUntil.Load(); until != nil && time.Now().Before(*until) {
+			return upstream.Outcome{Result: upstream.Refused, Response: upstream.Response{Status: 503}, RestUntil: *until}
+		}
+		return upstream.Outcome{Result: upstream.Answered, Leaving: u.leaving.Load(), Response: upstream.Response{
 			Status: 200, Body: make([]byte, 16), Signature: u.spec.Service + a.RequestID,
 		}}
 	case <-ctx.Done():
