--- a/internal/dispatch/crashing_test.go
+++ b/internal/dispatch/crashing_test.go
@@ -32,12 +32,12 @@
 		guard := &fakeGuard{}
 		d.Guard = guard
 		a, elapsed := d.runRequest(context.Background())
+		d.Group.Wait()
 		c.Check(a.Status, qt.Equals, http.StatusBadGateway)
 		c.Check(a.Reason, qt.Equals, ReasonCrashSuspected)
 		c.Check(elapsed < target, qt.IsTrue, qt.Commentf("%v", elapsed))
 		c.Check(d.upstreams.attemptOrder, qt.HasLen, 4)
 		c.Check(guard.crashes, qt.HasLen, 4)
-		d.Group.Wait()
 	})
 }
 
@@ -54,11 +54,11 @@
 		guard := &fakeGuard{}
 		d.Guard = guard
 		a, elapsed := d.runRequest(context.Background())
+		d.Group.Wait()
 		c.Check(a.Reason, qt.Equals, ReasonCrashSuspected)
 		c.Check(elapsed < target+silenceProbeTimeout, qt.IsTrue, qt.Commentf("%v", elapsed))
 		c.Check(d.upstreams.attemptOrder, qt.HasLen, 4)
 		c.Check(len(guard.crashes) >= maxSilenceProbes, qt.IsTrue)
-		d.Group.Wait()
 	})
 }
 
@@ -79,12 +79,12 @@
 		guard := &fakeGuard{}
 		d.Guard = guard
 		a, elapsed := d.runRequest(context.Background())
+		d.Group.Wait()
 		c.Check(a.Status, qt.Equals, http.StatusOK)
 		c.Check(a.MissingParts, qt.Equals, 0)
 		c.Check(elapsed < target, qt.IsTrue, qt.Commentf("%v", elapsed))
 		c.Check(guard.crashes, qt.HasLen, 0)
 		c.Check(guard.answered, qt.DeepEquals, []string{"s0", "s1", "s2", "s3"})
-		d.Group.Wait()
 	})
 }
 
@@ -126,6 +126,7 @@
 				guard := &fakeGuard{verdict: quarantine.Verdict{Decision: quarantine.Suspect, Service: ServiceKey("s0")}, testRunDecision: test.decision}
 				d.Guard = guard
 				a, _ := d.runRequest(context.Background())
+				d.Group.Wait()
 				c.Check(a.Status, qt.Equals, test.status)
 				c.Check(a.Reason, qt.Equals, test.reason)
 				c.Check(a.RetryAfter > 0, qt.Equals, test.status != http.StatusOK)
@@ -136,7 +137,6 @@
 					c.Check(attempts[0].UpstreamID, qt.Equals, "s0a")
 				}
 				c.Check(slices.ContainsFunc(guard.crashes, func(p pool.Crash) bool { return p.TestRun }), qt.Equals, test.reason == ReasonCrashSuspected)
-				d.Group.Wait()
 			})
 		})
 	}
@@ -172,11 +172,11 @@
 					want, status = 0, http.StatusServiceUnavailable
 				}
 				a, _ := d.runRequest(context.Background())
+				d.Group.Wait()
 				c.Check(a.Status, qt.Equals, status)
 				c.Check(a.Reason, qt.Equals, ReasonQuarantined)
 				c.Check(a.RetryAfter, qt.Equals, time.Minute)
 				c.Check(d.upstreams.attemptOrder, qt.HasLen, want)
-				d.Group.Wait()
 			})
 		})
 	}
