--- a/internal/host/copyloss_test.go
+++ b/internal/host/copyloss_test.go
@@ -84,7 +84,9 @@
 					c.Assert(f.hostsBehind(version+1), qt.HasLen, 0)
 					f.setStoreDown(true)
 					time.Sleep(storeAwayTime)
+					f.mu.Lock()
 					calls := f.storeCalls
+					f.mu.Unlock()
 					f.restoreCopy(saved)
 					f.setStoreDown(false)
 					heal := f.disconnect(addresses, random, size/7, true)
