Log line of a request: attempts without a response, ended upstreams, probes

What a host knows of the ends of upstreams while a request runs could not be told from its log: whether it probed, and what it then knew. No decision changes.

--- a/internal/dispatch/crashing.go
+++ b/internal/dispatch/crashing.go
@@ -228,6 +228,16 @@
 	return count
 }
 
+// unansweredCount returns the number of attempts without a response whose upstream is not
+// known to have ended.
+func (f *inFlightRequest) unansweredCount() int {
+	count := f.inFlightCount()
+	for _, p := range f.parts {
+		count += len(p.unanswered)
+	}
+	return count
+}
+
 // recordAttemptEnd records what the end of an attempt tells of its upstream.
 func (f *inFlightRequest) recordAttemptEnd(result attemptResult) {
 	p := result.part
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -93,6 +93,7 @@
 		RequestID: request.ID, Fingerprint: f.fingerprint, Route: route.Name(), Version: version, Status: answer.Status, Reason: answer.Reason,
 		Parts: len(f.parts), MissingParts: answer.MissingParts, Attempts: f.attempts, Hedges: f.hedges, Retries: f.retries,
 		MissingDetails: f.missingDetails(), LastFailure: f.lastFailure, Verdict: f.verdict, Elapsed: time.Since(f.startedAt),
+		Unanswered: f.unansweredCount(), EndedUpstreams: f.endedUpstreams, Probed: f.silenceProbed,
 	})
 	return answer
 }
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -92,6 +92,11 @@
 	LastFailure string
 	// Verdict is the last verdict on the request.
 	Verdict quarantine.Verdict
+	// Unanswered counts the attempts without a response whose upstream may still run,
+	// EndedUpstreams those whose upstream is known to have ended. Probed is set if upstreams
+	// were probed because none had responded.
+	Unanswered, EndedUpstreams int
+	Probed                     bool
 	Elapsed time.Duration
 }
 
