Tests of upstreams whose end is known late, known red

Two unit tests fail on the current code: a lookup whose two upstreams are silent is never probed and runs until its timeout, and when a caller leaves nothing is probed, however long the upstreams have been silent.

--- a/internal/dispatch/crashing_test.go
+++ b/internal/dispatch/crashing_test.go
@@ -62,6 +62,64 @@
 	})
 }
 
+// TestSilentLookupIsGivenUp has both upstreams of a request to one service go silent. It must
+// be given up once no connection to them can be opened, long before its timeout.
+func TestSilentLookupIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newTestDispatcher(singleRoute(true), func(string, int, *upstream.Attempt) reaction { return reaction{isSilent: true} })
+		d.upstreams.probe = func() upstream.Reachability {
+			time.Sleep(silenceProbeTimeout)
+			return upstream.NoResponse
+		}
+		guard := &fakeGuard{}
+		d.Guard = guard
+		a, elapsed := d.runRequest(context.Background())
+		d.Group.Wait()
+		c.Check(a.Status, qt.Equals, http.StatusBadGateway)
+		c.Check(a.Reason, qt.Equals, ReasonCrashSuspected)
+		c.Check(elapsed < 2*target+silenceProbeTimeout, qt.IsTrue, qt.Commentf("%v", elapsed))
+		c.Check(d.upstreams.attemptOrder, qt.HasLen, 2)
+		c.Check(guard.crashes, qt.HasLen, 2)
+	})
+}
+
+// TestCallerThatLeavesSilentUpstreams has a caller leave while the upstreams of its request
+// have been silent for long. Their ends must be recorded all the same, but no upstream be
+// probed whose attempt has just begun.
+func TestCallerThatLeavesSilentUpstreams(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		patience time.Duration
+		want     int
+	}{
+		{"silent for long", 3 * target, 2},
+		{"just begun", runDuration, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				d := newTestDispatcher(singleRoute(true), func(string, int, *upstream.Attempt) reaction { return reaction{isSilent: true} })
+				probes := 0
+				d.upstreams.probe = func() upstream.Reachability {
+					probes++
+					time.Sleep(silenceProbeTimeout)
+					return upstream.NoResponse
+				}
+				guard := &fakeGuard{}
+				d.Guard = guard
+				ctx, cancel := context.WithTimeout(context.Background(), test.patience)
+				defer cancel()
+				a, _ := d.runRequest(ctx)
+				d.Group.Wait()
+				c.Check(a.Reason, qt.Equals, ReasonCallerDisconnected)
+				c.Check(guard.crashes, qt.HasLen, test.want)
+				c.Check(probes > 0, qt.Equals, test.want > 0)
+			})
+		})
+	}
+}
+
 // TestEndedUpstreamIsReplaced has one upstream of a search end while the others answer.
 // Its part must be answered by another upstream on time, and no crash be reported.
 func TestEndedUpstreamIsReplaced(t *testing.T) {
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -97,7 +97,7 @@
 	// were probed because none had responded.
 	Unanswered, EndedUpstreams int
 	Probed                     bool
-	Elapsed time.Duration
+	Elapsed                    time.Duration
 }
 
 // Fingerprint identifies the request and its repetitions.
--- a/internal/host/crashing_test.go
+++ b/internal/host/crashing_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -25,6 +26,8 @@
 	crashTestHost    = "search"
 	crashTestShards  = 10
 	crashTestTimeout = 2500 * time.Millisecond
+	// shortTimeout is the timeout of requests whose upstreams end after it.
+	shortTimeout = 800 * time.Millisecond
 	// settlePeriod is how long after the third crash of upstreams by one request hosts may
 	// take to learn of it. A host counts only if it was not disturbed for as long.
 	settlePeriod = 4 * time.Second
@@ -40,8 +43,9 @@
 type crashPlay struct {
 	size int
 	mode endMode
-	// single is set if the request runs on one upstream instead of all shards.
-	single bool
+	// single is set if the request runs on one upstream instead of all shards, and order if it
+	// also must not run twice.
+	single, order bool
 	// interval is the time between two repetitions, repetitions how many there are, and
 	// copies how many are sent at once, each to another host.
 	interval            time.Duration
@@ -52,6 +56,10 @@
 	keepsID bool
 	// maxConnections is the connection limit of upstreams; zero for none.
 	maxConnections int
+	// timeout is the callers' timeout of the crashing request; zero for crashTestTimeout.
+	timeout time.Duration
+	// minCrashes is how many upstreams the request crashes at least.
+	minCrashes int
 }
 
 // A crashResult is what a crashPlay has seen.
@@ -90,9 +98,11 @@
 	search.Name, search.Prefix, search.Shards, search.MaxRecords, search.MinShardRatio = "search", "/", shards, 10, 0.89
 	lookup.Name, lookup.Prefix, lookup.Destinations = "lookup", crashingTarget+"/single/", []routing.Destination{{Service: "letters", Weight: 1}}
 	lookup.LatencyTarget = 600 * time.Millisecond
+	order := lookup
+	order.Name, order.Prefix, order.Idempotent = "order", crashingTarget+"/order/", false
 	other := lookup
 	other.Name, other.Prefix = "other", "/single/"
-	f.routes = []routing.RouteSpec{search, lookup, other}
+	f.routes = []routing.RouteSpec{search, lookup, order, other}
 	for _, s := range append([]string{"letters"}, shards...) {
 		f.services = append(f.services, routing.ServiceSpec{Name: s, MaxConnections: maxConnections})
 	}
@@ -108,15 +118,20 @@
 // ask sends a request to a host and returns its answer; the zero Answer if the host is not
 // running.
 func (f *testFleet) ask(address, target, id string) dispatch.Answer {
+	return f.askWithin(address, target, id, crashTestTimeout)
+}
+
+// askWithin is ask with another timeout of the caller than crashTestTimeout.
+func (f *testFleet) askWithin(address, target, id string, timeout time.Duration) dispatch.Answer {
 	f.mu.Lock()
 	r := f.hosts[address]
 	f.mu.Unlock()
 	if r == nil {
 		return dispatch.Answer{}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), crashTestTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	return r.host.Answer(ctx, &dispatch.Request{ID: id, Method: "GET", Target: target, Host: crashTestHost, Remaining: crashTestTimeout})
+	return r.host.Answer(ctx, &dispatch.Request{ID: id, Method: "GET", Target: target, Host: crashTestHost, Remaining: timeout})
 }
 
 // run plays the request and returns what was seen.
@@ -127,15 +142,18 @@
 	if p.single {
 		target, ordinaryTarget = crashingTarget+"/single/x", "/single/"
 	}
+	if p.order {
+		target = crashingTarget + "/order/x"
+	}
 	ordinary := newOrdinaryLoad(f, addresses, ordinaryTarget)
 	var group work.Group
-	copies := max(1, p.copies)
+	copies, timeout := max(1, p.copies), cmp.Or(p.timeout, crashTestTimeout)
 	answers := make(chan dispatch.Answer, p.repetitions*copies)
 	var disturbances []disturbance
 	for n := range p.repetitions {
 		for i := range copies {
 			address := addresses[(n*copies+i)%len(addresses)]
-			group.Go(func() { answers <- f.ask(address, target, fmt.Sprintf("crash-%d-%d", n, i)) })
+			group.Go(func() { answers <- f.askWithin(address, target, fmt.Sprintf("crash-%d-%d", n, i), timeout) })
 		}
 		if p.disturb != nil {
 			hosts, duration := p.disturb(f, addresses, random, n)
@@ -273,7 +291,7 @@
 
 // TestRequestThatCrashesUpstreamsIsStopped sends such a request again and again.
 func TestRequestThatCrashesUpstreamsIsStopped(t *testing.T) {
-	calm := crashPlay{interval: 700 * time.Millisecond, repetitions: 36}
+	calm := crashPlay{interval: 700 * time.Millisecond, repetitions: 36, minCrashes: 3}
 	many, disturbed, massCrash, sameID, relayed := calm, calm, calm, calm, calm
 	many.copies, many.interval, many.repetitions = 4, 300*time.Millisecond, 60
 	disturbed.disturb, disturbed.repetitions = disturbHosts, 50
@@ -313,8 +331,27 @@
 		c := qt.New(t)
 		r := p.run()
 		t.Logf("%+v", r)
-		c.Check(r.crashes >= 3, qt.IsTrue)
+		c.Check(r.crashes >= p.minCrashes, qt.IsTrue)
 		c.Check(r.lateRequests <= maxLateRepetitions, qt.IsTrue)
 		c.Check(r.lateArrivals <= maxLateRepetitions, qt.IsTrue)
 	})
 }
+
+// TestUpstreamsThatEndAfterCallerLeft sends a request again and again whose upstreams end 1.5 s after its caller has left.
+func TestUpstreamsThatEndAfterCallerLeft(t *testing.T) {
+	sizes := []int{7}
+	if *fleetSize > 0 {
+		sizes = []int{*fleetSize}
+	}
+	for _, size := range sizes {
+		for _, kind := range []string{"search", "single", "order"} {
+			for _, maxConnections := range []int{0, 8} {
+				p := crashPlay{
+					size: size, mode: closesLate, single: kind != "search", order: kind == "order", maxConnections: maxConnections, timeout: shortTimeout,
+					interval: 700 * time.Millisecond, repetitions: 36, minCrashes: 2,
+				}
+				t.Run(fmt.Sprintf("%d/%s/connections-%d", size, kind, maxConnections), func(t *testing.T) { runCrashPlay(t, p) })
+			}
+		}
+	}
+}
--- a/internal/host/upstreams_test.go
+++ b/internal/host/upstreams_test.go
@@ -45,9 +45,15 @@
 	// hangs ends are like goesSilent ends, but new connections are still established for
 	// hangDuration.
 	hangs endMode = "hanging"
+	// closesLate ends are closesConnections ends, lateCrashDelay after the upstream began to
+	// run the request; until then it responds to other requests.
+	closesLate endMode = "late"
 )
 
-const hangDuration = time.Second
+const (
+	hangDuration   = time.Second
+	lateCrashDelay = 2300 * time.Millisecond
+)
 
 // A simulatedUpstream is one lifetime of an upstream.
 type simulatedUpstream struct {
@@ -146,6 +152,9 @@
 		return
 	}
 	u.mode = s.mode
+	if u.mode == closesLate {
+		u.mode = closesConnections
+	}
 	if u.mode == hangs {
 		u.hangsUntil = time.Now().Add(hangDuration)
 	}
@@ -302,7 +311,11 @@
 		s.arrivals = append(s.arrivals, upstreamArrival{at: time.Now(), host: t.host, target: a.Target, request: a.RequestID, upstream: u.spec.ID})
 		s.mu.Unlock()
 		if strings.HasPrefix(a.Target, crashingTarget) {
-			time.AfterFunc(crashDelay, func() { s.end(u, a.Target) })
+			delay := crashDelay
+			if s.mode == closesLate {
+				delay, duration = lateCrashDelay, 2*lateCrashDelay
+			}
+			time.AfterFunc(delay, func() { s.end(u, a.Target) })
 		}
 	}
 	timer := time.NewTimer(duration)
