Silent upstreams are probed while two attempts run, and after the caller has left

Callers saw 504 after the whole timeout for a request whose upstreams had ended in silence, and further upstreams ended at other hosts meanwhile: nothing probed them with two attempts in flight, and nothing once the caller had left.

Ruled out: the restart of a host alone (the first end was known only 5.9 s after the third one, on any host); the rule of three ends (no end was known at all).

--- a/internal/dispatch/crashing.go
+++ b/internal/dispatch/crashing.go
@@ -322,8 +322,10 @@
 
 // reportCrashes reports the services that responded to the request, and the attempts
 // without a response at the others. If nothing responded at all, it probes upstreams that
-// may have ended.
+// may have ended. If the caller has disconnected, it probes only those that are overdue.
 func (f *inFlightRequest) reportCrashes(ctx context.Context) {
+	now := time.Now()
+	hasCallerLeft := ctx.Err() != nil && !f.isTesting
 	var answered []string
 	var crashes []pool.Crash
 	var unresolved []unresolvedAttempt
@@ -334,8 +336,8 @@
 		}
 		crashes = append(crashes, p.crashes...)
 		for _, a := range slices.Concat(p.unanswered, p.inFlight) {
-			crashes = append(crashes, p.pool.RecordUnanswered(time.Now(), a, f.isTesting)...)
-			if !a.Upstream.IsDiallingHost() {
+			crashes = append(crashes, p.pool.RecordUnanswered(now, a, f.isTesting)...)
+			if !a.Upstream.IsDiallingHost() && (!hasCallerLeft || f.isOverdue(now, p, a)) {
 				unresolved = append(unresolved, unresolvedAttempt{pool: p.pool, assignment: a})
 			}
 		}
@@ -344,11 +346,17 @@
 	if len(crashes) > 0 {
 		f.dispatcher.Guard.RecordCrashes(crashes)
 	}
-	if !f.hasResponse && (f.isTesting || ctx.Err() == nil) {
+	if !f.hasResponse {
 		f.dispatcher.probeUnresolved(unresolved[:min(maxSilenceProbes, len(unresolved))])
 	}
 }
 
+// isOverdue reports whether the upstream of an attempt should have responded by now, and has
+// not responded to other attempts either.
+func (f *inFlightRequest) isOverdue(now time.Time, p *part, a *pool.Assignment) bool {
+	return now.Sub(a.StartedAt()) > f.latencyStats.HedgeDelay(p.pool.RemainingExtraRatio(now)) && !p.pool.IsUpstreamResponding(now, a)
+}
+
 // An unresolvedAttempt is an attempt without a response whose upstream may have ended.
 type unresolvedAttempt struct {
 	pool       *pool.Pool
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -232,7 +232,8 @@
 		case p.isDone():
 		case p.needsAttempt:
 			consider(now.Add(placementRetryInterval))
-		case p.running == 1 && !(f.silenceProbed && f.holdsBackHedges()):
+		case f.silenceProbed && f.holdsBackHedges():
+		case p.running == 1, f.holdsBackHedges():
 			consider(p.hedgeAt)
 		}
 	}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -28,9 +28,10 @@
 		case p.isDone():
 		case p.needsAttempt:
 			f.startNeeded(ctx, now, p)
-		case p.running != 1 || now.Before(p.hedgeAt):
+		case p.running == 0 || now.Before(p.hedgeAt):
 		case f.holdsBackHedges():
 			f.probeSilentUpstreams(now)
+		case p.running > 1:
 		default:
 			f.startHedge(ctx, now, p)
 		}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -107,6 +107,9 @@
 // Fingerprint identifies the request of the attempt.
 func (a *Assignment) Fingerprint() uint64 { return a.fingerprint }
 
+// StartedAt returns when the attempt was assigned.
+func (a *Assignment) StartedAt() time.Time { return a.startedAt }
+
 // A Crash reports an attempt that got no response from an upstream that has ended.
 type Crash struct {
 	Upstream    inventory.Upstream
