Limits on requests that upstreams state are read, logged and counted

Nothing told from logs or metrics which upstream had stated a limit, to which host, and when it ended. No decision changes.

--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -154,7 +154,7 @@
 
 // newPool returns a configured pool for a service. The caller holds h.mu.
 func (h *Host) newPool(service string) *pool.Pool {
-	p := &pool.Pool{DataCenter: h.Settings.DataCenter, IdleCount: h.Upstreams.IdleCount}
+	p := &pool.Pool{DataCenter: h.Settings.DataCenter, IdleCount: h.Upstreams.IdleCount, OnLimit: h.requestLog.recordLimit}
 	h.configurePool(time.Now(), p, service)
 	return p
 }
--- a/internal/host/requestlog.go
+++ b/internal/host/requestlog.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/dispatch"
+	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 )
@@ -36,6 +37,7 @@
 	storeEras            prometheus.Counter
 	leavingUpstreams     prometheus.Counter
 	rests                prometheus.Counter
+	limitChanges         prometheus.Counter
 	missingParts         prometheus.Counter
 	unloggedLines        prometheus.Counter
 	badRecords           prometheus.Counter
@@ -77,6 +79,9 @@
 		rests: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "foxtailshelf_rests_total", Help: "Responses of upstreams that ask for rest.",
 		}),
+		limitChanges: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "foxtailshelf_limit_changes_total", Help: "Changes of the limits on requests that upstreams have stated.",
+		}),
 		missingParts: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "foxtailshelf_missing_parts_total", Help: "Parts that were not in an answer.",
 		}),
@@ -93,7 +98,7 @@
 			Name: "foxtailshelf_configuration_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	registry.MustRegister(m.answers, m.answerSeconds, m.attempts, m.attemptResults, m.suspectRequests, m.testRuns, m.upstreamCrashes, m.storeEras, m.leavingUpstreams, m.rests, m.missingParts, m.unloggedLines, m.badRecords, m.relayedAttempts, m.configurationVersion)
+	registry.MustRegister(m.answers, m.answerSeconds, m.attempts, m.attemptResults, m.suspectRequests, m.testRuns, m.upstreamCrashes, m.storeEras, m.leavingUpstreams, m.rests, m.limitChanges, m.missingParts, m.unloggedLines, m.badRecords, m.relayedAttempts, m.configurationVersion)
 	return m
 }
 
@@ -184,6 +189,22 @@
 	line.Info("upstream asks for rest")
 }
 
+// recordLimit updates the metrics with a change of an upstream's limit on requests, and logs
+// it subject to the limit of lines.
+func (l *requestLog) recordLimit(u inventory.Upstream, limit float64, err error) {
+	l.metrics.limitChanges.Inc()
+	if !l.allowLine() {
+		l.metrics.unloggedLines.Inc()
+		return
+	}
+	line := l.log.WithFields(logrus.Fields{"upstream": u.ID(), "service": u.Service(), "limit": limit})
+	if err != nil {
+		line.WithError(err).Warn("upstream states an implausible limit on requests")
+		return
+	}
+	line.Info("limit on requests of an upstream has changed")
+}
+
 // verdictFields returns the evidence for a verdict as it is logged.
 func verdictFields(v quarantine.Verdict) logrus.Fields {
 	source := v.Source
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -125,6 +125,10 @@
 	DataCenter string
 	// IdleCount returns how many unused connections an upstream has.
 	IdleCount func(upstreamID string) int
+	// OnLimit is called when an upstream states another limit on requests than before, in
+	// requests per second; zero if it states none any more or, with an error, an implausible
+	// one. It must not call methods of the Pool. It may be nil.
+	OnLimit func(u inventory.Upstream, limit float64, err error)
 
 	mu      sync.Mutex
 	policy  Policy
@@ -139,6 +143,9 @@
 	// restUntil holds until when upstreams want no requests, by lifetime, so that an
 	// upstream whose entry was away rests on.
 	restUntil map[uint64]time.Time
+	// limits holds the limits that upstreams have stated, by lifetime, so that an upstream
+	// whose entry was away keeps its limit.
+	limits map[uint64]*requestLimit
 }
 
 // Configure sets the current upstreams of the service and the policy. An upstream of
@@ -150,6 +157,7 @@
 		p.extra = budget.NewWindow(now, policy.Window, policy.ExtraRatio, policy.ExtraSlack)
 		p.connectDuration = initialConnectDuration
 		p.restUntil = make(map[uint64]time.Time)
+		p.limits = make(map[uint64]*requestLimit)
 	}
 	p.extra.SetLimits(policy.ExtraRatio, policy.ExtraSlack)
 	p.policy = policy
@@ -169,6 +177,9 @@
 	}
 	p.unanswered.removeExpired(now)
 	maps.DeleteFunc(p.restUntil, func(_ uint64, until time.Time) bool { return !until.After(now) })
+	maps.DeleteFunc(p.limits, func(key uint64, l *requestLimit) bool {
+		return now.Sub(l.statedAt) > limitMemory && !slices.ContainsFunc(upstreams, func(u inventory.Upstream) bool { return u.LifetimeKey() == key })
+	})
 }
 
 // RecordRequest counts a request for the service, which raises the budget for extra
@@ -324,6 +335,9 @@
 	if !o.RestUntil.IsZero() {
 		p.recordRest(m, o)
 	}
+	if (o.Result == upstream.Answered || o.Result == upstream.Refused) && !m.upstream.IsDiallingHost() {
+		p.recordLimit(now, m.upstream, o)
+	}
 	return p.updateMember(now, m, assignment, o)
 }
 
--- a/internal/upstream/connectionpool.go
+++ b/internal/upstream/connectionpool.go
@@ -308,7 +308,7 @@
 // newOutcome returns the outcome of an exchange with a complete response.
 func newOutcome(a *Attempt, response *http.Response, body []byte, metadata ResponseMetadata) Outcome {
 	outcome := Outcome{
-		Result: Answered, Load: metadata.Load,
+		Result: Answered, Load: metadata.Load, Limit: metadata.Limit, LimitErr: metadata.LimitErr,
 		Response: Response{Status: response.StatusCode, Header: response.Header, Body: body, Signature: metadata.Signature},
 	}
 	if metadata.Rest > 0 {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -134,6 +134,10 @@
 	// rest. RestErr is set if it states an implausible time.
 	Rest    time.Duration
 	RestErr error
+	// Limit is how many requests per second the upstream takes from all hosts together; zero
+	// if the response states no limit. LimitErr is set if it states an implausible one.
+	Limit    float64
+	LimitErr error
 }
 
 // An Outcome is the result of an exchange with its details.
@@ -170,7 +174,11 @@
 	RestUntil time.Time
 	// RestErr is set if the upstream has asked for rest for an implausible time.
 	RestErr error
-	Err     error
+	// Limit and LimitErr are those of ResponseMetadata. They are known only if Result is
+	// Answered or Refused.
+	Limit    float64
+	LimitErr error
+	Err      error
 }
 
 // A Field is one header field of an HTTP message. Its value must not contain line
