--- a/internal/host/crashing_test.go
+++ b/internal/host/crashing_test.go
@@ -28,6 +28,8 @@
 	crashTestTimeout = 2500 * time.Millisecond
 	// shortTimeout is the timeout of requests whose upstreams end after it.
 	shortTimeout = 800 * time.Millisecond
+	// crashTestTarget is the latency target of searches.
+	crashTestTarget = 150 * time.Millisecond
 	// settlePeriod is how long after the third crash of upstreams by one request hosts may
 	// take to learn of it. A host counts only if it was not disturbed for as long.
 	settlePeriod = 4 * time.Second
@@ -92,7 +94,7 @@
 		shards = append(shards, fmt.Sprint("shard-", i))
 	}
 	route := routing.RouteSpec{
-		Host: crashTestHost, MaxAttempts: 3, Timeout: crashTestTimeout, LatencyTarget: 150 * time.Millisecond, Idempotent: true,
+		Host: crashTestHost, MaxAttempts: 3, Timeout: crashTestTimeout, LatencyTarget: crashTestTarget, Idempotent: true,
 	}
 	search, lookup := route, route
 	search.Name, search.Prefix, search.Shards, search.MaxRecords, search.MinShardRatio = "search", "/", shards, 10, 0.89
@@ -211,9 +213,16 @@
 type ordinaryAnswer struct {
 	at     time.Time
 	status int
+	// elapsed is how long the answer took, retryAfter the delay that it states.
+	elapsed, retryAfter time.Duration
 }
 
 func newOrdinaryLoad(f *testFleet, addresses []string, target string) *ordinaryLoad {
+	return newLoad(f, addresses, target, ordinaryInterval)
+}
+
+// newLoad is newOrdinaryLoad with another interval than ordinaryInterval.
+func newLoad(f *testFleet, addresses []string, target string, interval time.Duration) *ordinaryLoad {
 	l := &ordinaryLoad{done: make(chan struct{}), answered: make(chan ordinaryAnswer, 10_000)}
 	l.group.Go(func() {
 		var group work.Group
@@ -222,12 +231,13 @@
 			select {
 			case <-l.done:
 				return
-			case <-time.After(ordinaryInterval):
+			case <-time.After(interval):
 			}
 			address := addresses[n*7%len(addresses)]
 			group.Go(func() {
 				at := time.Now()
-				l.answered <- ordinaryAnswer{at: at, status: f.ask(address, fmt.Sprint(target, "ordinary-", n), fmt.Sprint("o-", n)).Status}
+				a := f.ask(address, fmt.Sprint(target, "ordinary-", n), fmt.Sprint("o-", n))
+				l.answered <- ordinaryAnswer{at: at, status: a.Status, elapsed: time.Since(at), retryAfter: a.RetryAfter}
 			})
 		}
 	})
--- a/internal/host/upstreams_test.go
+++ b/internal/host/upstreams_test.go
@@ -65,6 +65,8 @@
 	// until restsUntil with the wish for rest until then.
 	leaving    atomic.Bool
 	restsUntil atomic.Pointer[time.Time]
+	// limit is the limit on requests that all responses state; nil or zero for none.
+	limit atomic.Pointer[float64]
 	// hangsUntil is when new connections are no longer established after the end.
 	hangsUntil time.Time
 }
@@ -330,7 +332,11 @@
 		if until := u.restsUntil.Load(); until != nil && time.Now().Before(*until) {
 			return upstream.Outcome{Result: upstream.Refused, Response: upstream.Response{Status: 503}, RestUntil: *until}
 		}
-		return upstream.Outcome{Result: upstream.Answered, Leaving: u.leaving.Load(), Response: upstream.Response{
+		limit := 0.0
+		if stated := u.limit.Load(); stated != nil {
+			limit = *stated
+		}
+		return upstream.Outcome{Result: upstream.Answered, Leaving: u.leaving.Load(), Limit: limit, Response: upstream.Response{
 			Status: 200, Body: make([]byte, 16), Signature: u.spec.Service + a.RequestID,
 		}}
 	case <-ctx.Done():
