Upstreams that state a limit on requests get no more than that from all hosts

Cause: the header was read by nothing.

Each host has a share of a limit by its part of the expected load, more in the upstream's own data centre, among the dialling hosts where only some dial, and takes a turn for each attempt of any kind. Other upstreams of the service get the rest; if none is left, parts are left out or the request is refused at once with the time of a turn. Hedges and requests that a more urgent route outranks leave 0.4 of the accumulated turns.

--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
+	"github.com/foxtailshelf/foxtailshelf/internal/routing"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
@@ -234,3 +235,90 @@
 		}
 	})
 }
+
+// TestLimitedServiceRefusesAtOnce sends more than the limits of all upstreams of a service allow. Callers must be served within the limits, or refused at once and told when to come back.
+func TestLimitedServiceRefusesAtOnce(t *testing.T) {
+	const (
+		limit    = 10.0
+		interval = 20 * time.Millisecond
+		count    = 500
+	)
+	for _, spec := range []routing.RouteSpec{singleRoute(true), singleRoute(false), gatherRoute(1)} {
+		t.Run(fmt.Sprint(spec.Name, " ", spec.Idempotent), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				d := newTestDispatcherWithPolicy(spec, soleHostPolicy, func(id string, _ int, _ *upstream.Attempt) reaction {
+					r := responds(id)
+					r.outcome.Limit = limit
+					return r
+				})
+				served, slowest := 0, time.Duration(0)
+				var group work.Group
+				var mu sync.Mutex
+				for range count {
+					group.Go(func() {
+						a, elapsed := d.runRequest(context.Background())
+						mu.Lock()
+						defer mu.Unlock()
+						if a.Status == http.StatusOK {
+							served++
+							return
+						}
+						c.Check(a.Status, qt.Equals, http.StatusServiceUnavailable)
+						c.Check(a.RetryAfter > 0, qt.IsTrue)
+						slowest = max(slowest, elapsed)
+					})
+					time.Sleep(interval)
+				}
+				group.Wait()
+				d.Group.Wait()
+				upstreams := 3.0
+				allowed := upstreams * limit * interval.Seconds() * count
+				c.Check(float64(served) <= allowed+3*upstreams, qt.IsTrue, qt.Commentf("%d served, %v allowed", served, allowed))
+				c.Check(float64(served) >= 0.8*allowed, qt.IsTrue, qt.Commentf("%d served, %v allowed", served, allowed))
+				c.Check(slowest <= target/4, qt.IsTrue, qt.Commentf("%v", slowest))
+			})
+		})
+	}
+}
+
+// TestUrgentRequestsComeFirstAtLimits has two routes send more than the limits of their service allow, one of them more urgent.
+func TestUrgentRequestsComeFirstAtLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const (
+			limit    = 12.0
+			interval = 20 * time.Millisecond
+			count    = 500
+		)
+		d := newTestDispatcherWithPolicy(singleRoute(true), soleHostPolicy, func(id string, _ int, _ *upstream.Attempt) reaction {
+			r := responds(id)
+			r.outcome.Limit = limit
+			return r
+		})
+		urgent, ordinary := singleRoute(true), singleRoute(true)
+		for i, s := range []*routing.RouteSpec{&urgent, &ordinary} {
+			s.Host, s.Prefix, s.Timeout, s.LatencyTarget, s.Priority = "h", fmt.Sprintf("/%d/", i), timeout, target, i
+		}
+		table := routing.NewTable(1, []routing.RouteSpec{urgent, ordinary}, nil, routing.Limits{})
+		served := make([]int, 2)
+		var group work.Group
+		var mu sync.Mutex
+		for n := range 2 * count {
+			group.Go(func() {
+				path := fmt.Sprintf("/%d/", n%2)
+				a := d.Run(context.Background(), &Request{ID: fmt.Sprint(n), Method: http.MethodGet, Target: path, Host: "h"}, table.Match("h", path), 1)
+				mu.Lock()
+				defer mu.Unlock()
+				if a.Status == http.StatusOK {
+					served[n%2]++
+				}
+			})
+			time.Sleep(interval / 2)
+		}
+		group.Wait()
+		d.Group.Wait()
+		c.Check(served[0] > served[1], qt.IsTrue, qt.Commentf("%v", served))
+		c.Check(float64(served[0]) >= 0.6*count, qt.IsTrue, qt.Commentf("%v", served))
+	})
+}
--- a/internal/dispatch/conclude.go
+++ b/internal/dispatch/conclude.go
@@ -47,7 +47,9 @@
 		case p.response != nil:
 			answered++
 		case p.reason != ReasonNone:
-			reason = p.reason
+			if reason != ReasonAtLimit {
+				reason = p.reason
+			}
 		default:
 			pending++
 		}
@@ -129,6 +131,19 @@
 	return longest + time.Duration(f.requestFraction()*float64(spread))
 }
 
+// retryDelayAtLimit returns when a caller may come back who was refused because upstreams
+// take no more requests: when all of these services have a turn.
+func (f *inFlightRequest) retryDelayAtLimit() time.Duration {
+	now := time.Now()
+	longest := failureRetryDelay
+	for _, p := range f.parts {
+		if p.reason == ReasonAtLimit {
+			longest = max(longest, p.pool.PromiseTurn(now, f.requirements(p, 0)))
+		}
+	}
+	return longest
+}
+
 const (
 	// Callers that were refused because upstreams rest come back within restSpreadRatio of
 	// the remaining rest after its end, and within maxRestSpread.
@@ -148,6 +163,8 @@
 	switch {
 	case reason == ReasonNoUpstream:
 		answer.RetryAfter = f.retryDelayWithoutUpstream()
+	case reason == ReasonAtLimit:
+		answer.RetryAfter = f.retryDelayAtLimit()
 	case reason == ReasonQuarantined && f.verdict.Wait > 0:
 		answer.RetryAfter = f.verdict.Wait
 	}
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -22,6 +22,7 @@
 	ReasonQuarantined        Reason = "quarantined"
 	ReasonAwaitingTest       Reason = "awaiting-test"
 	ReasonCrashSuspected     Reason = "crash-suspected"
+	ReasonAtLimit            Reason = "at-limit"
 	ReasonCallerDisconnected Reason = "caller-gone"
 	ReasonUnanswered         Reason = "unanswered"
 	ReasonNotStarted         Reason = "not-started"
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -94,6 +94,23 @@
 		return ReasonNoUpstream
 	case p.sent == 0 && !now.Before(f.startBy()):
 		return ReasonBusy
+	default:
+		return f.limitReason(now, p)
+	}
+}
+
+// limitReason returns why a part without an attempt in flight is to be abandoned because
+// all upstreams that could run it have stated limits on requests; ReasonNone if one of
+// them takes it in time.
+func (f *inFlightRequest) limitReason(now time.Time, p *part) Reason {
+	delay := p.pool.TurnDelay(now, f.requirements(p, 0))
+	switch {
+	case delay == 0:
+		return ReasonNone
+	case p.sent == 0 && now.Add(delay).After(f.startBy()):
+		return ReasonAtLimit
+	case now.Add(delay).After(f.deadline):
+		return ReasonFailed
 	default:
 		return ReasonNone
 	}
@@ -103,7 +120,7 @@
 func (f *inFlightRequest) requirements(p *part, maxDuration time.Duration) pool.Requirements {
 	return pool.Requirements{
 		LatencyStats: f.latencyStats, Fingerprint: f.fingerprint, TriedUpstreams: p.tried, MaxDuration: maxDuration,
-		IsLastAttempt: p.ran+1 >= f.route.MaxAttempts() || !f.route.Idempotent(),
+		IsLastAttempt: p.ran+1 >= f.route.MaxAttempts() || !f.route.Idempotent(), IsOptional: f.route.IsOutranked() || p.running > 0,
 	}
 }
 
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
@@ -148,13 +150,14 @@
 		ExtraSlack:    h.Settings.ExtraSlack * usableExtraSlack * h.view.loadShare,
 		Window:        time.Duration(h.Settings.ExtraWindowSeconds * float64(time.Second)),
 		LoadShare:     h.view.loadShare,
+		LimitShares:   plan.limitShares,
 		MaxConcurrent: plan.maxConnections,
 	}
 }
 
 // newPool returns a configured pool for a service. The caller holds h.mu.
 func (h *Host) newPool(service string) *pool.Pool {
-	p := &pool.Pool{DataCenter: h.Settings.DataCenter, IdleCount: h.Upstreams.IdleCount, OnLimit: h.requestLog.recordLimit}
+	p := &pool.Pool{DataCenter: h.Settings.DataCenter, Seed: h.Seed ^ xxhash.Sum64String(h.Self.Host()), IdleCount: h.Upstreams.IdleCount, OnLimit: h.requestLog.recordLimit}
 	h.configurePool(time.Now(), p, service)
 	return p
 }
--- a/internal/host/crashing_test.go
+++ b/internal/host/crashing_test.go
@@ -233,7 +233,7 @@
 				return
 			case <-time.After(interval):
 			}
-			address := addresses[n*7%len(addresses)]
+			address := addresses[n%len(addresses)]
 			group.Go(func() {
 				at := time.Now()
 				a := f.ask(address, fmt.Sprint(target, "ordinary-", n), fmt.Sprint("o-", n))
--- a/internal/host/dialling.go
+++ b/internal/host/dialling.go
@@ -17,6 +17,9 @@
 	// maxDiallingHosts bounds the dialling hosts to which one host relays its attempts
 	// at a service.
 	maxDiallingHosts = 4
+	// diallingLimitRatio is the part of the limits on requests that is for the dialling hosts.
+	// The rest is for the other hosts, which dial if they reach no dialling host.
+	diallingLimitRatio = 0.9
 )
 
 // A dialPlan determines how a host reaches the upstreams of one service: over its own
@@ -30,6 +33,9 @@
 	maxConnections int
 	// diallingHosts are the hosts that run this host's attempts if it does not dial.
 	diallingHosts []roster.Member
+	// limitShares is the part of the limits on requests that upstreams of a data centre state
+	// which this host may use.
+	limitShares map[string]float64
 }
 
 // A planKey identifies the services that share a plan: the services in the same hash
@@ -51,7 +57,7 @@
 func newDialPlan(k planKey, v fleetView) dialPlan {
 	usable := usableConnectionRatio * float64(k.connectionLimit)
 	if k.connectionLimit == 0 || v.totalConnections <= usable {
-		return dialPlan{dialsUpstreams: true, maxConnections: max(1, int(usable*v.loadShare))}
+		return dialPlan{dialsUpstreams: true, maxConnections: max(1, int(usable*v.loadShare)), limitShares: v.limitShares}
 	}
 	// maxCount bounds the candidates that are ranked: usable suffices for fewer
 	// advertised hosts or, if it suffices for all advertised hosts, for fewer hosts
@@ -69,9 +75,22 @@
 	}
 	dialling = dialling[:min(len(dialling), max(1, count))]
 	if slices.ContainsFunc(dialling, func(m roster.Member) bool { return m.Host() == v.host }) {
-		return dialPlan{dialsUpstreams: true, maxConnections: max(1, int(usable*loadShare(v.host, dialling, v.advertised)))}
+		return dialPlan{
+			dialsUpstreams: true, maxConnections: max(1, int(usable*loadShare(v.host, dialling, v.advertised))),
+			limitShares: scaleShares(limitShares(v.host, dialling, v.advertised), diallingLimitRatio),
+		}
+	}
+	return dialPlan{
+		maxConnections: 1, diallingHosts: selectDiallingHosts(k.bucket, v, dialling), limitShares: scaleShares(v.limitShares, 1-diallingLimitRatio),
+	}
+}
+
+func scaleShares(shares map[string]float64, factor float64) map[string]float64 {
+	scaled := make(map[string]float64, len(shares))
+	for dc, s := range shares {
+		scaled[dc] = factor * s
 	}
-	return dialPlan{maxConnections: 1, diallingHosts: selectDiallingHosts(k.bucket, v, dialling)}
+	return scaled
 }
 
 // selectDiallingHosts returns up to maxDiallingHosts alive dialling hosts that run
--- a/internal/host/fleetview.go
+++ b/internal/host/fleetview.go
@@ -1,6 +1,8 @@
 package host
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
@@ -14,6 +16,9 @@
 	// to an advertised host of the same capacity. Only callers with outdated
 	// addresses use a host that is not advertised.
 	unadvertisedHostWeight = 0.2
+	// remoteLimitWeight is the weight of hosts of other data centres than the upstream in
+	// limits on requests. They prefer upstreams of their own data centre.
+	remoteLimitWeight = 0.3
 )
 
 // A fleetView holds what one host derives from the list of members. It is immutable.
@@ -28,6 +33,9 @@
 	// loadShare is the part of the fleet's load that the host is expected to carry, 0
 	// to 1/minFleetSize.
 	loadShare float64
+	// limitShares is the part of the limits on requests that upstreams of a data centre state
+	// which this host may use if all hosts dial.
+	limitShares map[string]float64
 	// totalConnections is the sum of connectionsFor of all dial candidates.
 	totalConnections float64
 }
@@ -35,6 +43,7 @@
 func newFleetView(host string, members []roster.Member) fleetView {
 	advertised := allAdvertisedHosts(members)
 	v := fleetView{host: host, members: members, advertised: advertised, loadShare: loadShare(host, members, advertised)}
+	v.limitShares = limitShares(host, members, advertised)
 	for _, m := range members {
 		if m.CanOwn() {
 			v.totalConnections += v.connectionsFor(m)
@@ -59,22 +68,36 @@
 // Members count in any state, since a host that is cut off cannot find out which of
 // the other hosts still run. The share is zero if the host is not a member.
 func loadShare(host string, members []roster.Member, advertised map[string]bool) float64 {
+	return weightShare(host, members, loadWeights(members, advertised))
+}
+
+// loadWeights returns the load that each member is expected to carry, relative to the
+// others.
+func loadWeights(members []roster.Member, advertised map[string]bool) []float64 {
 	largestCapacity := 1
 	for _, m := range members {
 		largestCapacity = max(largestCapacity, m.Capacity())
 	}
-	own, total := 0.0, 0.0
-	for _, m := range members {
-		weight := float64(m.Capacity())
+	weights := make([]float64, len(members))
+	for i, m := range members {
+		weights[i] = float64(m.Capacity())
 		switch {
 		case m.Capacity() == 0:
-			weight = float64(largestCapacity)
+			weights[i] = float64(largestCapacity)
 		case !advertised[m.Host()]:
-			weight *= unadvertisedHostWeight
+			weights[i] *= unadvertisedHostWeight
 		}
-		total += weight
+	}
+	return weights
+}
+
+// weightShare returns the part of the total weight that a host has, 0 to 1/minFleetSize.
+func weightShare(host string, members []roster.Member, weights []float64) float64 {
+	own, total := 0.0, 0.0
+	for i, m := range members {
+		total += weights[i]
 		if m.Host() == host {
-			own = weight
+			own = weights[i]
 		}
 	}
 	if own == 0 {
@@ -83,6 +106,36 @@
 	return own / max(total, minFleetSize*own)
 }
 
+// limitShares returns the part of the limits on requests that a host may use, by data
+// centre of the upstreams: its part of the expected load, where hosts of the same data centre
+// weigh more. Dead members do not count as long as most members live: a host that is cut off
+// with few others keeps its part.
+func limitShares(host string, members []roster.Member, advertised map[string]bool) map[string]float64 {
+	weights := loadWeights(members, advertised)
+	dead := 0
+	dataCenters := make(map[string]bool)
+	for _, m := range members {
+		dataCenters[m.DataCenter()] = true
+		if m.State() == roster.Dead {
+			dead++
+		}
+	}
+	shares := make(map[string]float64, len(dataCenters))
+	for dc := range dataCenters {
+		local := slices.Clone(weights)
+		for i, m := range members {
+			if m.DataCenter() != dc {
+				local[i] *= remoteLimitWeight
+			}
+			if m.State() == roster.Dead && m.Host() != host && 2*dead < len(members) {
+				local[i] = 0
+			}
+		}
+		shares[dc] = weightShare(host, members, local)
+	}
+	return shares
+}
+
 // allAdvertisedHosts returns the names of the hosts that are advertised in at least one data
 // centre while all members are available.
 func allAdvertisedHosts(members []roster.Member) map[string]bool {
--- a/internal/host/fleetview_test.go
+++ b/internal/host/fleetview_test.go
@@ -77,3 +77,40 @@
 		c.Assert(sum*usableExtraSlack <= 1, qt.IsTrue, qt.Commentf("round %d: %f", round, sum))
 	}
 }
+
+// TestLimitShares checks that the shares of all hosts make up the whole limit, that hosts of
+// the upstream's data centre have the greater ones, and what hosts have beside dead ones.
+func TestLimitShares(t *testing.T) {
+	c := qt.New(t)
+	members := newMixedCapacityFleet(19)
+	sum := func(members []roster.Member, dataCenter string) float64 {
+		total := 0.0
+		for _, m := range members {
+			if m.State() != roster.Dead {
+				total += newFleetView(m.Host(), members).limitShares[dataCenter]
+			}
+		}
+		return total
+	}
+	for _, dc := range []string{"x", "y", "z"} {
+		total := sum(members, dc)
+		c.Check(total > 0.99 && total < 1.01, qt.IsTrue, qt.Commentf("%v", total))
+	}
+	local, remote := newFleetView("x-large-0", members).limitShares["x"], newFleetView("x-large-0", members).limitShares["y"]
+	c.Check(local > 2*remote, qt.IsTrue, qt.Commentf("%v of the same data centre, %v of another", local, remote))
+
+	dead := func(count int) []roster.Member {
+		var list []roster.Member
+		for i := range 9 {
+			state := roster.Alive
+			if i < count {
+				state = roster.Dead
+			}
+			list = append(list, member(fmt.Sprint("h", i), "x", 400, state))
+		}
+		return list
+	}
+	few, most := sum(dead(2), "x"), sum(dead(7), "x")
+	c.Check(few > 0.99 && few < 1.01, qt.IsTrue, qt.Commentf("%v", few))
+	c.Check(most > 0.21 && most < 0.23, qt.IsTrue, qt.Commentf("%v", most))
+}
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -99,9 +99,9 @@
 	return d, nil
 }
 
-// handleMemberChange discards the cached addresses. If the member's CanOwn has
-// changed, it schedules an update of the fleet view, since the dial candidates depend
-// on CanOwn.
+// handleMemberChange discards the cached addresses. If the member's CanOwn has changed, or
+// whether it is dead, it schedules an update of the fleet view: the dial candidates and the
+// shares of limits depend on these.
 func (h *Host) handleMemberChange(c roster.MemberChanged) {
 	h.addressMu.Lock()
 	clear(h.addressCache)
@@ -109,7 +109,7 @@
 	h.Log.WithFields(map[string]any{
 		"member": c.New.Host(), "from": c.Old.State(), "to": c.New.State(), "incarnation": c.New.Incarnation(),
 	}).Info("member changed")
-	if c.Old.CanOwn() != c.New.CanOwn() {
+	if c.Old.CanOwn() != c.New.CanOwn() || (c.Old.State() == roster.Dead) != (c.New.State() == roster.Dead) {
 		select {
 		case h.fleetChanges <- struct{}{}:
 		default:
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -77,6 +77,8 @@
 	downPeriod time.Duration
 	// restUntil is until when the upstream wants no requests of this host.
 	restUntil time.Time
+	// limit is the limit on requests that the upstream has stated; nil if none.
+	limit *requestLimit
 	// reducedLimit is the concurrency limit that was set at limitReducedAt, when the
 	// upstream had too many connections. From then on the limit grows by one every
 	// limitGrowthInterval.
@@ -129,6 +131,11 @@
 // isResting reports whether the upstream wants no requests of this host.
 func (m *member) isResting(now time.Time) bool { return now.Before(m.restUntil) }
 
+// isUsable reports whether the member is neither retired nor down nor resting.
+func (m *member) isUsable(now time.Time) bool {
+	return m.upstream.Eligibility(now) != inventory.Retired && !m.isDown(now) && !m.isResting(now)
+}
+
 // expectedFailureRatio returns the probability with which an attempt is expected to
 // fail, 0 to 1.
 func (m *member) expectedFailureRatio(now time.Time) float64 {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -67,6 +67,9 @@
 	// LoadShare is the part of the service's load that this host carries, 0 to 1. That
 	// part of an upstream's slots is always available to this host.
 	LoadShare float64
+	// LimitShares is the part of the limits on requests that upstreams of a data centre state
+	// which this host may use, 0 to 1; LoadShare applies to other data centres.
+	LimitShares map[string]float64
 	// MaxConcurrent bounds the concurrent attempts at one upstream; it does not
 	// apply to dialling hosts.
 	MaxConcurrent int
@@ -87,6 +90,14 @@
 	IsLastAttempt bool
 	// DirectOnly is set if the attempt must not be relayed to another host.
 	DirectOnly bool
+	// IsOptional is set for hedges and for requests that are less urgent than others of the
+	// service. At upstreams with a limit on requests they leave some turns to the others.
+	IsOptional bool
+}
+
+// excludes reports whether the attempt must not be assigned to a member.
+func (r Requirements) excludes(m *member) bool {
+	return (r.DirectOnly && m.upstream.IsDiallingHost()) || slices.Contains(r.TriedUpstreams, m.upstream.ID())
 }
 
 // An Assignment is an attempt that was assigned to an upstream.
@@ -123,6 +134,8 @@
 type Pool struct {
 	// DataCenter is the data centre of this host.
 	DataCenter string
+	// Seed differs between hosts.
+	Seed uint64
 	// IdleCount returns how many unused connections an upstream has.
 	IdleCount func(upstreamID string) int
 	// OnLimit is called when an upstream states another limit on requests than before, in
@@ -146,6 +159,8 @@
 	// limits holds the limits that upstreams have stated, by lifetime, so that an upstream
 	// whose entry was away keeps its limit.
 	limits map[uint64]*requestLimit
+	// promisedAt is the next turn that was not promised to a refused caller.
+	promisedAt time.Time
 }
 
 // Configure sets the current upstreams of the service and the policy. An upstream of
@@ -168,13 +183,18 @@
 		i := slices.IndexFunc(old, func(m *member) bool { return m.upstream.HasSameLifetime(u) })
 		if i < 0 {
 			m := newMember(u)
-			m.restUntil = p.restUntil[u.LifetimeKey()]
+			m.restUntil, m.limit = p.restUntil[u.LifetimeKey()], p.limits[u.LifetimeKey()]
 			p.members = append(p.members, m)
 			continue
 		}
 		old[i].upstream = u
 		p.members = append(p.members, old[i])
 	}
+	for _, m := range p.members {
+		if m.limit != nil {
+			m.limit.set(now, m.limit.stated, p.limitShare(m.upstream))
+		}
+	}
 	p.unanswered.removeExpired(now)
 	maps.DeleteFunc(p.restUntil, func(_ uint64, until time.Time) bool { return !until.After(now) })
 	maps.DeleteFunc(p.limits, func(key uint64, l *requestLimit) bool {
@@ -225,9 +245,7 @@
 func (p *Pool) HasUpstream(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.members, func(m *member) bool {
-		return m.upstream.Eligibility(now) != inventory.Retired && !m.isDown(now) && !m.isResting(now)
-	})
+	return slices.ContainsFunc(p.members, func(m *member) bool { return m.isUsable(now) })
 }
 
 // SpendHedge counts an extra attempt for a hedge and reports true, unless only the
@@ -268,6 +286,7 @@
 	}
 	assignment := &Assignment{Upstream: best.upstream, member: best, latencyStats: r.LatencyStats, typicalLatency: typical, startedAt: now, fingerprint: r.Fingerprint}
 	best.running = append(best.running, assignment)
+	best.limit.take()
 	return assignment
 }
 
@@ -276,6 +295,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	assignment.member.remove(assignment)
+	assignment.member.limit.giveBack()
 }
 
 // ExpectedLatency returns the expected duration of an attempt at the fastest upstream;
@@ -287,10 +307,10 @@
 	defer p.mu.Unlock()
 	typical := s.TypicalLatency()
 	for _, m := range p.members {
-		if m.upstream.Eligibility(now) == inventory.Retired || m.isDown(now) || m.isResting(now) {
+		if !m.isUsable(now) {
 			continue
 		}
-		latency := m.expectedLatency(now, typical)
+		latency := m.expectedLatency(now, typical) + m.limit.turnDelay(now, false)
 		if len(m.running) >= p.concurrencyLimit(now, m, s) {
 			latency = fullFactor * max(latency, s.target)
 		}
@@ -336,7 +356,7 @@
 		p.recordRest(m, o)
 	}
 	if (o.Result == upstream.Answered || o.Result == upstream.Refused) && !m.upstream.IsDiallingHost() {
-		p.recordLimit(now, m.upstream, o)
+		p.recordLimit(now, m, o)
 	}
 	return p.updateMember(now, m, assignment, o)
 }
@@ -387,6 +407,7 @@
 			return p.unanswered.end(now, m.upstream)
 		}
 	case upstream.Unreachable:
+		m.limit.giveBack()
 		if !o.AtConnectionLimit {
 			m.recordUnreachable(now)
 		}
@@ -431,9 +452,9 @@
 // attempt now.
 func (p *Pool) acceptsAttempt(now time.Time, m *member, r Requirements, eligibility inventory.Eligibility) bool {
 	switch {
-	case m.upstream.Eligibility(now) != eligibility || m.isDown(now) || m.isResting(now) || slices.Contains(r.TriedUpstreams, m.upstream.ID()):
+	case m.upstream.Eligibility(now) != eligibility || !m.isUsable(now) || r.excludes(m):
 		return false
-	case r.DirectOnly && m.upstream.IsDiallingHost():
+	case m.limit.turnDelay(now, r.IsOptional) > 0:
 		return false
 	case len(m.running) >= p.concurrencyLimit(now, m, r.LatencyStats):
 		return false
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -26,6 +26,8 @@
 	*Pool
 	latencyStats *LatencyStats
 	now          time.Time
+	// pending is an attempt in flight, which finish ends.
+	pending *Assignment
 }
 
 func newFixture(policy Policy) *fixture { return newFixtureAt(start, policy) }
@@ -70,6 +72,9 @@
 	return p.Upstream.ID()
 }
 
+// finish ends the pending attempt.
+func (f *fixture) finish(o upstream.Outcome) { f.RecordOutcome(f.now, f.pending, o) }
+
 func answered(string) (upstream.Outcome, time.Duration) {
 	return upstream.Outcome{Result: upstream.Answered, Response: upstream.Response{Status: 200}}, typicalLatency
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -63,6 +63,8 @@
 	// schedule holds the services of successive requests and then repeats; each
 	// destination occurs in proportion to its weight. A route with Shards has none.
 	schedule []string
+	// isOutranked is set if a more urgent route has one of its services.
+	isOutranked bool
 }
 
 // A Table is one version of the routing configuration. Only the request counts of its
@@ -90,6 +92,7 @@
 	for _, s := range services {
 		t.services[s.Name] = s
 	}
+	t.rankRoutes()
 	return t
 }
 
@@ -115,16 +118,32 @@
 	var names []string
 	for _, list := range t.byHost {
 		for _, r := range list {
-			names = append(names, r.spec.Shards...)
-			for _, d := range r.spec.Destinations {
-				names = append(names, d.Service)
-			}
+			names = append(names, r.services()...)
 		}
 	}
 	slices.Sort(names)
 	return slices.Compact(names)
 }
 
+// rankRoutes determines which routes are outranked.
+func (t *Table) rankRoutes() {
+	highest := make(map[string]int)
+	for _, list := range t.byHost {
+		for _, r := range list {
+			for _, s := range r.services() {
+				if p, ok := highest[s]; !ok || r.spec.Priority < p {
+					highest[s] = r.spec.Priority
+				}
+			}
+		}
+	}
+	for _, list := range t.byHost {
+		for _, r := range list {
+			r.isOutranked = slices.ContainsFunc(r.services(), func(s string) bool { return highest[s] < r.spec.Priority })
+		}
+	}
+}
+
 // Version returns the version.
 func (t *Table) Version() uint64 { return t.version }
 
@@ -168,6 +187,18 @@
 	return r.schedule[i : i+1]
 }
 
+// IsOutranked reports whether a more urgent route has one of the services of the route.
+func (r *Route) IsOutranked() bool { return r.isOutranked }
+
+// services returns all services of the route.
+func (r *Route) services() []string {
+	names := slices.Clone(r.spec.Shards)
+	for _, d := range r.spec.Destinations {
+		names = append(names, d.Service)
+	}
+	return names
+}
+
 // Priority returns the rank of the route; 0 is the most urgent.
 func (r *Route) Priority() int { return r.spec.Priority }
 
