Responses without end are bounded by bytes and count

Seen (tests of this commit on the code before): one connection to an upstream that sends a status line, a field, fields or interim responses without end took 1 to 8.5 GB of allocations and the whole 4 s of the request; a host has 284 MB. Bodies ended at 16 MB each, any number of them at once, and an announced length was allocated before a byte had come.

Now a head has 64 KB and 256 fields, a response 8 interim ones before it, a body with its framing twice its 16 MB, and all long bodies that are being read 64 MB. At a bound the connection is closed, the attempt counts as the upstream's failure and the request goes on elsewhere; the upstream is not probed, since it runs. Error texts quote at most 256 bytes of what was sent. Heads of the store, the host list and the gate's upstreams have the same bound; drpc messages have 4 MB of their own, callers' heads and bodies were bounded.

Open: bodies that were read wait for their answer outside the bound.

--- a/internal/hostlist/list.go
+++ b/internal/hostlist/list.go
@@ -15,6 +15,7 @@
 const (
 	callTimeout  = 2 * time.Second
 	maxListBytes = 4 << 20
+	maxHeadBytes = 64 << 10
 
 	// StateLive and StateLeaving are the states of a host in the list.
 	StateLive    = "live"
@@ -47,7 +48,7 @@
 
 // NewHTTPList returns a client of the list at an address.
 func NewHTTPList(address string) *HTTPList {
-	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: callTimeout}).DialContext, DisableKeepAlives: true}
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: callTimeout}).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &HTTPList{
 		url:    "http://" + address + "/v1/hosts",
 		client: &http.Client{Transport: transport, Timeout: callTimeout},
--- a/internal/keyvalue/httpstore.go
+++ b/internal/keyvalue/httpstore.go
@@ -18,6 +18,8 @@
 	// maxResponseBytes bounds the size of a response. Values are at most 1 MB before their
 	// base64 encoding.
 	maxResponseBytes = 4 << 20
+	// maxHeadBytes bounds the head of a response.
+	maxHeadBytes = 64 << 10
 	callTimeout      = 2 * time.Second
 	// watchGracePeriod is added to the wait of a watch to give the timeout of the call.
 	watchGracePeriod = 2 * time.Second
@@ -50,6 +52,7 @@
 // NewHTTPStore returns a client of the store at an address.
 func NewHTTPStore(address string) *HTTPStore {
 	transport := &http.Transport{
+		MaxResponseHeaderBytes: maxHeadBytes,
 		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		IdleConnTimeout: idleConnTimeout, MaxIdleConnsPerHost: maxIdleConns,
 	}
--- a/internal/upstream/connectionpool.go
+++ b/internal/upstream/connectionpool.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -43,6 +42,9 @@
 type ConnectionPool struct {
 	Protocol Protocol
 
+	// longBodies bounds the long bodies that are being read.
+	longBodies byteBudget
+
 	mu   sync.Mutex
 	idle map[string][]*connection
 }
@@ -50,6 +52,8 @@
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
+	// bounds limits what reader reads.
+	bounds *boundedReader
 	// address is the dialled address. A connection is not reused after the address
 	// of the upstream has changed.
 	address string
@@ -153,22 +157,30 @@
 	if _, err := conn.Write(c.encodeRequest(a)); err != nil {
 		return failedOutcome(ctx, fmt.Errorf("send request: %w", err)), 0
 	}
-	strayResponses := 0
+	strayResponses, interimResponses := 0, 0
 	isLeaving := false
 	defer func() { outcome.Leaving = isLeaving }()
 	for {
+		conn.bounds.allow("head", maxHeadBytes)
 		response, err := http.ReadResponse(conn.reader, &http.Request{Method: a.Method})
+		if err == nil && len(response.Header) > maxHeadFields {
+			err = &TooLargeError{What: "fields", Bound: maxHeadFields}
+		}
 		if err != nil {
-			return failedOutcome(ctx, fmt.Errorf("read response: %w", err)), 0
+			return failedOutcome(ctx, fmt.Errorf("read response: %w", conn.bounds.errorFor(err))), 0
 		}
 		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
+			if interimResponses++; interimResponses > maxInterimResponses {
+				return failedOutcome(ctx, &TooLargeError{What: "interim responses", Bound: maxInterimResponses}), 0
+			}
 			continue
 		}
+		conn.bounds.allow("body with framing", maxWireBodyBytes)
 		metadata := c.Protocol.Decode(response)
 		isLeaving = isLeaving || metadata.Leaving
-		body, err := readBody(response)
+		body, err := readBody(response, &c.longBodies)
 		if err != nil {
-			return failedOutcome(ctx, fmt.Errorf("read response: %w", err)), 0
+			return failedOutcome(ctx, fmt.Errorf("read response: %w", conn.bounds.errorFor(err))), 0
 		}
 		if metadata.RequestID != "" && metadata.RequestID != a.RequestID && strayResponses < maxStrayResponses {
 			// This is a second response to an earlier request. The response to this
@@ -232,7 +244,8 @@
 	if err != nil {
 		return nil, 0, fmt.Errorf("connect to upstream: %w", err)
 	}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), address: a.Address}, time.Since(startedAt), nil
+	bounds := &boundedReader{Reader: conn}
+	return &connection{Conn: conn, reader: bufio.NewReaderSize(bounds, readBufferBytes), bounds: bounds, address: a.Address}, time.Since(startedAt), nil
 }
 
 // popIdle removes and returns the most recently used idle connection, or nil.
@@ -271,25 +284,6 @@
 	return err == nil && quiet
 }
 
-// readBody returns the complete body of a response.
-func readBody(response *http.Response) ([]byte, error) {
-	if n := response.ContentLength; n >= 0 && n <= maxResponseBytes {
-		body := make([]byte, n)
-		if _, err := io.ReadFull(response.Body, body); err != nil {
-			return nil, fmt.Errorf("read %d bytes: %w", n, err)
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-	if err != nil {
-		return nil, fmt.Errorf("read body: %w", err)
-	}
-	if len(body) > maxResponseBytes {
-		return nil, fmt.Errorf("body is larger than %d bytes", maxResponseBytes)
-	}
-	return body, nil
-}
-
 func writeField(b *bytes.Buffer, f Field) {
 	b.WriteString(f.Name)
 	b.WriteString(": ")
@@ -300,9 +294,10 @@
 func failedOutcome(ctx context.Context, err error) Outcome {
 	var netErr net.Error
 	if ctx.Err() != nil || (errors.As(err, &netErr) && netErr.Timeout()) {
-		return Outcome{Result: Aborted, Err: err}
+		return Outcome{Result: Aborted, Err: &shortError{err: err}}
 	}
-	return Outcome{Result: Broken, ConnectionLost: true, Err: err}
+	var tooLarge *TooLargeError
+	return Outcome{Result: Broken, ConnectionLost: !errors.As(err, &tooLarge), Err: &shortError{err: err}}
 }
 
 // newOutcome returns the outcome of an exchange with a complete response.
--- a/internal/upstream/httpclient.go
+++ b/internal/upstream/httpclient.go
@@ -93,6 +93,7 @@
 	limiter := &limitedDialer{dialer: net.Dialer{Timeout: dialTimeout}, tokens: make(chan struct{}, connections)}
 	newTransport := func(limit int, reuse bool) *http.Transport {
 		return &http.Transport{
+			MaxResponseHeaderBytes: maxHeadBytes,
 			DialContext: limiter.dial, MaxConnsPerHost: limit, MaxIdleConnsPerHost: limit,
 			IdleConnTimeout: transportIdleTimeout, DisableKeepAlives: !reuse, DisableCompression: true,
 		}
