--- a/internal/keyvalue/httpstore.go
+++ b/internal/keyvalue/httpstore.go
@@ -20,7 +20,7 @@
 	maxResponseBytes = 4 << 20
 	// maxHeadBytes bounds the head of a response.
 	maxHeadBytes = 64 << 10
-	callTimeout      = 2 * time.Second
+	callTimeout  = 2 * time.Second
 	// watchGracePeriod is added to the wait of a watch to give the timeout of the call.
 	watchGracePeriod = 2 * time.Second
 	idleConnTimeout  = 20 * time.Second
@@ -53,8 +53,8 @@
 func NewHTTPStore(address string) *HTTPStore {
 	transport := &http.Transport{
 		MaxResponseHeaderBytes: maxHeadBytes,
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		IdleConnTimeout: idleConnTimeout, MaxIdleConnsPerHost: maxIdleConns,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		IdleConnTimeout:        idleConnTimeout, MaxIdleConnsPerHost: maxIdleConns,
 	}
 	return &HTTPStore{baseURL: "http://" + address + basePath, client: &http.Client{Transport: transport}, transport: transport}
 }
--- a/internal/upstream/httpclient.go
+++ b/internal/upstream/httpclient.go
@@ -94,7 +94,7 @@
 	newTransport := func(limit int, reuse bool) *http.Transport {
 		return &http.Transport{
 			MaxResponseHeaderBytes: maxHeadBytes,
-			DialContext: limiter.dial, MaxConnsPerHost: limit, MaxIdleConnsPerHost: limit,
+			DialContext:            limiter.dial, MaxConnsPerHost: limit, MaxIdleConnsPerHost: limit,
 			IdleConnTimeout: transportIdleTimeout, DisableKeepAlives: !reuse, DisableCompression: true,
 		}
 	}
