--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -207,12 +207,27 @@
 // recordLeaving records that an upstream has stated that it leaves. If u is a dialling host,
 // forwardedTo is the ID of the upstream.
 func (h *Host) recordLeaving(u inventory.Upstream, forwardedTo string) {
-	id := u.ID()
+	source := ""
 	if u.IsDiallingHost() {
-		id = forwardedTo
+		source = u.Address()
+		h.mu.RLock()
+		known, ok := h.inventory.Upstream(forwardedTo)
+		h.mu.RUnlock()
+		if !ok {
+			return
+		}
+		u = known
 	}
+	now := time.Now()
+	h.newsBoard.record(now, upstreamNews{upstreamID: u.ID(), lifetime: u.LifetimeKey(), leaving: true, at: now})
+	h.applyLeaving(u, source)
+}
+
+// applyLeaving stops the use of an upstream that leaves. source is the host that has told
+// this one; empty if the upstream itself has.
+func (h *Host) applyLeaving(u inventory.Upstream, source string) {
 	h.mu.Lock()
-	service := h.inventory.RecordLeaving(time.Now(), id)
+	service := h.inventory.RecordLeaving(time.Now(), u.ID())
 	if service != "" {
 		h.configurePools([]string{service})
 	}
@@ -220,8 +235,9 @@
 	if service == "" {
 		return
 	}
+	h.Upstreams.CloseIdleConnections(u.ID())
 	h.Metrics.leavingUpstreams.Inc()
-	h.Log.WithFields(map[string]any{"upstream": id, "service": service, "relayed": u.IsDiallingHost()}).Info("upstream states that it leaves")
+	h.Log.WithFields(map[string]any{"upstream": u.ID(), "service": service, "told-by": source}).Info("upstream states that it leaves")
 }
 
 // updateFleetView derives the view from the current members and discards the dial
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -123,7 +123,8 @@
 	// member changes.
 	addressCache map[string][]string
 
-	guard *crashGuard
+	guard     *crashGuard
+	newsBoard newsBoard
 }
 
 // Init must be called before anything else.
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -38,6 +38,7 @@
 	sender := peer.DecodeMember(request.GetSender())
 	h.fleet.HandleUpdates(sender, peer.DecodeMembers(request.GetRumours()))
 	h.guard.applyNotices(sender.Host(), request.GetNotices())
+	h.applyNews(sender.Host(), request.GetNews())
 	h.follower.HandlePeerRevision(sender.GateAddress(), keyvalue.NewRevision(request.GetEra(), request.GetRevision()), time.Duration(request.GetAgeMicros())*time.Microsecond)
 	reply := &wire.ExchangeReply{}
 	if request.GetProbe() != nil {
@@ -51,6 +52,7 @@
 	revision := h.follower.Revision()
 	reply.Revision, reply.Era, reply.AgeMicros = revision.Number(), revision.Era(), h.follower.Age().Microseconds()
 	reply.Notices = h.guard.notices(request.GetAllNotices())
+	reply.News = h.news()
 	return reply, nil
 }
 
@@ -61,7 +63,7 @@
 	self, updates := h.fleet.NextUpdates(address)
 	revision := h.follower.Revision()
 	request := &wire.ExchangeRequest{
-		Sender: peer.EncodeMember(self), Rumours: peer.EncodeMembers(updates), Notices: h.guard.notices(false), AllNotices: h.guard.lacksNotices(),
+		Sender: peer.EncodeMember(self), Rumours: peer.EncodeMembers(updates), Notices: h.guard.notices(false), AllNotices: h.guard.lacksNotices(), News: h.news(),
 		Revision: revision.Number(), Era: revision.Era(), AgeMicros: h.follower.Age().Microseconds(),
 	}
 	if probe != nil {
@@ -75,6 +77,7 @@
 	h.fleet.HandleUpdates(sender, peer.DecodeMembers(reply.GetRumours()))
 	h.guard.recordContact()
 	h.guard.applyNotices(sender.Host(), reply.GetNotices())
+	h.applyNews(sender.Host(), reply.GetNews())
 	h.follower.HandlePeerRevision(sender.GateAddress(), keyvalue.NewRevision(reply.GetEra(), reply.GetRevision()), time.Duration(reply.GetAgeMicros())*time.Microsecond)
 	return reply.GetProbeAnswered(), nil
 }
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -276,6 +276,12 @@
 	return list
 }
 
+// Upstream returns the upstream with an ID, if it is known.
+func (i *Inventory) Upstream(id string) (Upstream, bool) {
+	u, ok := i.upstreams[id]
+	return u, ok
+}
+
 // Len returns the number of known upstreams.
 func (i *Inventory) Len() int { return len(i.upstreams) }
 
