Limits on requests are told to other hosts

Now a limit and its end go with the messages between hosts, as leaving does: by lifetime, with the time at which it was stated; the later statement holds, and never one from before the host's own last response. A limit that no parser returns is dropped.

--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -157,7 +157,7 @@
 
 // newPool returns a configured pool for a service. The caller holds h.mu.
 func (h *Host) newPool(service string) *pool.Pool {
-	p := &pool.Pool{DataCenter: h.Settings.DataCenter, Seed: h.Seed ^ xxhash.Sum64String(h.Self.Host()), IdleCount: h.Upstreams.IdleCount, OnLimit: h.requestLog.recordLimit}
+	p := &pool.Pool{DataCenter: h.Settings.DataCenter, Seed: h.Seed ^ xxhash.Sum64String(h.Self.Host()), IdleCount: h.Upstreams.IdleCount, OnLimit: h.recordLimit}
 	h.configurePool(time.Now(), p, service)
 	return p
 }
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -6,6 +6,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
@@ -93,10 +94,28 @@
 	return shortest
 }
 
+// RecordLimit records what an upstream stated in a response to another host; zero for no
+// limit. It has no effect if the upstream has responded to this host since.
+func (p *Pool) RecordLimit(now time.Time, u inventory.Upstream, limit float64, at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := slices.IndexFunc(p.members, func(m *member) bool { return m.upstream.HasSameLifetime(u) })
+	if i < 0 {
+		return
+	}
+	if m := p.members[i]; !at.Before(m.respondedAt) && (m.limit == nil || at.After(m.limit.statedAt)) {
+		p.setLimit(now, m, limit, at, nil)
+	}
+}
+
 // recordLimit records what a response states about the limit of its upstream: a new one,
 // or that the limit has ended.
 func (p *Pool) recordLimit(now time.Time, m *member, o upstream.Outcome) {
-	if o.Limit == 0 && o.LimitErr == nil && m.limit == nil {
+	p.setLimit(now, m, o.Limit, now, o.LimitErr)
+}
+
+func (p *Pool) setLimit(now time.Time, m *member, limit float64, at time.Time, err error) {
+	if limit == 0 && err == nil && m.limit == nil {
 		return
 	}
 	if m.limit == nil {
@@ -105,18 +124,18 @@
 	}
 	l := m.limit
 	oddity := ""
-	if o.LimitErr != nil {
-		oddity = o.LimitErr.Error()
+	if err != nil {
+		oddity = err.Error()
 	}
-	isNews := l.stated != o.Limit || (oddity != "" && l.oddity != oddity)
-	l.oddity, l.statedAt = oddity, now
-	l.set(now, o.Limit, p.limitShare(m.upstream))
-	if o.Limit == 0 && o.LimitErr == nil {
+	isNews := l.stated != limit || (oddity != "" && l.oddity != oddity)
+	l.oddity, l.statedAt = oddity, at
+	l.set(now, limit, p.limitShare(m.upstream))
+	if limit == 0 && err == nil {
 		m.limit = nil
 		delete(p.limits, m.upstream.LifetimeKey())
 	}
 	if isNews && p.OnLimit != nil {
-		p.OnLimit(m.upstream, o.Limit, o.LimitErr)
+		p.OnLimit(m.upstream, limit, at, err)
 	}
 }
 
--- a/internal/pool/limit_test.go
+++ b/internal/pool/limit_test.go
@@ -116,7 +116,7 @@
 	f := newFixture(newLimitPolicy(1))
 	f.setUpstreams(newLimitPolicy(1), "a")
 	var limits []float64
-	f.OnLimit = func(_ inventory.Upstream, limit float64, _ error) { limits = append(limits, limit) }
+	f.OnLimit = func(_ inventory.Upstream, limit float64, _ time.Time, _ error) { limits = append(limits, limit) }
 	odd := &upstream.LimitError{Stated: "many"}
 	for _, o := range []upstream.Outcome{
 		{}, {Limit: 100}, {Limit: 100}, {Limit: 50}, {Limit: 50}, {LimitErr: odd}, {LimitErr: odd}, {}, {}, {Limit: 50},
@@ -129,6 +129,33 @@
 	c.Check(limits, qt.DeepEquals, []float64{100, 50, 0, 50})
 }
 
+// TestLimitToldByOtherHost checks which evidence of another host counts.
+func TestLimitToldByOtherHost(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// own is the limit that the upstream has stated to this host.
+		own, told float64
+		// age is the age of what is told; the own response is a second old.
+		age  time.Duration
+		want bool
+	}{
+		{"new limit", 0, 10, 0, true},
+		{"limit of before the own response", 0, 10, 2 * time.Second, false},
+		{"end", 10, 0, 0, false},
+		{"end of before the own response", 10, 0, 2 * time.Second, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFixture(newLimitPolicy(0.01))
+			f.setUpstreams(newLimitPolicy(0.01), "a")
+			c.Assert(f.run(limitedTo(map[string]float64{"a": test.own})), qt.Equals, "a")
+			f.now = f.now.Add(time.Second)
+			f.RecordLimit(f.now, f.members[0].upstream, test.told, f.now.Add(-test.age))
+			c.Check(f.TurnDelay(f.now, Requirements{LatencyStats: f.latencyStats}) > 0, qt.Equals, test.want)
+		})
+	}
+}
+
 // TestTurnIsGivenBack checks that attempts that reach no upstream take no turn.
 func TestTurnIsGivenBack(t *testing.T) {
 	c := qt.New(t)
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -138,10 +138,11 @@
 	Seed uint64
 	// IdleCount returns how many unused connections an upstream has.
 	IdleCount func(upstreamID string) int
-	// OnLimit is called when an upstream states another limit on requests than before, in
-	// requests per second; zero if it states none any more or, with an error, an implausible
-	// one. It must not call methods of the Pool. It may be nil.
-	OnLimit func(u inventory.Upstream, limit float64, err error)
+	// OnLimit is called when another limit on requests of an upstream becomes known than
+	// before, in requests per second, with the time at which it was stated; zero if it states
+	// none any more or, with an error, an implausible one. It must not call methods of the
+	// Pool. It may be nil.
+	OnLimit func(u inventory.Upstream, limit float64, at time.Time, err error)
 
 	mu      sync.Mutex
 	policy  Policy
--- a/internal/upstream/limit.go
+++ b/internal/upstream/limit.go
@@ -28,6 +28,11 @@
 	return fmt.Sprintf("upstream states a limit of %q requests per second; using %g", e.Stated, e.Used)
 }
 
+// IsPlausibleLimit reports whether ParseLimit may return a limit.
+func IsPlausibleLimit(limit float64) bool {
+	return limit == 0 || (limit >= minLimit && limit <= maxLimit)
+}
+
 // ParseLimit returns how many requests per second an upstream takes from all hosts
 // together; zero for no limit. For an implausible number it also returns a *LimitError.
 func ParseLimit(stated string) (float64, error) {
