Turns at limited upstreams begin at one phase a host

Cause: the phase differed between the upstreams of a host. A search needs turns at nine of ten shards, which all hosts then had at nearly the same time, and took at once.

--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -119,7 +119,7 @@
 		return
 	}
 	if m.limit == nil {
-		m.limit = &requestLimit{updatedAt: now, turns: p.phase(m.upstream)}
+		m.limit = &requestLimit{updatedAt: now, turns: p.phase()}
 		p.limits[m.upstream.LifetimeKey()] = m.limit
 	}
 	l := m.limit
@@ -139,12 +139,11 @@
 	}
 }
 
-// phase returns which part of a turn this host has when it first hears of an upstream's
-// limit, 0 to 1. It differs between hosts: those with less than one turn in a window would
-// otherwise all take theirs in the same one.
-func (p *Pool) phase(u inventory.Upstream) float64 {
-	return rand.New(rand.NewPCG(p.Seed, u.LifetimeKey())).Float64()
-}
+// phase returns which part of a turn this host has when it first hears of a limit, 0 to 1. It
+// differs between hosts: those with less than one turn in a window would otherwise all
+// take theirs in the same one. It is the same for all upstreams, so that a request that
+// gathers finds turns at all shards.
+func (p *Pool) phase() float64 { return rand.New(rand.NewPCG(p.Seed, 0)).Float64() }
 
 // limitShare returns the part of an upstream's limit that this host may use.
 func (p *Pool) limitShare(u inventory.Upstream) float64 {
