Turns at limited upstreams accumulate for a second

A second is what a limit in requests a second says; more would plan with the room that the users leave for what is unknown.

--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -17,7 +17,7 @@
 	// limitMemory is how long the limit of an upstream without an entry is kept.
 	limitMemory = time.Minute
 	// limitBurst is how long turns accumulate while they are not used.
-	limitBurst = 500 * time.Millisecond
+	limitBurst = time.Second
 	// urgentLimitRatio is the part of the accumulated turns that optional attempts leave to
 	// the others.
 	urgentLimitRatio = 0.4
