--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -32,6 +32,7 @@
 		case f.holdsBackHedges():
 			f.probeSilentUpstreams(now)
 		case p.running > 1:
+			// One hedge at a time.
 		default:
 			f.startHedge(ctx, now, p)
 		}
--- /dev/null
+++ b/internal/pool/assignment.go
@@ -0,0 +1,62 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
+)
+
+// Requirements are the constraints on the upstream of an attempt.
+type Requirements struct {
+	LatencyStats *LatencyStats
+	// Fingerprint identifies the request, to find requests that crash upstreams.
+	Fingerprint uint64
+	// TriedUpstreams holds the ids of upstreams that are excluded, because an attempt
+	// of the request has already been assigned to them.
+	TriedUpstreams []string
+	// MaxDuration bounds the expected duration of the attempt; zero for no bound.
+	MaxDuration time.Duration
+	// IsLastAttempt is set if no other attempt may follow: a failure is then a missing
+	// part, whatever remains of the budget.
+	IsLastAttempt bool
+	// DirectOnly is set if the attempt must not be relayed to another host.
+	DirectOnly bool
+	// IsOptional is set for hedges and for requests that are less urgent than others of the
+	// service. At upstreams with a limit on requests they leave some turns to the others.
+	IsOptional bool
+}
+
+// excludes reports whether the attempt must not be assigned to a member.
+func (r Requirements) excludes(m *member) bool {
+	return (r.DirectOnly && m.upstream.IsDiallingHost()) || slices.Contains(r.TriedUpstreams, m.upstream.ID())
+}
+
+// An Assignment is an attempt that was assigned to an upstream.
+type Assignment struct {
+	// Upstream runs the attempt, or is a dialling host that forwards it to an
+	// upstream.
+	Upstream inventory.Upstream
+
+	member       *member
+	latencyStats *LatencyStats
+	// typicalLatency is as of startedAt.
+	typicalLatency time.Duration
+	startedAt      time.Time
+	// fingerprint identifies the request, to find requests that crash upstreams.
+	fingerprint uint64
+}
+
+// Fingerprint identifies the request of the attempt.
+func (a *Assignment) Fingerprint() uint64 { return a.fingerprint }
+
+// StartedAt returns when the attempt was assigned.
+func (a *Assignment) StartedAt() time.Time { return a.startedAt }
+
+// A Crash reports an attempt that got no response from an upstream that has ended.
+type Crash struct {
+	Upstream    inventory.Upstream
+	Fingerprint uint64
+	// TestRun is set if the attempt was a test run.
+	TestRun bool
+}
