--- a/internal/host/upstreamnews_test.go
+++ b/internal/host/upstreamnews_test.go
@@ -117,7 +117,9 @@
 		c := qt.New(t)
 		f, addresses := startSearchFleet(3, closesConnections, false)
 		h := f.hosts[addresses[0]].host
+		h.mu.RLock()
 		u := h.inventory.ForService("letters")[0]
+		h.mu.RUnlock()
 		news := func(change func(n *wire.UpstreamNews)) *wire.UpstreamNews {
 			n := &wire.UpstreamNews{Upstream: u.ID(), Lifetime: u.LifetimeKey(), LimitStated: true, Limit: 5}
 			change(n)
