--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -21,15 +21,15 @@
 	// urgentLimitRatio is the part of the accumulated turns that optional attempts leave to
 	// the others.
 	urgentLimitRatio = 0.4
-	// maxTurnDelay bounds the delay until a turn.
+	// maxTurnDelay bounds the delay until a turn, which a host without a share never has.
 	maxTurnDelay = time.Minute
 	// maxPromiseDelay bounds the delay after which refused callers may come back, which is
 	// when one more turn than were promised before is due.
 	maxPromiseDelay = 2 * time.Second
 )
 
-// A requestLimit is the limit on requests that one lifetime of an upstream has stated, with
-// the turns of this host: each attempt takes one.
+// A requestLimit is the limit on requests that one lifetime of an upstream has stated, and
+// this host's share of it as a token bucket. A turn is one token: each attempt takes one.
 type requestLimit struct {
 	// stated is in requests per second, from all hosts together; zero if the last response
 	// stated an implausible limit.
@@ -52,7 +52,8 @@
 }
 
 // PromiseTurn returns the delay after which a caller may come back whose request waited for
-// a turn. Callers get different turns.
+// a turn. Each call promises the next turn, so that callers do not all come back for the
+// same one.
 func (p *Pool) PromiseTurn(now time.Time, r Requirements) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -153,7 +154,7 @@
 	return p.policy.LoadShare
 }
 
-// set sets the limit and this host's share of it.
+// set sets the stated limit, and the rate of turns from this host's share of it.
 func (l *requestLimit) set(now time.Time, stated, share float64) {
 	l.advance(now)
 	l.stated, l.rate = stated, stated*share
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -80,7 +80,8 @@
 type Pool struct {
 	// DataCenter is the data centre of this host.
 	DataCenter string
-	// Seed differs between hosts.
+	// Seed differs between hosts. The phase of their turns at upstreams with a limit on
+	// requests is derived from it.
 	Seed uint64
 	// IdleCount returns how many unused connections an upstream has.
 	IdleCount func(upstreamID string) int
--- a/internal/upstream/bounds.go
+++ b/internal/upstream/bounds.go
@@ -21,7 +21,7 @@
 	// bodyBlockBytes is how much of a body is read at a time. Bodies up to this size do not
 	// count towards maxLongBodyBytes.
 	bodyBlockBytes = 64 << 10
-	// maxLongBodyBytes bounds the long bodies that are being read at once.
+	// maxLongBodyBytes bounds the bytes of all long bodies that a host is reading at a time.
 	maxLongBodyBytes = 4 * maxResponseBytes
 	// maxErrorBytes bounds the text of an error about a response.
 	maxErrorBytes = 256
