--- a/internal/dispatch/crashing.go
+++ b/internal/dispatch/crashing.go
@@ -383,7 +383,7 @@
 	ended, _, _ := d.endProbes.Do(address, func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), endProbeTimeout)
 		defer cancel()
-		return d.Exchanger.Probe(ctx, address) == upstream.NotListening, nil
+		return d.probe(ctx, address) == upstream.NotListening, nil
 	})
 	return ended == true
 }
@@ -392,7 +392,15 @@
 func (d *Dispatcher) isSilent(address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), silenceProbeTimeout)
 	defer cancel()
-	return d.Exchanger.Probe(ctx, address) != upstream.Reachable
+	return d.probe(ctx, address) != upstream.Reachable
+}
+
+func (d *Dispatcher) probe(ctx context.Context, address string) upstream.Reachability {
+	r := d.Exchanger.Probe(ctx, address)
+	if d.OnProbe != nil {
+		d.OnProbe(address, r)
+	}
+	return r
 }
 
 // ServiceKey identifies a service in evidence against requests.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -46,6 +46,8 @@
 	// OnLeaving is called when an upstream has stated that it leaves, before the attempt
 	// counts as ended. If u is a dialling host, forwardedTo is the ID of the upstream.
 	OnLeaving func(u inventory.Upstream, forwardedTo string)
+	// OnProbe is called with the result of each probe of an upstream. It may be nil.
+	OnProbe func(address string, r upstream.Reachability)
 	// OnFinish is called with the summary of each finished request.
 	OnFinish func(Summary)
 	// CallerAllowance is how much of a route's target the network to and from the
--- a/internal/host/crashguard.go
+++ b/internal/host/crashguard.go
@@ -130,7 +130,7 @@
 		if g.host.requestLog.allowLine() {
 			g.host.Log.WithFields(map[string]any{
 				"fingerprint": formatFingerprint(c.Fingerprint), "upstream": c.Upstream.ID(), "service": c.Upstream.Service(), "test-run": c.TestRun,
-			}).Info("upstream ended while it ran a request")
+			}).WithFields(linkFields(g.host.links.Summary(now))).Info("upstream ended while it ran a request")
 		}
 		g.record(now, "", quarantine.Report{Fingerprint: c.Fingerprint, Crashes: []quarantine.Crash{{
 			Upstream: c.Upstream.LifetimeKey(), Service: dispatch.ServiceKey(c.Upstream.Service()), At: now, TestRun: c.TestRun,
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -19,6 +19,7 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/mirror"
 	"github.com/foxtailshelf/foxtailshelf/internal/peer"
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
+	"github.com/foxtailshelf/foxtailshelf/internal/reachability"
 	"github.com/foxtailshelf/foxtailshelf/internal/relay"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/routing"
@@ -124,6 +125,7 @@
 	addressCache map[string][]string
 
 	guard     *crashGuard
+	links     *reachability.Tracker
 	newsBoard newsBoard
 }
 
@@ -138,7 +140,8 @@
 	h.cachedRecords = make(map[string]cachedRecord)
 	h.addressCache = make(map[string][]string)
 	h.guard = newCrashGuard(h)
-	h.requestLog = &requestLog{log: h.Log, metrics: h.Metrics, mirrorAge: func() time.Duration { return h.follower.Age() }}
+	h.links = &reachability.Tracker{}
+	h.requestLog = &requestLog{log: h.Log, metrics: h.Metrics, links: h.links, mirrorAge: func() time.Duration { return h.follower.Age() }}
 	h.fleet = &membership.Fleet{Self: h.Self, Seed: h.Seed, Exchange: h.exchangeGossip, OnChange: h.handleMemberChange, Tasks: &h.group}
 	h.fleet.Init()
 	h.follower = &mirror.Follower{
@@ -152,6 +155,7 @@
 		Guard:            h.guard,
 		OnAttempt:        h.requestLog.recordAttempt,
 		OnLeaving:        h.recordLeaving,
+		OnProbe:          h.requestLog.recordProbe,
 		OnFinish:         h.requestLog.record,
 		CallerAllowance:  callerRoundTripTime + callerOverhead,
 		ConnectAllowance: callerRoundTripTime,
--- a/internal/host/requestlog.go
+++ b/internal/host/requestlog.go
@@ -6,12 +6,14 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/dispatch"
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
+	"github.com/foxtailshelf/foxtailshelf/internal/reachability"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 )
 
@@ -43,6 +45,8 @@
 	badRecords           prometheus.Counter
 	relayedAttempts      *prometheus.CounterVec
 	configurationVersion prometheus.Gauge
+	failedLinks          prometheus.Gauge
+	probes               *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of a host.
@@ -97,8 +101,14 @@
 		configurationVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "foxtailshelf_configuration_version", Help: "Version of the configuration in force.",
 		}),
+		failedLinks: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "foxtailshelf_failed_links", Help: "Upstreams that have failed since any upstream was last heard from.",
+		}),
+		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "foxtailshelf_upstream_probes_total", Help: "Connections opened to find out whether an upstream runs, by result.",
+		}, []string{"result"}),
 	}
-	registry.MustRegister(m.answers, m.answerSeconds, m.attempts, m.attemptResults, m.suspectRequests, m.testRuns, m.upstreamCrashes, m.storeEras, m.leavingUpstreams, m.rests, m.limitChanges, m.missingParts, m.unloggedLines, m.badRecords, m.relayedAttempts, m.configurationVersion)
+	registry.MustRegister(m.answers, m.answerSeconds, m.attempts, m.attemptResults, m.suspectRequests, m.testRuns, m.upstreamCrashes, m.storeEras, m.leavingUpstreams, m.rests, m.limitChanges, m.missingParts, m.unloggedLines, m.badRecords, m.relayedAttempts, m.configurationVersion, m.failedLinks, m.probes)
 	return m
 }
 
@@ -111,6 +121,8 @@
 	// mirrorAge returns the time since the mirror was last confirmed to be up to date
 	// with the store.
 	mirrorAge func() time.Duration
+	// links is what the host's own connections to upstreams have shown.
+	links *reachability.Tracker
 
 	mu sync.Mutex
 	// currentSecond is the Unix time in seconds to which lineCount applies.
@@ -143,6 +155,7 @@
 		"lacking": s.MissingDetails, "failure": s.LastFailure, "took-ms": s.Elapsed.Milliseconds(),
 		"store-age-ms": l.mirrorAge().Milliseconds(), "unanswered": s.Unanswered, "ended": s.EndedUpstreams, "probed": s.Probed,
 	}
+	maps.Copy(fields, linkFields(l.links.Summary(time.Now())))
 	if s.Verdict.Decision != quarantine.Allowed {
 		maps.Copy(fields, verdictFields(s.Verdict))
 	}
@@ -153,6 +166,9 @@
 // upstream sent no complete response, subject to the limit of lines.
 func (l *requestLog) recordAttempt(a *upstream.Attempt, fingerprint uint64, o upstream.Outcome) {
 	l.metrics.attemptResults.WithLabelValues(o.Result.String()).Inc()
+	if a.Relay == nil {
+		l.recordLink(a, o)
+	}
 	if !o.RestUntil.IsZero() || o.RestErr != nil {
 		l.recordRest(a, o)
 	}
@@ -169,6 +185,27 @@
 	}).WithError(o.Err).Info("attempt without a response")
 }
 
+// recordProbe updates the metrics with a probe of an upstream, and logs one that failed.
+func (l *requestLog) recordProbe(address string, r upstream.Reachability) {
+	l.metrics.probes.WithLabelValues(r.String()).Inc()
+	if r == upstream.Reachable || !l.allowLine() {
+		return
+	}
+	l.log.WithFields(logrus.Fields{"address": address, "result": r.String()}).WithFields(linkFields(l.links.Summary(time.Now()))).Info("probe of upstream failed")
+}
+
+// recordLink records what an attempt over an own connection tells about the links to the
+// upstreams.
+func (l *requestLog) recordLink(a *upstream.Attempt, o upstream.Outcome) {
+	switch {
+	case o.Result == upstream.Answered, o.Result == upstream.Refused, o.Result == upstream.Misdirected, o.ConnectDuration > 0:
+		l.links.RecordHeard(time.Now())
+	case o.Result == upstream.Unreachable && !o.AtConnectionLimit, o.ConnectionLost:
+		l.links.RecordFailure(xxhash.Sum64String(a.UpstreamID))
+	}
+	l.metrics.failedLinks.Set(float64(l.links.Summary(time.Now()).Failed))
+}
+
 // recordRest updates the metrics with an upstream that asks for rest, and logs it subject
 // to the limit of lines.
 func (l *requestLog) recordRest(a *upstream.Attempt, o upstream.Outcome) {
@@ -217,6 +254,11 @@
 	}
 }
 
+// linkFields returns the state of the links to the upstreams as it is logged.
+func linkFields(s reachability.Summary) logrus.Fields {
+	return logrus.Fields{"heard-ms-ago": s.HeardAgo.Milliseconds(), "failed-links": s.Failed}
+}
+
 // formatFingerprint returns the fingerprint of a request as it is logged.
 func formatFingerprint(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -100,6 +100,20 @@
 	NoResponse
 )
 
+// String returns the reachability as it is logged and counted.
+func (r Reachability) String() string {
+	switch r {
+	case Reachable:
+		return "reachable"
+	case NotListening:
+		return "not-listening"
+	case NoResponse:
+		return "no-response"
+	default:
+		return "unknown"
+	}
+}
+
 // A Load is an upstream's load as reported by the upstream: the numbers of its
 // running and waiting requests.
 type Load struct {
