--- a/internal/host/crashing_test.go
+++ b/internal/host/crashing_test.go
@@ -104,7 +104,9 @@
 	order.Name, order.Prefix, order.Idempotent = "order", crashingTarget+"/order/", false
 	other := lookup
 	other.Name, other.Prefix = "other", "/single/"
-	f.routes = []routing.RouteSpec{search, lookup, order, other}
+	otherOrder := order
+	otherOrder.Name, otherOrder.Prefix = "other-order", "/order/"
+	f.routes = []routing.RouteSpec{search, lookup, order, other, otherOrder}
 	for _, s := range append([]string{"letters"}, shards...) {
 		f.services = append(f.services, routing.ServiceSpec{Name: s, MaxConnections: maxConnections})
 	}
@@ -212,7 +214,9 @@
 
 type ordinaryAnswer struct {
 	at     time.Time
+	host   string
 	status int
+	reason dispatch.Reason
 	// elapsed is how long the answer took, retryAfter the delay that it states.
 	elapsed, retryAfter time.Duration
 }
@@ -237,7 +241,7 @@
 			group.Go(func() {
 				at := time.Now()
 				a := f.ask(address, fmt.Sprint(target, "ordinary-", n), fmt.Sprint("o-", n))
-				l.answered <- ordinaryAnswer{at: at, status: a.Status, elapsed: time.Since(at), retryAfter: a.RetryAfter}
+				l.answered <- ordinaryAnswer{at: at, host: address, status: a.Status, reason: a.Reason, elapsed: time.Since(at), retryAfter: a.RetryAfter}
 			})
 		}
 	})
--- /dev/null
+++ b/internal/host/partition_test.go
@@ -0,0 +1,178 @@
+package host
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	// partitionTime is how long hosts are cut from all upstreams, and returnTime how long
+	// after that they may take to use their own connections again.
+	partitionTime = 12 * time.Second
+	returnTime    = 4 * time.Second
+	// maxPartitionAnswerTime bounds how long callers wait for an answer.
+	maxPartitionAnswerTime = time.Second
+)
+
+// A partitionPlay cuts hosts from all upstreams while callers ask all hosts.
+type partitionPlay struct {
+	size int
+	// share is the part of the hosts that is cut.
+	share float64
+	mode  cutMode
+	// order is set if the requests must not run twice.
+	order bool
+	// maxConnections is the connection limit of upstreams; zero for none.
+	maxConnections int
+	// disturb is called each second of the cut.
+	disturb func(f *testFleet, addresses []string, random *rand.Rand, n int) ([]string, time.Duration)
+	// flaps is set if the cut ends and begins again every second.
+	flaps bool
+}
+
+// A partitionResult is what a partitionPlay has seen.
+type partitionResult struct {
+	// cutSent and cutServed count the requests at cut hosts, sent and served those at the
+	// others. uncertain counts the answers 502 and 504.
+	cutSent, cutServed, sent, served, uncertain int
+	slowest                                     time.Duration
+	// ends and quarantines count the lines about upstreams that ended and about requests
+	// that were quarantined.
+	ends, quarantines int
+	// returned counts the arrivals over connections of the cut hosts after returnTime.
+	returned int
+	statuses map[string]int
+}
+
+// TestCallersOfHostsWithoutUpstreamsAreServed cuts hosts from all upstreams in several ways.
+func TestCallersOfHostsWithoutUpstreamsAreServed(t *testing.T) {
+	for name, p := range partitionPlays() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				r := p.run()
+				t.Logf("%+v", r)
+				c.Check(float64(r.cutServed) >= 0.97*float64(r.cutSent), qt.IsTrue)
+				c.Check(float64(r.served) >= 0.99*float64(r.sent), qt.IsTrue)
+				c.Check(r.slowest <= maxPartitionAnswerTime, qt.IsTrue)
+				c.Check(r.returned > 0, qt.IsTrue)
+			})
+		})
+	}
+}
+
+// TestHostsWithoutUpstreamsAccuseNoRequest cuts hosts from all upstreams, of which none ends.
+func TestHostsWithoutUpstreamsAccuseNoRequest(t *testing.T) {
+	for name, p := range partitionPlays() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				r := p.run()
+				t.Logf("%+v", r)
+				c.Check(r.ends, qt.Equals, 0)
+				c.Check(r.quarantines, qt.Equals, 0)
+			})
+		})
+	}
+}
+
+// partitionPlays returns the plays by name. The larger fleets play a sample; -fleet-size plays all.
+func partitionPlays() map[string]partitionPlay {
+	plays := make(map[string]partitionPlay)
+	sizes := []int{7, 63}
+	if *fleetSize > 0 {
+		sizes = []int{*fleetSize}
+	}
+	for _, size := range sizes {
+		for _, mode := range []cutMode{cutHangs, cutResets, cutRefuses} {
+			for name, p := range map[string]partitionPlay{
+				"few": {share: 0.15}, "most": {share: 0.6}, "nearly-all": {share: 0.85}, "order": {share: 0.6, order: true},
+				"relayed": {share: 0.6, maxConnections: 8}, "flapping": {share: 0.6, flaps: true},
+			} {
+				if *fleetSize == 0 && size > 7 && (name != "most" || mode == cutResets) {
+					continue
+				}
+				p.size, p.mode = size, mode
+				plays[fmt.Sprintf("%d/%s/%s", size, mode, name)] = p
+			}
+		}
+	}
+	return plays
+}
+
+// run plays the cut and returns what was seen.
+func (p partitionPlay) run() partitionResult {
+	f, addresses := startLimitedSearchFleet(p.size, closesConnections, false, p.maxConnections)
+	random := rand.New(rand.NewPCG(uint64(p.size), 3))
+	var cut []string
+	for _, i := range random.Perm(p.size)[:max(1, int(p.share*float64(p.size)))] {
+		cut = append(cut, addresses[i])
+	}
+	target := "/"
+	if p.order {
+		target = "/order/"
+	}
+	load := newLoad(f, addresses, target, ordinaryInterval)
+	time.Sleep(3 * time.Second)
+	from := time.Now()
+	f.upstreams.cut(cut, p.mode)
+	for n := range int(partitionTime / time.Second) {
+		time.Sleep(time.Second)
+		if p.flaps {
+			f.upstreams.cut(cut, []cutMode{"", p.mode}[n%2])
+		}
+		if p.disturb != nil {
+			p.disturb(f, addresses, random, n)
+		}
+	}
+	f.upstreams.cut(cut, "")
+	healedAt := time.Now()
+	time.Sleep(2 * returnTime)
+	load.stop()
+	r := partitionResult{
+		returned: f.upstreams.arrivalsFrom(cut, healedAt.Add(returnTime)), ends: f.logCount("upstream ended while it ran a request"),
+		quarantines: f.logCount("request quarantined"), statuses: make(map[string]int),
+	}
+	for a := range load.answered {
+		if a.at.Before(from) {
+			continue
+		}
+		r.slowest = max(r.slowest, a.elapsed)
+		r.statuses[fmt.Sprint(a.status, " ", a.reason)]++
+		isServed := 0
+		if a.status == 200 {
+			isServed = 1
+		}
+		if a.status == 502 || a.status == 504 {
+			r.uncertain++
+		}
+		if slices.Contains(cut, a.host) {
+			r.cutSent++
+			r.cutServed += isServed
+			continue
+		}
+		r.sent++
+		r.served += isServed
+	}
+	f.stopAll()
+	return r
+}
+
+// logCount returns the number of log lines with a message on all hosts.
+func (f *testFleet) logCount(message string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, n := range f.logCounts[message] {
+		count += n
+	}
+	return count
+}
--- a/internal/host/upstreams_test.go
+++ b/internal/host/upstreams_test.go
@@ -95,19 +95,38 @@
 
 	mu        sync.Mutex
 	byAddress map[string]*simulatedUpstream
+	// cuts are the hosts that are cut from all upstreams.
+	cuts      map[string]cutMode
 	lifetimes int
 	arrivals  []upstreamArrival
 	ends      []upstreamEnd
 }
 
+// A cutMode is what happens to the connections between a host and the upstreams.
+type cutMode string
+
+const (
+	// cutHangs leaves all connections open without a response, and new ones are not
+	// established.
+	cutHangs cutMode = "hang"
+	// cutResets is like cutHangs, but open connections are reset.
+	cutResets cutMode = "reset"
+	// cutRefuses refuses new connections, open ones live on.
+	cutRefuses cutMode = "refuse"
+)
+
+// simulatedIdleTimeout is how long an idle connection lives during a cut.
+const simulatedIdleTimeout = 2 * time.Second
+
 // A simulatedTransport is the UpstreamTransport of one lifetime of a host.
 type simulatedTransport struct {
 	upstreams *simulatedUpstreams
 	host      string
 
 	mu sync.Mutex
-	// idle counts the idle connections by upstream.
-	idle map[string]int
+	// idle counts the idle connections by upstream, usedAt is when one was last used.
+	idle   map[string]int
+	usedAt map[string]time.Time
 }
 
 var _ UpstreamTransport = (*simulatedTransport)(nil)
@@ -226,6 +245,38 @@
 	return list
 }
 
+// cut cuts hosts from all upstreams, or ends their cut if the mode is empty.
+func (s *simulatedUpstreams) cut(hosts []string, mode cutMode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cuts == nil {
+		s.cuts = make(map[string]cutMode)
+	}
+	for _, h := range hosts {
+		s.cuts[h] = mode
+	}
+}
+
+// cutOf returns how a host is cut from the upstreams; empty if it is not.
+func (s *simulatedUpstreams) cutOf(host string) cutMode {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cuts[host]
+}
+
+// arrivalsFrom returns the number of arrivals from hosts after a time.
+func (s *simulatedUpstreams) arrivalsFrom(hosts []string, after time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, a := range s.arrivals {
+		if a.at.After(after) && slices.Contains(hosts, a.host) {
+			count++
+		}
+	}
+	return count
+}
+
 func (t *simulatedTransport) CloseExpired(time.Time) {}
 
 func (t *simulatedTransport) CloseIdleConnections(upstreamID string) {
@@ -252,6 +303,7 @@
 	if outcome.Result == upstream.Answered && !a.RequireNewConnection {
 		t.mu.Lock()
 		t.idle[a.UpstreamID]++
+		t.usedAt[a.UpstreamID] = time.Now()
 		t.mu.Unlock()
 	}
 	return outcome
@@ -260,7 +312,13 @@
 func (t *simulatedTransport) Probe(ctx context.Context, address string) upstream.Reachability {
 	u := t.upstreams.at(address)
 	time.Sleep(networkDelay)
+	cut := t.upstreams.cutOf(t.host)
 	switch {
+	case cut == cutRefuses:
+		return upstream.NotListening
+	case cut != "":
+		sleepUntilDone(ctx, dialTimeout)
+		return upstream.NoResponse
 	case u == nil, u.hasEnded() && u.mode == closesConnections:
 		return upstream.NotListening
 	case u.refusesToConnect():
@@ -276,8 +334,9 @@
 func (t *simulatedTransport) connect(ctx context.Context, a *upstream.Attempt) (*simulatedUpstream, time.Duration, upstream.Outcome) {
 	u := t.upstreams.at(a.Address)
 	isOpen := u != nil && u.spec.ID == a.UpstreamID && !(u.hasEnded() && u.mode == closesConnections)
+	cut := t.upstreams.cutOf(t.host)
 	t.mu.Lock()
-	if !isOpen {
+	if !isOpen || (cut != "" && time.Since(t.usedAt[a.UpstreamID]) > simulatedIdleTimeout) {
 		delete(t.idle, a.UpstreamID)
 	}
 	reuse := isOpen && !a.RequireNewConnection && t.idle[a.UpstreamID] > 0
@@ -290,6 +349,11 @@
 	}
 	time.Sleep(networkDelay)
 	switch {
+	case cut == cutRefuses:
+		return nil, 0, upstream.Outcome{Result: upstream.Unreachable, ConnectionRefused: true, Err: errors.New("connection refused")}
+	case cut != "":
+		sleepUntilDone(ctx, dialTimeout)
+		return nil, 0, upstream.Outcome{Result: upstream.Unreachable, Err: errors.New("connect timeout")}
 	case u == nil, u.hasEnded() && u.mode == closesConnections:
 		return nil, 0, upstream.Outcome{Result: upstream.Unreachable, ConnectionRefused: true, Err: errors.New("connection refused")}
 	case u.refusesToConnect():
@@ -303,6 +367,13 @@
 // run sends an attempt over a connection and waits for its outcome.
 func (t *simulatedTransport) run(ctx context.Context, u *simulatedUpstream, a *upstream.Attempt) upstream.Outcome {
 	time.Sleep(networkDelay)
+	switch t.upstreams.cutOf(t.host) {
+	case cutHangs:
+		<-ctx.Done()
+		return upstream.Outcome{Result: upstream.Aborted, Err: ctx.Err()}
+	case cutResets:
+		return upstream.Outcome{Result: upstream.Broken, ConnectionLost: true, Err: errors.New("connection reset")}
+	}
 	if u.spec.ID != a.UpstreamID {
 		return upstream.Outcome{Result: upstream.Misdirected, Response: upstream.Response{Status: 421}}
 	}
