--- a/internal/upstream/connectionpool.go
+++ b/internal/upstream/connectionpool.go
@@ -86,7 +86,7 @@
 		}
 	}
 	sentAt := time.Now()
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := context.AfterFunc(ctx, conn.abandon)
 	outcome, idleTimeout := c.exchangeOn(ctx, conn, a)
 	outcome.ConnectDuration = connectDuration
 	// A reset within connectDuration after a new connection was opened is too early
@@ -99,6 +99,10 @@
 		c.release(a.UpstreamID, conn, idleTimeout)
 		return outcome
 	}
+	if outcome.Result == Broken || outcome.Result == Aborted {
+		conn.abandon()
+		return outcome
+	}
 	_ = conn.Close()
 	return outcome
 }
@@ -323,6 +327,16 @@
 	return conn
 }
 
+// abandon closes the connection of an attempt that is given up. It resets the connection: the
+// network may still hold the request, and would deliver it after the end of a cut.
+func (c *connection) abandon() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// If this fails, the connection is closed as usual.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // isQuiet reports whether the upstream has neither closed an idle connection nor
 // sent unexpected bytes on it.
 func (c *connection) isQuiet() bool {
--- a/internal/upstream/connectionpool_test.go
+++ b/internal/upstream/connectionpool_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -219,3 +221,55 @@
 	cancel()
 	c.Check(p.Probe(ended, address), qt.Equals, NoResponse)
 }
+
+// TestAbandonedAttemptIsNotDeliveredLater checks that the connection of an attempt that is given up is reset.
+func TestAbandonedAttemptIsNotDeliveredLater(t *testing.T) {
+	for name, abandon := range map[string]func(a *Attempt, cancel context.CancelFunc){
+		"canceled": func(_ *Attempt, cancel context.CancelFunc) { time.AfterFunc(50*time.Millisecond, cancel) },
+		"deadline": func(a *Attempt, _ context.CancelFunc) { a.Deadline = time.Now().Add(50 * time.Millisecond) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			defer listener.Close()
+			ended := make(chan error, 1)
+			var group work.Group
+			defer group.Wait()
+			group.Go(func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					ended <- err
+					return
+				}
+				defer conn.Close()
+				_, err = io.Copy(io.Discard, conn)
+				ended <- err
+			})
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			a := &Attempt{Method: http.MethodGet, Target: "/", Host: "h", RequestID: "r", UpstreamID: "u", Address: listener.Addr().String(), Deadline: time.Now().Add(time.Minute)}
+			abandon(a, cancel)
+			p := &ConnectionPool{Protocol: plainProtocol{}}
+			c.Check(p.Exchange(ctx, a).Result, qt.Equals, Aborted)
+			c.Check(<-ended, qt.ErrorIs, syscall.ECONNRESET)
+		})
+	}
+}
+
+// TestUpstreamConnectionsSetNoUserTimeout checks that no library sets TCP_USER_TIMEOUT, which would decide when keep-alive probes give up.
+func TestUpstreamConnectionsSetNoUserTimeout(t *testing.T) {
+	c := qt.New(t)
+	address, _ := startServer(t, func(int64, string) string { return "" })
+	conn, _, err := (&ConnectionPool{Protocol: plainProtocol{}}).acquire(context.Background(), &Attempt{Address: address, Deadline: time.Now().Add(time.Minute)})
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	raw, err := conn.Conn.(*net.TCPConn).SyscallConn()
+	c.Assert(err, qt.IsNil)
+	const tcpUserTimeout = 18
+	c.Assert(raw.Control(func(descriptor uintptr) {
+		millis, err := syscall.GetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout)
+		c.Check(err, qt.IsNil)
+		c.Check(millis, qt.Equals, 0)
+	}), qt.IsNil)
+}
