--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -47,6 +47,8 @@
 	IsPartitioned() bool
 	// RecordOutcome records the outcome of an attempt over a connection of this host.
 	RecordOutcome(u inventory.Upstream, startedAt time.Time, o upstream.Outcome)
+	// RecordRelay records the outcome of an attempt through a dialling host.
+	RecordRelay(address string, o upstream.Outcome)
 	// RecordSilence records that an upstream has not responded in time.
 	RecordSilence(u inventory.Upstream, startedAt time.Time)
 }
@@ -89,6 +91,9 @@
 		d.Links.RecordOutcome(assignment.Upstream, assignment.StartedAt(), outcome)
 		outcome.UpstreamEnded = outcome.ConnectionLost && !outcome.AtConnectionLimit && d.hasEnded(assignment.Upstream)
 	}
+	if a.Relay != nil {
+		d.Links.RecordRelay(a.Address, outcome)
+	}
 	d.OnAttempt(a, assignment.Fingerprint(), outcome)
 	if outcome.Leaving {
 		d.OnLeaving(assignment.Upstream, outcome.ForwardedTo)
--- a/internal/dispatch/helper_test.go
+++ b/internal/dispatch/helper_test.go
@@ -113,6 +113,8 @@
 
 func (fakeLinks) RecordOutcome(inventory.Upstream, time.Time, upstream.Outcome) {}
 
+func (fakeLinks) RecordRelay(string, upstream.Outcome) {}
+
 func (fakeLinks) RecordSilence(inventory.Upstream, time.Time) {}
 
 // A fakeGuard is a CrashGuard with a fixed verdict. It permits test runs.
--- a/internal/host/crashing_test.go
+++ b/internal/host/crashing_test.go
@@ -62,6 +62,10 @@
 	timeout time.Duration
 	// minCrashes is how many upstreams the request crashes at least.
 	minCrashes int
+	// cut is how the first cutCount hosts are cut from all upstreams from the first repetition
+	// on; empty if they are not.
+	cut      cutMode
+	cutCount int
 }
 
 // A crashResult is what a crashPlay has seen.
@@ -88,7 +92,11 @@
 // startLimitedSearchFleet is startSearchFleet with upstreams that accept maxConnections
 // connections; zero for no limit.
 func startLimitedSearchFleet(size int, mode endMode, keepsID bool, maxConnections int) (*testFleet, []string) {
-	f := newTestFleet()
+	return startSearchFleetIn(newTestFleet(), size, mode, keepsID, maxConnections)
+}
+
+// startSearchFleetIn is startLimitedSearchFleet in an empty fleet.
+func startSearchFleetIn(f *testFleet, size int, mode endMode, keepsID bool, maxConnections int) (*testFleet, []string) {
 	var shards []string
 	for i := range crashTestShards {
 		shards = append(shards, fmt.Sprint("shard-", i))
@@ -150,6 +158,7 @@
 		target = crashingTarget + "/order/x"
 	}
 	ordinary := newOrdinaryLoad(f, addresses, ordinaryTarget)
+	f.upstreams.cut(addresses[:p.cutCount], p.cut)
 	var group work.Group
 	copies, timeout := max(1, p.copies), cmp.Or(p.timeout, crashTestTimeout)
 	answers := make(chan dispatch.Answer, p.repetitions*copies)
@@ -312,8 +321,11 @@
 	massCrash.disturb = crashOtherUpstreams
 	sameID.keepsID = true
 	relayed.maxConnections = 8
+	cutHanging, cutRefused := calm, calm
+	cutHanging.cut, cutHanging.cutCount, cutRefused.cut, cutRefused.cutCount = cutHangs, 4, cutRefuses, 4
 	all := map[string]crashPlay{
 		"calm": calm, "copies": many, "disturbed-hosts": disturbed, "other-crashes": massCrash, "same-id": sameID, "relayed": relayed,
+		"cut-hanging": cutHanging, "cut-refused": cutRefused,
 	}
 	sizes := map[int]map[string]crashPlay{7: all, 63: {"calm": calm, "relayed": relayed}}
 	if *fleetSize > 0 {
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
@@ -57,6 +58,8 @@
 	// storeDown makes all calls to the store fail.
 	storeDown  bool
 	storeCalls int
+	// dataCenters is the number of data centres; zero for one.
+	dataCenters int
 	// mixedCapacities makes all hosts but the first 6 small.
 	mixedCapacities bool
 	// peerCalls counts the calls between hosts.
@@ -198,10 +201,10 @@
 	incarnation := uint64(time.Now().UnixMicro())
 	h := &Host{
 		Settings: Settings{
-			DataCenter: "z", Peers: seeds, ExtraRatio: 0.2, ExtraSlack: fleetExtraSlack, ExtraWindowSeconds: 10, CallerListen: address, PeerListen: address,
+			DataCenter: f.dataCenterOf(address), Peers: seeds, ExtraRatio: 0.2, ExtraSlack: fleetExtraSlack, ExtraWindowSeconds: 10, CallerListen: address, PeerListen: address,
 			GraceSeconds: 6,
 		},
-		Self: roster.NewMember(address, "z", address, "", incarnation, roster.Alive).WithCapacity(f.capacityOf(address)), Feed: p, LeaseStore: p, HostTransport: p, Decoder: testDecoder{routes: f.routes, services: f.services},
+		Self: roster.NewMember(address, f.dataCenterOf(address), address, "", incarnation, roster.Alive).WithCapacity(f.capacityOf(address)), Feed: p, LeaseStore: p, HostTransport: p, Decoder: testDecoder{routes: f.routes, services: f.services},
 		Upstreams: f.upstreamTransport(address), Metrics: NewMetrics(prometheus.NewRegistry()), Log: log, Seed: incarnation,
 	}
 	h.Init()
@@ -221,6 +224,14 @@
 	return &simulatedTransport{upstreams: f.upstreams, host: host, idle: make(map[string]int), usedAt: make(map[string]time.Time), aborted: make(chan struct{})}
 }
 
+// dataCenterOf returns the data centre of a host or an upstream.
+func (f *testFleet) dataCenterOf(address string) string {
+	if f.dataCenters == 0 {
+		return "z"
+	}
+	return fmt.Sprint("z", xxhash.Sum64String(address)%uint64(f.dataCenters))
+}
+
 // capacityOf returns the capacity of a host. In a fleet with mixed capacities, the
 // first 6 hosts are large and the others small.
 func (f *testFleet) capacityOf(address string) int {
--- a/internal/host/links.go
+++ b/internal/host/links.go
@@ -54,6 +54,9 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
+	// reaching holds the addresses of dialling hosts that have reached an upstream, until an
+	// attempt through them shows otherwise.
+	reaching sync.Map
 	// changed is closed when the links are lost or work again, and replaced.
 	changed chan struct{}
 }
@@ -153,7 +156,7 @@
 	witnesses := l.sample(maxProbes, func(o inventory.Upstream) bool {
 		return o.ID() != u.ID() && o.DataCenter() == u.DataCenter()
 	})
-	if len(witnesses) == 0 || l.reachesAny(ctx, witnesses) {
+	if len(witnesses) == 0 || l.reachesAny(ctx, witnesses, nil) {
 		return reachability.Ended
 	}
 	return reachability.Unknown
@@ -253,7 +256,10 @@
 
 // probe opens a connection to an upstream and reports whether it runs.
 func (l *links) probe(ctx context.Context, u inventory.Upstream) bool {
+	startedAt := time.Now()
+	slow := time.AfterFunc(probeStagger, func() { l.recordSlowDial(startedAt) })
 	r := l.host.Upstreams.Probe(ctx, u.Address())
+	slow.Stop()
 	l.host.requestLog.recordProbe(u.ID(), r)
 	switch r {
 	case upstream.Reachable:
@@ -268,7 +274,9 @@
 }
 
 // reachesAny opens connections to upstreams and reports whether one of them has accepted one.
-func (l *links) reachesAny(ctx context.Context, list []inventory.Upstream) bool {
+// If it takes longer than usual, askOthers is called; nothing more is expected a little after
+// the channel that it returns has a value.
+func (l *links) reachesAny(ctx context.Context, list []inventory.Upstream, askOthers func(context.Context) <-chan struct{}) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeStagger+probeTimeout)
 	defer cancel()
 	reached := make(chan bool, len(list))
@@ -280,6 +288,14 @@
 		}
 		list = list[min(n, len(list)):]
 	}
+	var otherReaches <-chan struct{}
+	var contradicted <-chan time.Time
+	startRest := func() {
+		start(len(list))
+		if askOthers != nil {
+			otherReaches, askOthers = askOthers(ctx), nil
+		}
+	}
 	start(firstProbes)
 	stagger := time.NewTimer(probeStagger)
 	defer stagger.Stop()
@@ -290,18 +306,73 @@
 			if ok {
 				return true
 			}
+			if pending == 0 {
+				startRest()
+			}
 		case <-stagger.C:
-			start(len(list))
+			startRest()
+		case <-otherReaches:
+			otherReaches, contradicted = nil, time.After(contradictionDelay)
+		case <-contradicted:
+			return false
 		case <-ctx.Done():
 			return false
 		}
-		if pending == 0 {
-			start(len(list))
-		}
 	}
 	return false
 }
 
+// askDetours asks the detours whether they reach upstreams, and remembers those that do. The
+// channel gets a value with the first of them.
+func (l *links) askDetours(ctx context.Context, list []inventory.Upstream) <-chan struct{} {
+	first := make(chan struct{}, 1)
+	if len(list) == 0 {
+		return first
+	}
+	l.host.mu.RLock()
+	detours := l.host.view.detours
+	l.host.mu.RUnlock()
+	startedAt := time.Now()
+	for i, m := range detours {
+		l.host.group.Go(func() {
+			if l.askOther(ctx, m, list[i%len(list)], startedAt) != reachability.Running {
+				return
+			}
+			l.setReaching(m.GateAddress(), true)
+			select {
+			case first <- struct{}{}:
+			default:
+			}
+		})
+	}
+	return first
+}
+
+// RecordRelay implements dispatch.Links.
+func (l *links) RecordRelay(address string, o upstream.Outcome) {
+	switch {
+	case o.Result == upstream.Answered:
+		l.setReaching(address, true)
+	case o.NoRoute, o.LinkLost, o.Result == upstream.Unreachable, o.Result == upstream.Broken:
+		l.setReaching(address, false)
+	}
+}
+
+// IsReaching implements pool.Links.
+func (l *links) IsReaching(address string) bool {
+	_, ok := l.reaching.Load(address)
+	return ok
+}
+
+// setReaching records whether a dialling host reaches upstreams.
+func (l *links) setReaching(address string, isReaching bool) {
+	if isReaching {
+		l.reaching.Store(address, struct{}{})
+		return
+	}
+	l.reaching.Delete(address)
+}
+
 // reaches opens a connection to an upstream and reports whether it has accepted it.
 func (l *links) reaches(ctx context.Context, u inventory.Upstream) bool {
 	switch l.host.Upstreams.Probe(ctx, u.Address()) {
@@ -321,10 +392,11 @@
 	if len(list) == 0 {
 		return
 	}
+	askOthers := func(ctx context.Context) <-chan struct{} { return l.askDetours(ctx, list) }
 	if l.IsPartitioned() {
-		list = list[:min(firstProbes, len(list))]
+		list, askOthers = list[:min(firstProbes, len(list))], nil
 	}
-	isReached := l.reachesAny(ctx, list)
+	isReached := l.reachesAny(ctx, list, askOthers)
 	if !l.EndCheck(time.Now(), reachability.Check{StartedAt: startedAt, Reached: isReached}) {
 		return
 	}
--- a/internal/host/partition_test.go
+++ b/internal/host/partition_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 )
 
 const (
@@ -32,6 +34,10 @@
 	maxConnections int
 	// disturb is called each second of the cut.
 	disturb func(f *testFleet, addresses []string, random *rand.Rand, n int) ([]string, time.Duration)
+	// dataCenters is the number of data centres; if share is zero, all hosts of one are cut.
+	dataCenters int
+	// isCut selects the upstreams from which the hosts are cut; nil for all.
+	isCut func(inventory.UpstreamSpec) bool
 	// flaps is set if the cut ends and begins again every second.
 	flaps bool
 }
@@ -96,6 +102,9 @@
 			for name, p := range map[string]partitionPlay{
 				"few": {share: 0.15}, "most": {share: 0.6}, "nearly-all": {share: 0.85}, "order": {share: 0.6, order: true},
 				"relayed": {share: 0.6, maxConnections: 8}, "flapping": {share: 0.6, flaps: true},
+				"disturbed": {share: 0.4, disturb: restartOrFailStore}, "data-center": {dataCenters: 3},
+				"lost-data-center": {share: 0.6, dataCenters: 3, isCut: func(u inventory.UpstreamSpec) bool { return u.DataCenter == "z1" }},
+				"lost-service":     {share: 0.6, isCut: func(u inventory.UpstreamSpec) bool { return u.Service == "shard-3" }},
 			} {
 				if *fleetSize == 0 && size > 7 && (name != "most" || mode == cutResets) {
 					continue
@@ -110,12 +119,18 @@
 
 // run plays the cut and returns what was seen.
 func (p partitionPlay) run() partitionResult {
-	f, addresses := startLimitedSearchFleet(p.size, closesConnections, false, p.maxConnections)
+	f := newTestFleet()
+	f.dataCenters = p.dataCenters
+	_, addresses := startSearchFleetIn(f, p.size, closesConnections, false, p.maxConnections)
+	f.upstreams.isCut = p.isCut
 	random := rand.New(rand.NewPCG(uint64(p.size), 3))
 	var cut []string
 	for _, i := range random.Perm(p.size)[:max(1, int(p.share*float64(p.size)))] {
 		cut = append(cut, addresses[i])
 	}
+	if p.share == 0 {
+		cut = slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return f.dataCenterOf(a) != "z0" })
+	}
 	target := "/"
 	if p.order {
 		target = "/order/"
@@ -167,6 +182,62 @@
 	return r
 }
 
+// restartOrFailStore restarts a host or has the store fail for a second, in turn.
+func restartOrFailStore(f *testFleet, addresses []string, random *rand.Rand, n int) ([]string, time.Duration) {
+	if n%2 == 0 {
+		h := addresses[random.IntN(len(addresses))]
+		f.stop(h)
+		f.start(h, addresses[:3])
+		return []string{h}, 0
+	}
+	f.setStoreDown(true)
+	time.AfterFunc(time.Second, func() { f.setStoreDown(false) })
+	return nil, 0
+}
+
+// TestRequestsAreRefusedAtOnceIfNoHostReachesUpstreams cuts all hosts from all upstreams. Once
+// they know it, requests must be refused at once as not run, with a delay, unless open
+// connections live on.
+func TestRequestsAreRefusedAtOnceIfNoHostReachesUpstreams(t *testing.T) {
+	for _, mode := range []cutMode{cutHangs, cutResets, cutRefuses} {
+		t.Run(string(mode), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f, addresses := startSearchFleet(7, closesConnections, false)
+				load := newOrdinaryLoad(f, addresses, "/")
+				time.Sleep(2 * time.Second)
+				f.upstreams.cut(addresses, mode)
+				const settleTime = 4 * time.Second
+				time.Sleep(settleTime)
+				knownAt := time.Now()
+				time.Sleep(settleTime)
+				endedAt := time.Now()
+				f.upstreams.cut(addresses, "")
+				time.Sleep(settleTime)
+				load.stop()
+				statuses := make(map[string]int)
+				for a := range load.answered {
+					switch {
+					case a.at.After(knownAt) && a.at.Before(endedAt):
+						statuses[fmt.Sprint(a.status, " ", a.reason)]++
+						if mode == cutRefuses {
+							c.Check(a.status, qt.Equals, 200)
+							continue
+						}
+						c.Check(a.status, qt.Equals, 503)
+						c.Check(a.elapsed <= crashTestTarget/4, qt.IsTrue, qt.Commentf("%v", a.elapsed))
+						c.Check(a.retryAfter > 0, qt.IsTrue)
+					case a.at.After(endedAt.Add(returnTime / 2)):
+						c.Check(a.status, qt.Equals, 200)
+					}
+				}
+				t.Log(statuses)
+				f.stopAll()
+			})
+		})
+	}
+}
+
 // logCount returns the number of log lines with a message on all hosts.
 func (f *testFleet) logCount(message string) int {
 	f.mu.Lock()
--- a/internal/host/upstreams_test.go
+++ b/internal/host/upstreams_test.go
@@ -97,8 +97,10 @@
 
 	mu        sync.Mutex
 	byAddress map[string]*simulatedUpstream
-	// cuts are the hosts that are cut from all upstreams.
-	cuts      map[string]cutMode
+	// cuts are the hosts that are cut from upstreams.
+	cuts map[string]cutMode
+	// isCut selects the upstreams from which they are cut; nil for all.
+	isCut     func(inventory.UpstreamSpec) bool
 	lifetimes int
 	arrivals  []upstreamArrival
 	ends      []upstreamEnd
@@ -156,7 +158,7 @@
 	}
 	u := &simulatedUpstream{
 		spec: inventory.UpstreamSpec{
-			ID: id, StartedAtMillis: time.Now().UnixMilli(), Service: service, Address: address, DataCenter: "z", Slots: 4,
+			ID: id, StartedAtMillis: time.Now().UnixMilli(), Service: service, Address: address, DataCenter: s.fleet.dataCenterOf(address), Slots: 4,
 		},
 		ended: make(chan struct{}),
 	}
@@ -262,10 +264,13 @@
 	}
 }
 
-// cutOf returns how a host is cut from the upstreams; empty if it is not.
-func (s *simulatedUpstreams) cutOf(host string) cutMode {
+// cutOf returns how a host is cut from an upstream; empty if it is not.
+func (s *simulatedUpstreams) cutOf(host string, u *simulatedUpstream) cutMode {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if u == nil || (s.isCut != nil && !s.isCut(u.spec)) {
+		return ""
+	}
 	return s.cuts[host]
 }
 
@@ -347,7 +352,7 @@
 func (t *simulatedTransport) Probe(ctx context.Context, address string) upstream.Reachability {
 	u := t.upstreams.at(address)
 	time.Sleep(networkDelay)
-	cut := t.upstreams.cutOf(t.host)
+	cut := t.upstreams.cutOf(t.host, u)
 	switch {
 	case cut == cutRefuses:
 		return upstream.NotListening
@@ -369,7 +374,7 @@
 func (t *simulatedTransport) connect(ctx context.Context, a *upstream.Attempt) (*simulatedUpstream, time.Duration, upstream.Outcome) {
 	u := t.upstreams.at(a.Address)
 	isOpen := u != nil && u.spec.ID == a.UpstreamID && !(u.hasEnded() && u.mode == closesConnections)
-	cut := t.upstreams.cutOf(t.host)
+	cut := t.upstreams.cutOf(t.host, u)
 	t.mu.Lock()
 	if !isOpen || (cut != "" && time.Since(t.usedAt[a.UpstreamID]) > simulatedIdleTimeout) {
 		delete(t.idle, a.UpstreamID)
@@ -400,7 +405,7 @@
 // run sends an attempt over a connection and waits for its outcome.
 func (t *simulatedTransport) run(ctx context.Context, u *simulatedUpstream, a *upstream.Attempt) upstream.Outcome {
 	time.Sleep(networkDelay)
-	switch t.upstreams.cutOf(t.host) {
+	switch t.upstreams.cutOf(t.host, u) {
 	case cutHangs:
 		<-ctx.Done()
 		return upstream.Outcome{Result: upstream.Aborted, Err: ctx.Err()}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -28,6 +28,9 @@
 	// to be dialled directly: the upstream's connections are reserved for its
 	// dialling hosts.
 	directDialFactor = 4.0
+	// unprovedDetourFactor is how much faster a detour must be that is not known to reach
+	// upstreams.
+	unprovedDetourFactor = 4.0
 	// failureCostRatio is the cost of a failed attempt, as a ratio of the target,
 	// while the whole budget for extra attempts remains. Once the budget is used
 	// up, or on the last attempt that a request may have, a failure is a missing
@@ -84,6 +87,8 @@
 	AllowsDial(now time.Time, lifetime uint64) bool
 	// IsPartitioned reports whether this host cannot make connections to any upstream.
 	IsPartitioned() bool
+	// IsReaching reports whether a dialling host is known to reach upstreams.
+	IsReaching(address string) bool
 }
 
 // A Pool holds this host's records of the upstreams of one service and assigns
@@ -498,6 +503,9 @@
 	if p.hasDiallingHosts && !m.upstream.IsDiallingHost() {
 		cost = cost*directDialFactor + float64(p.connectDuration)
 	}
+	if m.upstream.IsDetour() && p.Links != nil && !p.Links.IsReaching(m.upstream.Address()) {
+		cost *= unprovedDetourFactor
+	}
 	scarcity := 1 - p.extra.RemainingRatio(now)
 	if r.IsLastAttempt {
 		scarcity = 1
