--- a/internal/host/crashing_test.go
+++ b/internal/host/crashing_test.go
@@ -236,6 +236,12 @@
 
 // newLoad is newOrdinaryLoad with another interval than ordinaryInterval.
 func newLoad(f *testFleet, addresses []string, target string, interval time.Duration) *ordinaryLoad {
+	return newRepeatingLoad(f, addresses, target, interval, 0)
+}
+
+// newRepeatingLoad is newLoad with a number of different requests that are sent in turn; zero
+// for no repetitions.
+func newRepeatingLoad(f *testFleet, addresses []string, target string, interval time.Duration, repeats int) *ordinaryLoad {
 	l := &ordinaryLoad{done: make(chan struct{}), answered: make(chan ordinaryAnswer, 10_000)}
 	l.group.Go(func() {
 		var group work.Group
@@ -246,10 +252,13 @@
 				return
 			case <-time.After(interval):
 			}
-			address := addresses[n%len(addresses)]
+			address, number := addresses[n%len(addresses)], n
+			if repeats > 0 {
+				number %= repeats
+			}
 			group.Go(func() {
 				at := time.Now()
-				a := f.ask(address, fmt.Sprint(target, "ordinary-", n), fmt.Sprint("o-", n))
+				a := f.ask(address, fmt.Sprint(target, "ordinary-", number), fmt.Sprint("o-", n))
 				l.answered <- ordinaryAnswer{at: at, host: address, status: a.Status, reason: a.Reason, elapsed: time.Since(at), retryAfter: a.RetryAfter}
 			})
 		}
--- a/internal/host/partition_test.go
+++ b/internal/host/partition_test.go
@@ -38,6 +38,8 @@
 	dataCenters int
 	// isCut selects the upstreams from which the hosts are cut; nil for all.
 	isCut func(inventory.UpstreamSpec) bool
+	// repeats is how many different requests there are; zero if each is sent once.
+	repeats int
 	// flaps is set if the cut ends and begins again every second.
 	flaps bool
 }
@@ -69,19 +71,21 @@
 				c.Check(float64(r.served) >= 0.99*float64(r.sent), qt.IsTrue)
 				c.Check(r.slowest <= maxPartitionAnswerTime, qt.IsTrue)
 				c.Check(r.returned > 0, qt.IsTrue)
+				c.Check(r.ends, qt.Equals, 0)
+				c.Check(r.quarantines, qt.Equals, 0)
 			})
 		})
 	}
 }
 
-// TestHostsWithoutUpstreamsAccuseNoRequest cuts hosts from all upstreams, of which none ends.
+// TestHostsWithoutUpstreamsAccuseNoRequest cuts hosts from upstreams, of which none ends, while callers repeat their requests.
 func TestHostsWithoutUpstreamsAccuseNoRequest(t *testing.T) {
-	for name, p := range partitionPlays() {
-		t.Run(name, func(t *testing.T) {
+	for _, mode := range []cutMode{cutHangs, cutResets, cutRefuses} {
+		t.Run(string(mode), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
-				r := p.run()
+				r := partitionPlay{size: 7, share: 0.6, mode: mode, repeats: 5}.run()
 				t.Logf("%+v", r)
 				c.Check(r.ends, qt.Equals, 0)
 				c.Check(r.quarantines, qt.Equals, 0)
@@ -135,7 +139,7 @@
 	if p.order {
 		target = "/order/"
 	}
-	load := newLoad(f, addresses, target, ordinaryInterval)
+	load := newRepeatingLoad(f, addresses, target, ordinaryInterval, p.repeats)
 	time.Sleep(3 * time.Second)
 	from := time.Now()
 	f.upstreams.cut(cut, p.mode)
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -182,3 +182,23 @@
 		})
 	}
 }
+
+// TestLostLinksAreTold checks that a host's statement about its links reaches the others.
+func TestLostLinksAreTold(t *testing.T) {
+	c := qt.New(t)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	a := New(NewMember("a", "z", "a", "a", 1, Alive), 1)
+	b := New(NewMember("b", "z", "b", "b", 1, Alive), 2)
+	for _, partitioned := range []bool{true, false} {
+		actions := a.Step(now, LinksChanged{Partitioned: partitioned})
+		c.Assert(actions, qt.HasLen, 1)
+		change, ok := actions[0].(MemberChanged)
+		c.Assert(ok, qt.IsTrue)
+		c.Check(change.Old.IsPartitioned(), qt.Equals, !partitioned)
+		c.Check(a.Step(now, LinksChanged{Partitioned: partitioned}), qt.HasLen, 0)
+		b.Step(now, GossipReceived{Sender: a.Self(), Updates: a.NextUpdates()})
+		m, known := b.MemberAt("a")
+		c.Assert(known, qt.IsTrue)
+		c.Check(m.IsPartitioned(), qt.Equals, partitioned)
+	}
+}
