--- a/internal/host/links.go
+++ b/internal/host/links.go
@@ -89,8 +89,11 @@
 		l.RecordConnected(now)
 	}
 	switch {
-	case o.Result == upstream.Answered, o.Result == upstream.Refused, o.Result == upstream.Misdirected, o.Result == upstream.Broken && !o.ConnectionLost:
+	case o.Result == upstream.Answered, o.Result == upstream.Refused:
 		l.RecordResponse(now, u.LifetimeKey(), startedAt)
+	case o.Result == upstream.Misdirected, o.Result == upstream.Broken && !o.ConnectionLost:
+		// The bytes came from another upstream, or may have.
+		l.RecordHeard(now)
 	case o.Result == upstream.Unreachable && !o.ConnectAborted:
 		l.RecordDialFailure(now, u.LifetimeKey())
 		l.check()
--- a/internal/host/links_test.go
+++ b/internal/host/links_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
+	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 )
 
 // newMembersWithoutUpstreams returns hosts of three data centres, of which some reach no upstream.
@@ -81,3 +84,23 @@
 		c.Check(told, qt.HasLen, test.want, qt.Commentf("%d of 12 cut", test.cut))
 	}
 }
+
+// TestAnotherUpstreamAtTheAddressRefutesNothing has an address answer for another upstream.
+func TestAnotherUpstreamAtTheAddressRefutesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f, addresses := startSearchFleet(3, closesConnections, false)
+		h := f.hosts[addresses[0]].host
+		u, ok := h.inventory.Upstream(f.upstreams.at("shard-0-0:1").spec.ID)
+		c.Assert(ok, qt.IsTrue)
+		endedAt := time.Now()
+		time.Sleep(networkDelay)
+		startedAt := time.Now()
+		time.Sleep(networkDelay)
+		h.links.RecordOutcome(u, startedAt, upstream.Outcome{Result: upstream.Misdirected})
+		c.Check(h.links.RespondedSince(u.LifetimeKey(), endedAt), qt.IsFalse)
+		h.links.RecordOutcome(u, startedAt, upstream.Outcome{Result: upstream.Answered})
+		c.Check(h.links.RespondedSince(u.LifetimeKey(), endedAt), qt.IsTrue)
+		f.stopAll()
+	})
+}
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -246,6 +246,14 @@
 	t.recordFailure(now, t.dialFailures, lifetime)
 }
 
+// RecordHeard records that something has responded over an open connection, though perhaps not
+// the upstream that was asked.
+func (t *Tracker) RecordHeard(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.recordHeard(now)
+}
+
 // RecordSilence records that an upstream has not responded to an attempt in time, or that the
 // connection was lost. It says nothing about the links if another upstream was heard from
 // since the attempt began.
@@ -261,9 +269,7 @@
 func (t *Tracker) RecordResponse(now time.Time, lifetime uint64, startedAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.heardAt = now
-	clear(t.unresponsive)
-	t.endFailures()
+	t.recordHeard(now)
 	if startedAt.After(t.respondedTo[lifetime]) {
 		if len(t.respondedTo) >= maxResponses {
 			maps.DeleteFunc(t.respondedTo, func(_ uint64, at time.Time) bool { return now.Sub(at) > responseMemory })
@@ -312,6 +318,12 @@
 	}
 }
 
+func (t *Tracker) recordHeard(now time.Time) {
+	t.heardAt = now
+	clear(t.unresponsive)
+	t.endFailures()
+}
+
 // endFailures ends the time of failures once there are none. While the host is partitioned it
 // goes on.
 func (t *Tracker) endFailures() {
