--- a/internal/host/links.go
+++ b/internal/host/links.go
@@ -28,8 +28,10 @@
 	maxProbes    = 16
 	probeStagger = 30 * time.Millisecond
 	probeTimeout = 70 * time.Millisecond
-	// upstreamCheckTimeout bounds a check of one upstream.
-	upstreamCheckTimeout = 400 * time.Millisecond
+	// upstreamProbeTimeout bounds the probe of one upstream, upstreamCheckTimeout its check with
+	// the help of other hosts.
+	upstreamProbeTimeout = 250 * time.Millisecond
+	upstreamCheckTimeout = 450 * time.Millisecond
 	// secondOpinionDelay is how long the own probe of an upstream may take before other hosts
 	// are asked, maxSecondOpinions how many, and contradictionDelay how long one that does
 	// not reach the upstream may be contradicted by another.
@@ -153,18 +155,52 @@
 // checkOwn probes an upstream from this host. If it is unreachable, other upstreams of its
 // data centre tell whether the upstream or the link has failed.
 func (l *links) checkOwn(ctx context.Context, u inventory.Upstream) reachability.Condition {
-	if l.probe(ctx, u) {
-		return reachability.Running
+	ctx, cancel := context.WithTimeout(ctx, upstreamProbeTimeout)
+	defer cancel()
+	probed := make(chan bool, 1)
+	witnessed := make(chan bool, 1)
+	l.host.group.Go(func() { probed <- l.probe(ctx, u) })
+	stagger := time.NewTimer(probeStagger)
+	defer stagger.Stop()
+	hasEnded := false
+	select {
+	case runs := <-probed:
+		if runs {
+			return reachability.Running
+		}
+		hasEnded = true
+	case <-stagger.C:
 	}
-	witnesses := l.sample(maxProbes, func(o inventory.Upstream) bool {
-		return o.ID() != u.ID() && o.DataCenter() == u.DataCenter()
-	})
-	if len(witnesses) == 0 || l.reachesAny(ctx, witnesses, nil) {
+	l.host.group.Go(func() { witnessed <- l.hasWitness(ctx, u) })
+	isConclusive, isWitnessed := false, false
+	for !hasEnded || !isWitnessed {
+		select {
+		case runs := <-probed:
+			if runs {
+				return reachability.Running
+			}
+			hasEnded = true
+		case isConclusive = <-witnessed:
+			isWitnessed = true
+		case <-ctx.Done():
+			hasEnded, isWitnessed = true, true
+		}
+	}
+	if isConclusive {
 		return reachability.Ended
 	}
 	return reachability.Unknown
 }
 
+// hasWitness reports whether this host reaches another upstream of the data centre of an
+// upstream, or there is none.
+func (l *links) hasWitness(ctx context.Context, u inventory.Upstream) bool {
+	witnesses := l.sample(maxProbes, func(o inventory.Upstream) bool {
+		return o.ID() != u.ID() && o.DataCenter() == u.DataCenter()
+	})
+	return len(witnesses) == 0 || l.reachesAny(ctx, witnesses, nil)
+}
+
 // checkWithOthers probes an upstream and asks other hosts if that does not succeed at once.
 func (l *links) checkWithOthers(ctx context.Context, u inventory.Upstream, since time.Time) reachability.Condition {
 	own := make(chan reachability.Condition, 1)
@@ -210,7 +246,7 @@
 		case <-contradicted:
 			return reachability.Ended
 		case <-ctx.Done():
-			return reachability.Unknown
+			pending = 0
 		}
 	}
 	if isUnreachable {
