--- a/internal/dispatch/crashing.go
+++ b/internal/dispatch/crashing.go
@@ -26,7 +26,7 @@
 	maxUnansweredAttempts = 2
 	// endCheckTimeout bounds the check of an upstream after a lost connection, which delays
 	// the next attempt. An upstream that has ended refuses connections in a round trip.
-	endCheckTimeout = 50 * time.Millisecond
+	endCheckTimeout = 80 * time.Millisecond
 	// maxSilenceProbes is how many upstreams are probed for one request.
 	maxSilenceProbes = 3
 	// testRunTimeout bounds the test run of an idempotent request.
--- /dev/null
+++ b/internal/host/linkprobes.go
@@ -0,0 +1,131 @@
+package host
+
+// This file finds out whether this host reaches any upstream.
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
+	"github.com/foxtailshelf/foxtailshelf/internal/reachability"
+	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
+)
+
+const (
+	// A search for an upstream that this host reaches connects to firstProbes upstreams, and
+	// after probeStagger without a connection to maxProbes in all. It ends probeTimeout later.
+	// Connecting takes a few milliseconds.
+	firstProbes  = 4
+	maxProbes    = 16
+	probeStagger = 30 * time.Millisecond
+	probeTimeout = 70 * time.Millisecond
+)
+
+// reachesAny opens connections to upstreams and reports whether one of them has accepted one.
+// If it takes longer than usual, askOthers is called; nothing more is expected a little after
+// the channel that it returns has a value.
+func (l *links) reachesAny(ctx context.Context, list []inventory.Upstream, askOthers func(context.Context) <-chan struct{}) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeStagger+probeTimeout)
+	defer cancel()
+	reached := make(chan bool, len(list))
+	pending := 0
+	start := func(n int) {
+		for _, u := range list[:min(n, len(list))] {
+			pending++
+			l.host.group.Go(func() { reached <- l.reaches(ctx, u) })
+		}
+		list = list[min(n, len(list)):]
+	}
+	var otherReaches <-chan struct{}
+	var contradicted <-chan time.Time
+	startRest := func() {
+		start(len(list))
+		if askOthers != nil {
+			otherReaches, askOthers = askOthers(ctx), nil
+		}
+	}
+	start(firstProbes)
+	stagger := time.NewTimer(probeStagger)
+	defer stagger.Stop()
+	for pending > 0 {
+		select {
+		case ok := <-reached:
+			pending--
+			if ok {
+				return true
+			}
+			if pending == 0 {
+				startRest()
+			}
+		case <-stagger.C:
+			startRest()
+		case <-otherReaches:
+			otherReaches, contradicted = nil, time.After(contradictionDelay)
+		case <-contradicted:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return false
+}
+
+// reaches opens a connection to an upstream and reports whether it has accepted it.
+func (l *links) reaches(ctx context.Context, u inventory.Upstream) bool {
+	switch l.host.Upstreams.Probe(ctx, u.Address()) {
+	case upstream.Reachable:
+		l.RecordConnected(time.Now())
+		return true
+	case upstream.NotListening, upstream.Rejecting:
+		l.RecordDialFailure(time.Now(), u.LifetimeKey())
+	}
+	return false
+}
+
+// askDetours asks the detours whether they reach upstreams, and remembers those that do. The
+// channel gets a value with the first of them.
+func (l *links) askDetours(ctx context.Context, list []inventory.Upstream) <-chan struct{} {
+	first := make(chan struct{}, 1)
+	if len(list) == 0 {
+		return first
+	}
+	l.host.mu.RLock()
+	detours := l.host.view.detours
+	l.host.mu.RUnlock()
+	startedAt := time.Now()
+	for i, m := range detours {
+		l.host.group.Go(func() {
+			if l.askOther(ctx, m, list[i%len(list)], startedAt) != reachability.Running {
+				return
+			}
+			l.setReaching(m.GateAddress(), true)
+			select {
+			case first <- struct{}{}:
+			default:
+			}
+		})
+	}
+	return first
+}
+
+// sample returns up to n upstreams in service that meet a condition: first two that have
+// responded last, as others may have ended, and the rest at random.
+func (l *links) sample(n int, meets func(inventory.Upstream) bool) []inventory.Upstream {
+	l.host.mu.RLock()
+	list := l.host.inventory.InService(time.Now())
+	l.host.mu.RUnlock()
+	list = slices.DeleteFunc(list, func(u inventory.Upstream) bool { return !meets(u) })
+	respondedAt := make(map[uint64]time.Time, len(list))
+	for _, u := range list {
+		respondedAt[u.LifetimeKey()] = l.LastResponse(u.LifetimeKey())
+	}
+	slices.SortStableFunc(list, func(a, b inventory.Upstream) int {
+		return respondedAt[b.LifetimeKey()].Compare(respondedAt[a.LifetimeKey()])
+	})
+	random := list[min(2, len(list)):]
+	l.mu.Lock()
+	l.random.Shuffle(len(random), func(i, j int) { random[i], random[j] = random[j], random[i] })
+	l.mu.Unlock()
+	return list[:min(n, len(list))]
+}
