--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -41,8 +41,10 @@
 	// CheckUpstream finds out whether an upstream runs that this host does not reach. One that
 	// has responded to an attempt that began after since does.
 	CheckUpstream(ctx context.Context, u inventory.Upstream, since time.Time) reachability.Condition
-	// HeardSince reports whether any upstream was heard from after a time.
+	// HeardSince reports whether any upstream was heard from after a time, HeardFromSince
+	// whether any of a data centre was.
 	HeardSince(at time.Time) bool
+	HeardFromSince(dataCenter string, at time.Time) bool
 	// IsPartitioned reports whether this host cannot make connections to any upstream.
 	IsPartitioned() bool
 	// RecordOutcome records the outcome of an attempt over a connection of this host.
--- a/internal/dispatch/helper_test.go
+++ b/internal/dispatch/helper_test.go
@@ -109,6 +109,8 @@
 
 func (fakeLinks) HeardSince(time.Time) bool { return true }
 
+func (fakeLinks) HeardFromSince(string, time.Time) bool { return true }
+
 func (fakeLinks) IsPartitioned() bool { return false }
 
 func (fakeLinks) RecordOutcome(inventory.Upstream, time.Time, upstream.Outcome) {}
--- a/internal/dispatch/part.go
+++ b/internal/dispatch/part.go
@@ -21,9 +21,10 @@
 	// inFlight holds the assignments of the attempts in flight, without those whose upstream
 	// is known to have ended.
 	inFlight []*pool.Assignment
-	// ownLinkSince is when the last attempt over a connection of this host began; zero if
-	// there was none.
+	// ownLinkSince is when the last attempt over a connection of this host began, and
+	// ownLinkTo the data centre of its upstream; zero if there was none.
 	ownLinkSince time.Time
+	ownLinkTo    string
 	// noRouteAt is when another host last stated that it reaches no upstream.
 	noRouteAt time.Time
 	// unanswered holds the assignments of attempts without a response whose upstream may
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -144,10 +144,27 @@
 
 // requirements returns the requirements on the upstream of the next attempt of a part.
 func (f *inFlightRequest) requirements(p *part, maxDuration time.Duration) pool.Requirements {
+	avoidsOwnLinks, avoidedDataCenter := f.doubtedLinks(p)
 	return pool.Requirements{
 		LatencyStats: f.latencyStats, Fingerprint: f.fingerprint, TriedUpstreams: p.tried, MaxDuration: maxDuration,
 		IsLastAttempt: p.ran-p.lost+1 >= f.route.MaxAttempts() || !f.route.Idempotent(), IsOptional: f.route.IsOutranked() || p.running > 0,
-		AvoidsOwnLinks: !p.ownLinkSince.IsZero() && !f.dispatcher.Links.HeardSince(p.ownLinkSince),
+		AvoidsOwnLinks: avoidsOwnLinks, AvoidedDataCenter: avoidedDataCenter,
+	}
+}
+
+// doubtedLinks returns whether nothing was heard over this host's connections since the part's
+// last attempt began, and otherwise the data centre from which nothing was heard.
+func (f *inFlightRequest) doubtedLinks(p *part) (all bool, dataCenter string) {
+	links := f.dispatcher.Links
+	switch {
+	case p.ownLinkSince.IsZero():
+		return false, ""
+	case !links.HeardSince(p.ownLinkSince):
+		return true, ""
+	case !links.HeardFromSince(p.ownLinkTo, p.ownLinkSince):
+		return false, p.ownLinkTo
+	default:
+		return false, ""
 	}
 }
 
@@ -206,7 +223,7 @@
 	p.running++
 	p.inFlight = append(p.inFlight, assignment)
 	if !assignment.Upstream.IsDiallingHost() {
-		p.ownLinkSince = now
+		p.ownLinkSince, p.ownLinkTo = now, assignment.Upstream.DataCenter()
 	}
 	p.hedgeAt = now.Add(f.latencyStats.HedgeDelay(p.pool.RemainingExtraRatio(now)))
 	f.attempts++
--- a/internal/host/crashing_test.go
+++ b/internal/host/crashing_test.go
@@ -19,7 +19,7 @@
 
 var (
 	fleetSize     = flag.Int("fleet-size", 0, "number of hosts in the plays of crashing requests and of a store back from a copy; 0 for 7 and 63")
-	crashTestSeed = flag.Uint64("crash-seed", 7, "seed of the plays of crashing requests")
+	crashTestSeed = flag.Uint64("crash-seed", 7, "seed of the plays of crashing requests and of hosts without upstreams")
 )
 
 const (
--- a/internal/host/links.go
+++ b/internal/host/links.go
@@ -59,10 +59,12 @@
 	now := time.Now()
 	if o.ConnectDuration > 0 {
 		l.RecordConnected(now)
+		l.RecordHeardFrom(now, u.DataCenter())
 	}
 	switch {
 	case o.Result == upstream.Answered, o.Result == upstream.Refused:
 		l.RecordResponse(now, u.LifetimeKey(), startedAt)
+		l.RecordHeardFrom(now, u.DataCenter())
 	case o.Result == upstream.Misdirected, o.Result == upstream.Broken && !o.ConnectionLost:
 		// The bytes came from another upstream, or may have.
 		l.RecordHeard(now)
--- a/internal/host/partition_test.go
+++ b/internal/host/partition_test.go
@@ -127,7 +127,7 @@
 	f.dataCenters = p.dataCenters
 	_, addresses := startSearchFleetIn(f, p.size, closesConnections, false, p.maxConnections)
 	f.upstreams.isCut = p.isCut
-	random := rand.New(rand.NewPCG(uint64(p.size), 3))
+	random := rand.New(rand.NewPCG(uint64(p.size), *crashTestSeed))
 	var cut []string
 	for _, i := range random.Perm(p.size)[:max(1, int(p.share*float64(p.size)))] {
 		cut = append(cut, addresses[i])
--- a/internal/host/upstreamcheck.go
+++ b/internal/host/upstreamcheck.go
@@ -26,7 +26,7 @@
 	// are asked, maxSecondOpinions how many, and contradictionDelay how long one that does
 	// not reach the upstream may be contradicted by another.
 	secondOpinionDelay = 15 * time.Millisecond
-	maxSecondOpinions  = 3
+	maxSecondOpinions  = 6
 	contradictionDelay = 25 * time.Millisecond
 )
 
--- a/internal/pool/assignment.go
+++ b/internal/pool/assignment.go
@@ -25,6 +25,9 @@
 	// AvoidsOwnLinks is set if the attempt goes through another host if there is one, because
 	// this host may not reach the upstreams.
 	AvoidsOwnLinks bool
+	// AvoidedDataCenter is the data centre whose upstreams get the attempt last, because this
+	// host may not reach them; empty for none.
+	AvoidedDataCenter string
 	// IsOptional is set for hedges and for requests that are less urgent than others of the
 	// service. At upstreams with a limit on requests they leave some turns to the others.
 	IsOptional bool
--- a/internal/pool/detour.go
+++ b/internal/pool/detour.go
@@ -4,42 +4,51 @@
 // cuts between this host and upstreams that other hosts reach.
 
 import (
+	"slices"
 	"time"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 )
 
 // usableMembers returns the members that may get an attempt: the detours, if this host
-// reaches no upstream of the service itself and they are not excluded; all others otherwise.
+// reaches no upstream of the service itself and they are not excluded; all others otherwise,
+// without those that the attempt avoids if there are more.
 func (p *Pool) usableMembers(now time.Time, r Requirements) []*member {
 	direct, detours := p.members[:len(p.members)-p.detourCount], p.members[len(p.members)-p.detourCount:]
-	if len(detours) == 0 || r.DirectOnly || !p.needsDetour(now, direct, r) {
+	if len(detours) == 0 || r.DirectOnly {
 		return direct
 	}
-	for _, m := range detours {
-		if m.isUsable(now) && !r.excludes(m) && len(m.running) < m.upstream.Slots() {
-			return detours
-		}
-	}
-	return direct
-}
-
-// needsDetour reports whether this host's links keep it from all upstreams that could run an
-// attempt. An upstream that is busy or rests does not need a detour.
-func (p *Pool) needsDetour(now time.Time, direct []*member, r Requirements) bool {
 	isCut := false
 	for _, m := range direct {
 		switch {
 		case m.upstream.Eligibility(now) == inventory.Retired || m.isResting(now) || r.excludes(m):
-		case r.AvoidsOwnLinks && !m.upstream.IsDiallingHost():
-			isCut = true
-		case !m.isDown(now) && p.hasLink(now, m):
-			return false
+		case !r.avoids(m) && !m.isDown(now) && p.hasLink(now, m):
+			return withoutAvoided(direct, r)
 		default:
 			isCut = true
 		}
 	}
-	return isCut
+	// Upstreams that are busy or rest need no detour.
+	isUsable := func(m *member) bool {
+		return m.isUsable(now) && !r.excludes(m) && len(m.running) < m.upstream.Slots()
+	}
+	if isCut && slices.ContainsFunc(detours, isUsable) {
+		return detours
+	}
+	return direct
+}
+
+// withoutAvoided returns the members that an attempt does not avoid.
+func withoutAvoided(members []*member, r Requirements) []*member {
+	if !r.AvoidsOwnLinks && r.AvoidedDataCenter == "" {
+		return members
+	}
+	return slices.DeleteFunc(slices.Clone(members), r.avoids)
+}
+
+// avoids reports whether the attempt avoids the link to a member.
+func (r Requirements) avoids(m *member) bool {
+	return !m.upstream.IsDiallingHost() && (r.AvoidsOwnLinks || (r.AvoidedDataCenter != "" && m.upstream.DataCenter() == r.AvoidedDataCenter))
 }
 
 // hasLink reports whether this host has a connection to a member that works, or may make one.
--- a/internal/pool/detour_test.go
+++ b/internal/pool/detour_test.go
@@ -92,6 +92,8 @@
 			l.alive[f.members[1].upstream.LifetimeKey()] = true
 		}, Requirements{TriedUpstreams: []string{"b"}}, "near:1", true},
 		{"nothing heard since the last attempt", func(*fixture, *fakeLinks) {}, Requirements{AvoidsOwnLinks: true}, "near:1", true},
+		{"nothing heard from the data centre of all upstreams", func(*fixture, *fakeLinks) {}, Requirements{AvoidedDataCenter: "near"}, "near:1", true},
+		{"nothing heard from another data centre", func(*fixture, *fakeLinks) {}, Requirements{AvoidedDataCenter: "far"}, "a", true},
 		{"all upstreams busy", func(f *fixture, _ *fakeLinks) {
 			for range 12 {
 				f.Assign(f.now, Requirements{LatencyStats: f.latencyStats})
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -78,6 +78,8 @@
 	// heardAt is when any upstream was last heard from: it responded or accepted a
 	// connection.
 	heardAt time.Time
+	// heardFrom holds the same by data centre.
+	heardFrom map[string]time.Time
 	// dialFailures holds the upstreams that have not accepted a connection since the last
 	// one that was made.
 	dialFailures map[uint64]bool
@@ -112,7 +114,7 @@
 func NewTracker(seed uint64) *Tracker {
 	return &Tracker{
 		Seed: seed, state: linkChart.Initial(), requiredProofs: minProofs, dialFailures: make(map[uint64]bool),
-		unresponsive: make(map[uint64]bool), respondedTo: make(map[uint64]time.Time),
+		unresponsive: make(map[uint64]bool), respondedTo: make(map[uint64]time.Time), heardFrom: make(map[string]time.Time),
 	}
 }
 
@@ -213,6 +215,13 @@
 	return t.heardAt.After(at)
 }
 
+// HeardFromSince reports whether any upstream of a data centre was heard from after a time.
+func (t *Tracker) HeardFromSince(dataCenter string, at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.heardFrom[dataCenter].After(at)
+}
+
 // IsDoubtful reports whether the links may be lost, so that a check is due.
 func (t *Tracker) IsDoubtful() bool {
 	t.mu.Lock()
@@ -254,6 +263,14 @@
 	t.recordHeard(now)
 }
 
+// RecordHeardFrom records that an upstream of a data centre has responded or accepted a
+// connection.
+func (t *Tracker) RecordHeardFrom(now time.Time, dataCenter string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heardFrom[dataCenter] = now
+}
+
 // RecordSilence records that an upstream has not responded to an attempt in time, or that the
 // connection was lost. It says nothing about the links if another upstream was heard from
 // since the attempt began.
