--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -159,6 +159,10 @@
 	f.cancelAttempt[result.assignment]()
 	delete(f.cancelAttempt, result.assignment)
 	f.recordAttemptEnd(result)
+	if result.outcome.Result != upstream.Aborted {
+		// The attempt was not lost: it was never sent, or the response came in time.
+		p.endWriteOff(result.assignment)
+	}
 	if result.outcome.Err != nil {
 		f.lastFailure = result.outcome.Err.Error()
 	}
--- a/internal/dispatch/part.go
+++ b/internal/dispatch/part.go
@@ -18,6 +18,8 @@
 	// those that an upstream may have run, and running those in flight. lost counts those of
 	// ran that were probably lost with the link to their upstream.
 	sent, arrived, ran, running, lost int
+	// writtenOff holds the attempts in flight that were written off.
+	writtenOff []*pool.Assignment
 	// inFlight holds the assignments of the attempts in flight, without those whose upstream
 	// is known to have ended.
 	inFlight []*pool.Assignment
@@ -66,10 +68,20 @@
 	if i := slices.Index(p.inFlight, a); i >= 0 {
 		p.inFlight = slices.Delete(p.inFlight, i, i+1)
 	}
+	p.writtenOff = append(p.writtenOff, a)
 	p.arrived--
 	p.lost++
 }
 
+// endWriteOff counts an attempt that has ended after it was written off as one that was not.
+func (p *part) endWriteOff(a *pool.Assignment) {
+	if i := slices.Index(p.writtenOff, a); i >= 0 {
+		p.writtenOff = slices.Delete(p.writtenOff, i, i+1)
+		p.arrived++
+		p.lost--
+	}
+}
+
 // isAssigned reports whether the first attempt is assigned and has not started.
 func (p *part) isAssigned() bool { return p.assignment != nil }
 
--- a/internal/dispatch/partition_test.go
+++ b/internal/dispatch/partition_test.go
@@ -170,3 +170,33 @@
 		})
 	}
 }
+
+// TestWrittenOffAttemptsAreCountedOnce has attempts end in every way just when they are written off.
+func TestWrittenOffAttemptsAreCountedOnce(t *testing.T) {
+	for _, result := range []upstream.Result{upstream.Unreachable, upstream.Aborted, upstream.Answered, upstream.Broken} {
+		t.Run(result.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				d, links := newPartitionDispatcher(singleRoute(true), true, 0, pool.Policy{ExtraRatio: 0.2, Window: 10 * time.Second, MaxConcurrent: 3})
+				f := newInFlightRequest(d.Dispatcher, &Request{ID: "r", Method: http.MethodGet, Target: "/x", Host: "h"}, d.route)
+				p := f.parts[0]
+				a := p.pool.Assign(time.Now(), f.requirements(p, 0))
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				f.send(ctx, time.Now(), p, a, false)
+				links.lose()
+				f.handleLinkChange()
+				c.Check(p.arrived, qt.Equals, 0)
+				f.handleResult(attemptResult{part: p, assignment: a, outcome: upstream.Outcome{Result: result}})
+				wantArrived, wantCounted := 1, 1
+				switch result {
+				case upstream.Unreachable, upstream.Aborted:
+					wantArrived, wantCounted = 0, 0
+				}
+				c.Check(p.arrived, qt.Equals, wantArrived)
+				c.Check(p.ran-p.lost, qt.Equals, wantCounted)
+				d.Group.Wait()
+			})
+		})
+	}
+}
