--- a/internal/host/links.go
+++ b/internal/host/links.go
@@ -54,6 +54,12 @@
 	return l.changed
 }
 
+// IsReaching implements pool.Links.
+func (l *links) IsReaching(address string) bool {
+	_, ok := l.reaching.Load(address)
+	return ok
+}
+
 // RecordOutcome implements dispatch.Links.
 func (l *links) RecordOutcome(u inventory.Upstream, startedAt time.Time, o upstream.Outcome) {
 	now := time.Now()
@@ -76,19 +82,22 @@
 	}
 }
 
+// RecordRelay implements dispatch.Links.
+func (l *links) RecordRelay(address string, o upstream.Outcome) {
+	switch {
+	case o.Result == upstream.Answered && l.IsPartitioned():
+		l.setReaching(address, true)
+	case o.NoRoute, o.LinkLost, o.Result == upstream.Unreachable, o.Result == upstream.Broken:
+		l.setReaching(address, false)
+	}
+}
+
 // RecordSilence implements dispatch.Links.
 func (l *links) RecordSilence(u inventory.Upstream, startedAt time.Time) {
 	l.Tracker.RecordSilence(u.LifetimeKey(), startedAt)
 	l.check()
 }
 
-// recordSlowDial records that a connection takes long to open. The links are checked unless an
-// upstream was heard from since.
-func (l *links) recordSlowDial(startedAt time.Time) {
-	l.Tracker.RecordSilence(slowDialKey, startedAt)
-	l.check()
-}
-
 // Run checks the links when attempts fail, and repeats this until the links work, until the
 // context ends.
 func (l *links) Run(ctx context.Context) {
@@ -124,29 +133,11 @@
 	}
 }
 
-// RecordRelay implements dispatch.Links.
-func (l *links) RecordRelay(address string, o upstream.Outcome) {
-	switch {
-	case o.Result == upstream.Answered && l.IsPartitioned():
-		l.setReaching(address, true)
-	case o.NoRoute, o.LinkLost, o.Result == upstream.Unreachable, o.Result == upstream.Broken:
-		l.setReaching(address, false)
-	}
-}
-
-// IsReaching implements pool.Links.
-func (l *links) IsReaching(address string) bool {
-	_, ok := l.reaching.Load(address)
-	return ok
-}
-
-// setReaching records whether a dialling host reaches upstreams.
-func (l *links) setReaching(address string, isReaching bool) {
-	if isReaching {
-		l.reaching.Store(address, struct{}{})
-		return
-	}
-	l.reaching.Delete(address)
+// recordSlowDial records that a connection takes long to open. The links are checked unless an
+// upstream was heard from since.
+func (l *links) recordSlowDial(startedAt time.Time) {
+	l.Tracker.RecordSilence(slowDialKey, startedAt)
+	l.check()
 }
 
 // runCheck finds out whether this host reaches any upstream and applies the result.
@@ -171,6 +162,15 @@
 	l.changed = make(chan struct{})
 }
 
+// setReaching records whether a dialling host reaches upstreams.
+func (l *links) setReaching(address string, isReaching bool) {
+	if isReaching {
+		l.reaching.Store(address, struct{}{})
+		return
+	}
+	l.reaching.Delete(address)
+}
+
 // applyLinkChange applies that this host has lost the links to all upstreams, or that they
 // work again.
 func (h *Host) applyLinkChange(isPartitioned bool) {
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -62,12 +62,12 @@
 }
 
 // A Tracker holds what the connections of one host have shown about its links to the
-// upstreams. It identifies upstreams by the key of their lifetime. Its exported field is set
-// before use. It is safe for concurrent use.
+// upstreams. It identifies upstreams by the key of their lifetime. It is safe for concurrent
+// use.
 type Tracker struct {
-	// Seed differs between hosts. The order in which they return to upstreams after a cut is
+	// seed differs between hosts. The order in which they return to upstreams after a cut is
 	// derived from it.
-	Seed uint64
+	seed uint64
 
 	// isRestricted is false while all connections may be used and made, so that they are
 	// allowed without the lock.
@@ -113,7 +113,7 @@
 // NewTracker returns the Tracker of a host that has just started.
 func NewTracker(seed uint64) *Tracker {
 	return &Tracker{
-		Seed: seed, state: linkChart.Initial(), requiredProofs: minProofs, dialFailures: make(map[uint64]bool),
+		seed: seed, state: linkChart.Initial(), requiredProofs: minProofs, dialFailures: make(map[uint64]bool),
 		unresponsive: make(map[uint64]bool), respondedTo: make(map[uint64]time.Time), heardFrom: make(map[string]time.Time),
 	}
 }
@@ -145,7 +145,7 @@
 		t.isRestricted.Store(false)
 		return true
 	default:
-		phase := rand.New(rand.NewPCG(t.Seed, lifetime)).Float64()
+		phase := rand.New(rand.NewPCG(t.seed, lifetime)).Float64()
 		return now.Sub(t.returnedAt) >= time.Duration(phase*float64(returnSpread))
 	}
 }
@@ -208,18 +208,18 @@
 	return t.failingSince
 }
 
-// HeardSince reports whether any upstream was heard from after a time.
-func (t *Tracker) HeardSince(at time.Time) bool {
+// HeardFromSince reports whether any upstream of a data centre was heard from after a time.
+func (t *Tracker) HeardFromSince(dataCenter string, at time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.heardAt.After(at)
+	return t.heardFrom[dataCenter].After(at)
 }
 
-// HeardFromSince reports whether any upstream of a data centre was heard from after a time.
-func (t *Tracker) HeardFromSince(dataCenter string, at time.Time) bool {
+// HeardSince reports whether any upstream was heard from after a time.
+func (t *Tracker) HeardSince(at time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.heardFrom[dataCenter].After(at)
+	return t.heardAt.After(at)
 }
 
 // IsDoubtful reports whether the links may be lost, so that a check is due.
@@ -239,6 +239,14 @@
 	return t.state != Connected
 }
 
+// LastResponse returns when the last attempt began that an upstream responded to; zero if none
+// is known.
+func (t *Tracker) LastResponse(lifetime uint64) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.respondedTo[lifetime]
+}
+
 // RecordConnected records that a connection to an upstream was made.
 func (t *Tracker) RecordConnected(now time.Time) {
 	t.mu.Lock()
@@ -271,17 +279,6 @@
 	t.heardFrom[dataCenter] = now
 }
 
-// RecordSilence records that an upstream has not responded to an attempt in time, or that the
-// connection was lost. It says nothing about the links if another upstream was heard from
-// since the attempt began.
-func (t *Tracker) RecordSilence(lifetime uint64, startedAt time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.heardAt.After(startedAt) {
-		t.recordFailure(startedAt, t.unresponsive, lifetime)
-	}
-}
-
 // RecordResponse records that an upstream has responded to an attempt.
 func (t *Tracker) RecordResponse(now time.Time, lifetime uint64, startedAt time.Time) {
 	t.mu.Lock()
@@ -295,12 +292,15 @@
 	}
 }
 
-// LastResponse returns when the last attempt began that an upstream responded to; zero if none
-// is known.
-func (t *Tracker) LastResponse(lifetime uint64) time.Time {
+// RecordSilence records that an upstream has not responded to an attempt in time, or that the
+// connection was lost. It says nothing about the links if another upstream was heard from
+// since the attempt began.
+func (t *Tracker) RecordSilence(lifetime uint64, startedAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.respondedTo[lifetime]
+	if !t.heardAt.After(startedAt) {
+		t.recordFailure(startedAt, t.unresponsive, lifetime)
+	}
 }
 
 // RespondedSince reports whether an upstream has responded to an attempt that began after a
@@ -322,6 +322,14 @@
 	return s
 }
 
+// endFailures ends the time of failures once there are none. While the host is partitioned it
+// goes on.
+func (t *Tracker) endFailures() {
+	if t.state == Connected && len(t.dialFailures) == 0 && len(t.unresponsive) == 0 {
+		t.failingSince = time.Time{}
+	}
+}
+
 func (t *Tracker) isDoubtful() bool {
 	return t.state != Connected || len(t.dialFailures) >= minDialFailures || len(t.unresponsive) > 0
 }
@@ -340,11 +348,3 @@
 	clear(t.unresponsive)
 	t.endFailures()
 }
-
-// endFailures ends the time of failures once there are none. While the host is partitioned it
-// goes on.
-func (t *Tracker) endFailures() {
-	if t.state == Connected && len(t.dialFailures) == 0 && len(t.unresponsive) == 0 {
-		t.failingSince = time.Time{}
-	}
-}
