--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -188,7 +188,6 @@
 		f.undoTry(result)
 	case upstream.Broken, upstream.Aborted:
 		if result.outcome.LinkLost && f.route.Idempotent() {
-			p.lost++
 			f.undoArrival(result)
 		}
 	}
--- a/internal/dispatch/part.go
+++ b/internal/dispatch/part.go
@@ -15,9 +15,8 @@
 	// tried holds the upstreams of all attempts so far.
 	tried []string
 	// sent counts all attempts, arrived those that may have reached an upstream, ran
-	// those that an upstream may have run, and running those in flight. lost counts those of
-	// ran that were probably lost with the link to their upstream.
-	sent, arrived, ran, running, lost int
+	// those that an upstream may have run, and running those in flight.
+	sent, arrived, ran, running int
 	// writtenOff holds the attempts in flight that were written off.
 	writtenOff []*pool.Assignment
 	// inFlight holds the assignments of the attempts in flight, without those whose upstream
@@ -63,14 +62,13 @@
 }
 
 // writeOff gives up an attempt in flight over a link that is lost. It does not count as
-// arrived, nor towards the attempts that the route allows, as upstreams that are cut off do not.
+// arrived. It still counts towards the attempts that the route allows: it may have run.
 func (p *part) writeOff(a *pool.Assignment) {
 	if i := slices.Index(p.inFlight, a); i >= 0 {
 		p.inFlight = slices.Delete(p.inFlight, i, i+1)
 	}
 	p.writtenOff = append(p.writtenOff, a)
 	p.arrived--
-	p.lost++
 }
 
 // endWriteOff counts an attempt that has ended after it was written off as one that was not.
@@ -78,7 +76,6 @@
 	if i := slices.Index(p.writtenOff, a); i >= 0 {
 		p.writtenOff = slices.Delete(p.writtenOff, i, i+1)
 		p.arrived++
-		p.lost--
 	}
 }
 
--- a/internal/dispatch/partition_test.go
+++ b/internal/dispatch/partition_test.go
@@ -188,15 +188,35 @@
 				f.handleLinkChange()
 				c.Check(p.arrived, qt.Equals, 0)
 				f.handleResult(attemptResult{part: p, assignment: a, outcome: upstream.Outcome{Result: result}})
-				wantArrived, wantCounted := 1, 1
+				wantArrived, wantRan := 1, 1
 				switch result {
-				case upstream.Unreachable, upstream.Aborted:
-					wantArrived, wantCounted = 0, 0
+				case upstream.Unreachable:
+					wantArrived, wantRan = 0, 0
+				case upstream.Aborted:
+					wantArrived = 0
 				}
 				c.Check(p.arrived, qt.Equals, wantArrived)
-				c.Check(p.ran-p.lost, qt.Equals, wantCounted)
+				c.Check(p.ran, qt.Equals, wantRan)
 				d.Group.Wait()
 			})
 		})
 	}
 }
+
+// TestLostAttemptsCountTowardsTheBound has a host lose its links, and the detour too, when two attempts are allowed.
+func TestLostAttemptsCountTowardsTheBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d, _ := newPartitionDispatcher(singleRoute(true), true, 20*time.Millisecond, pool.Policy{ExtraRatio: 0.2, Window: 10 * time.Second, MaxConcurrent: 3})
+		d.upstreams.react = func(_ string, _ int, a *upstream.Attempt) reaction {
+			if a.Relay == nil {
+				return reaction{isSilent: true}
+			}
+			return reaction{delay: time.Millisecond, outcome: upstream.Outcome{Result: upstream.Broken, LinkLost: true}}
+		}
+		a, _ := d.runRequest(context.Background())
+		d.Group.Wait()
+		c.Check(a.Status, qt.Equals, http.StatusBadGateway)
+		c.Check(d.upstreams.attemptOrder, qt.DeepEquals, []string{"s0a", detourAddress})
+	})
+}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -80,7 +80,7 @@
 // remaining time allow it.
 func (f *inFlightRequest) startHedge(ctx context.Context, now time.Time, p *part) {
 	f.recordSilence(p)
-	if !f.route.Idempotent() || p.ran-p.lost >= f.route.MaxAttempts() || p.sent >= maxAttemptsPerPart {
+	if !f.route.Idempotent() || p.ran >= f.route.MaxAttempts() || p.sent >= maxAttemptsPerPart {
 		p.hedgeAt = f.deadline
 		return
 	}
@@ -108,7 +108,7 @@
 	switch {
 	case p.isAssigned():
 		return ReasonNone
-	case p.ran > 0 && !f.route.Idempotent(), p.ran-p.lost >= f.route.MaxAttempts(), p.sent >= maxAttemptsPerPart:
+	case p.ran > 0 && !f.route.Idempotent(), p.ran >= f.route.MaxAttempts(), p.sent >= maxAttemptsPerPart:
 		return ReasonFailed
 	case !p.pool.HasUpstream(now) && !f.awaitsRoute(now, p):
 		return ReasonNoUpstream
@@ -147,7 +147,7 @@
 	avoidsOwnLinks, avoidedDataCenter := f.doubtedLinks(p)
 	return pool.Requirements{
 		LatencyStats: f.latencyStats, Fingerprint: f.fingerprint, TriedUpstreams: p.tried, MaxDuration: maxDuration,
-		IsLastAttempt: p.ran-p.lost+1 >= f.route.MaxAttempts() || !f.route.Idempotent(), IsOptional: f.route.IsOutranked() || p.running > 0,
+		IsLastAttempt: p.ran+1 >= f.route.MaxAttempts() || !f.route.Idempotent(), IsOptional: f.route.IsOutranked() || p.running > 0,
 		AvoidsOwnLinks: avoidsOwnLinks, AvoidedDataCenter: avoidedDataCenter,
 	}
 }
--- a/internal/host/linkprobes.go
+++ b/internal/host/linkprobes.go
@@ -20,12 +20,26 @@
 	maxProbes    = 16
 	probeStagger = 30 * time.Millisecond
 	probeTimeout = 70 * time.Millisecond
+	// lagInterval is how often a search looks whether this host keeps up: a host that is slow
+	// notices responses late. maxLag is how late it may be.
+	lagInterval = 5 * time.Millisecond
+	maxLag      = 10 * time.Millisecond
 )
 
-// reachesAny opens connections to upstreams and reports whether one of them has accepted one.
-// If it takes longer than usual, askOthers is called; nothing more is expected a little after
-// the channel that it returns has a value.
-func (l *links) reachesAny(ctx context.Context, list []inventory.Upstream, askOthers func(context.Context) <-chan struct{}) bool {
+// A probeResult is the result of a search for an upstream that this host reaches.
+type probeResult int
+
+const (
+	// inconclusive searches have reached none, but this host did not keep up.
+	inconclusive probeResult = iota
+	reachesSome
+	reachesNone
+)
+
+// reachesAny opens connections to upstreams until one of them has accepted one. If it takes
+// longer than usual, askOthers is called; nothing more is expected a little after the channel
+// that it returns has a value.
+func (l *links) reachesAny(ctx context.Context, list []inventory.Upstream, askOthers func(context.Context) <-chan struct{}) probeResult {
 	ctx, cancel := context.WithTimeout(ctx, probeStagger+probeTimeout)
 	defer cancel()
 	reached := make(chan bool, len(list))
@@ -48,12 +62,15 @@
 	start(firstProbes)
 	stagger := time.NewTimer(probeStagger)
 	defer stagger.Stop()
+	lagTicker := time.NewTicker(lagInterval)
+	defer lagTicker.Stop()
+	lookedAt, result := time.Now(), reachesNone
 	for pending > 0 {
 		select {
 		case ok := <-reached:
 			pending--
 			if ok {
-				return true
+				return reachesSome
 			}
 			if pending == 0 {
 				startRest()
@@ -62,13 +79,18 @@
 			startRest()
 		case <-otherReaches:
 			otherReaches, contradicted = nil, time.After(contradictionDelay)
+		case <-lagTicker.C:
 		case <-contradicted:
-			return false
+			pending = 0
 		case <-ctx.Done():
-			return false
+			pending = 0
+		}
+		if now := time.Now(); now.Sub(lookedAt) > lagInterval+maxLag {
+			result = inconclusive
 		}
+		lookedAt = time.Now()
 	}
-	return false
+	return result
 }
 
 // reaches opens a connection to an upstream and reports whether it has accepted it.
--- a/internal/host/links.go
+++ b/internal/host/links.go
@@ -151,8 +151,8 @@
 	if l.IsPartitioned() {
 		list, askOthers = list[:min(firstProbes, len(list))], nil
 	}
-	isReached := l.reachesAny(ctx, list, askOthers)
-	if !l.EndCheck(time.Now(), reachability.Check{StartedAt: startedAt, Reached: isReached}) {
+	result := l.reachesAny(ctx, list, askOthers)
+	if result == inconclusive || !l.EndCheck(time.Now(), reachability.Check{StartedAt: startedAt, Reached: result == reachesSome}) {
 		return
 	}
 	l.host.applyLinkChange(l.IsPartitioned())
--- a/internal/host/upstreamcheck.go
+++ b/internal/host/upstreamcheck.go
@@ -89,7 +89,7 @@
 	witnesses := l.sample(maxProbes, func(o inventory.Upstream) bool {
 		return o.ID() != u.ID() && o.DataCenter() == u.DataCenter()
 	})
-	return len(witnesses) == 0 || l.reachesAny(ctx, witnesses, nil)
+	return len(witnesses) == 0 || l.reachesAny(ctx, witnesses, nil) == reachesSome
 }
 
 // checkWithOthers probes an upstream and asks other hosts if that does not succeed at once.
