--- a/internal/host/links.go
+++ b/internal/host/links.go
@@ -98,8 +98,8 @@
 	l.check()
 }
 
-// Run checks the links when attempts fail, and repeats this until the links work, until the
-// context ends.
+// Run checks the links whenever attempts fail, and again and again while they are lost. It
+// returns when the context ends.
 func (l *links) Run(ctx context.Context) {
 	for {
 		if !l.IsPartitioned() {
--- a/internal/pool/detour.go
+++ b/internal/pool/detour.go
@@ -10,6 +10,29 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 )
 
+// Links tells which connections of this host to upstreams work. It identifies upstreams by
+// the key of their lifetime and is safe for concurrent use.
+type Links interface {
+	// AllowsConnection reports whether an attempt may use an open connection.
+	AllowsConnection(lifetime uint64) bool
+	// AllowsDial reports whether a new connection may be made.
+	AllowsDial(now time.Time, lifetime uint64) bool
+	// IsPartitioned reports whether this host cannot make connections to any upstream.
+	IsPartitioned() bool
+	// IsReaching reports whether a dialling host is known to reach upstreams.
+	IsReaching(address string) bool
+}
+
+// HasOwnLink reports whether this host reaches any upstream of the service itself that is
+// neither retired nor down nor resting.
+func (p *Pool) HasOwnLink(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.members, func(m *member) bool {
+		return !m.upstream.IsDiallingHost() && m.isUsable(now) && p.hasLink(now, m)
+	})
+}
+
 // usableMembers returns the members that may get an attempt: the detours, if this host
 // reaches no upstream of the service itself and they are not excluded; all others otherwise,
 // without those that the attempt avoids if there are more.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -78,19 +78,6 @@
 	MaxConcurrent int
 }
 
-// Links tells which connections of this host to upstreams work. It identifies upstreams by
-// the key of their lifetime and is safe for concurrent use.
-type Links interface {
-	// AllowsConnection reports whether an attempt may use an open connection.
-	AllowsConnection(lifetime uint64) bool
-	// AllowsDial reports whether a new connection may be made.
-	AllowsDial(now time.Time, lifetime uint64) bool
-	// IsPartitioned reports whether this host cannot make connections to any upstream.
-	IsPartitioned() bool
-	// IsReaching reports whether a dialling host is known to reach upstreams.
-	IsReaching(address string) bool
-}
-
 // A Pool holds this host's records of the upstreams of one service and assigns
 // attempts to them. It is safe for concurrent use.
 type Pool struct {
@@ -220,16 +207,6 @@
 	return slices.ContainsFunc(p.usableMembers(now, Requirements{}), func(m *member) bool { return m.isUsable(now) && p.hasLink(now, m) })
 }
 
-// HasOwnLink reports whether this host reaches any upstream of the service itself that is
-// neither retired nor down nor resting.
-func (p *Pool) HasOwnLink(now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.members, func(m *member) bool {
-		return !m.upstream.IsDiallingHost() && m.isUsable(now) && p.hasLink(now, m)
-	})
-}
-
 // SpendHedge counts an extra attempt for a hedge and reports true, unless only the
 // reserve for retries remains.
 func (p *Pool) SpendHedge(now time.Time) bool {
