--- a/internal/host/addresses.go
+++ b/internal/host/addresses.go
@@ -19,9 +19,9 @@
 	// others not to be advertised. The ratio can be small because hosts are sized for
 	// several times their typical load.
 	minLargeHostsCapacityRatio = 0.15
-	// minReachingCapacityRatio is the part of the capacity of all hosts that those which reach
-	// upstreams must have for the others not to be advertised. The others serve callers
-	// through them.
+	// minReachingCapacityRatio is the part of all capacity that the hosts which reach upstreams
+	// must have to be advertised alone. With less, partitioned hosts are advertised as well;
+	// they serve callers through the others.
 	minReachingCapacityRatio = 0.5
 )
 
--- a/internal/host/upstreamcheck.go
+++ b/internal/host/upstreamcheck.go
@@ -83,8 +83,8 @@
 	return reachability.Unknown
 }
 
-// hasWitness reports whether this host reaches another upstream of the data centre of an
-// upstream, or there is none.
+// hasWitness reports whether this host reaches another upstream in the data centre of u. It is
+// also true if u is the only one there.
 func (l *links) hasWitness(ctx context.Context, u inventory.Upstream) bool {
 	witnesses := l.sample(maxProbes, func(o inventory.Upstream) bool {
 		return o.ID() != u.ID() && o.DataCenter() == u.DataCenter()
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -81,8 +81,8 @@
 	// isDiallingHost is set for a host that runs attempts at the upstreams of the
 	// service.
 	isDiallingHost bool
-	// isDetour is set for a dialling host that is used only while this host does not reach
-	// the upstreams itself.
+	// isDetour is set for a dialling host that is a last way, for when this host itself
+	// reaches no upstream of the service.
 	isDetour bool
 }
 
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// minDialFailures is how many upstreams must have failed to accept a connection, with no
-	// connection made since the first, before the links are checked.
+	// minDialFailures is how many upstreams this host must fail to connect to, with no success
+	// in between, before the links are checked.
 	minDialFailures = 2
 	// CheckInterval is the least time between the starts of two checks.
 	CheckInterval = 200 * time.Millisecond
@@ -53,8 +53,8 @@
 
 var linkChart = chart.MustParse(linkChartFile)
 
-// A Check is the result of opening connections to some upstreams, to find out whether this
-// host reaches any.
+// A Check is the result of a check of the links: this host has tried to connect to several
+// upstreams.
 type Check struct {
 	StartedAt time.Time
 	// Reached is set if one of them has accepted a connection.
@@ -65,8 +65,8 @@
 // upstreams. It identifies upstreams by the key of their lifetime. It is safe for concurrent
 // use.
 type Tracker struct {
-	// seed differs between hosts. The order in which they return to upstreams after a cut is
-	// derived from it.
+	// seed differs between hosts, so that they return to an upstream at different times after
+	// a cut.
 	seed uint64
 
 	// isRestricted is false while all connections may be used and made, so that they are
@@ -292,9 +292,8 @@
 	}
 }
 
-// RecordSilence records that an upstream has not responded to an attempt in time, or that the
-// connection was lost. It says nothing about the links if another upstream was heard from
-// since the attempt began.
+// RecordSilence records that an attempt got no response in time or lost its connection. It has
+// no effect if any upstream was heard from since the attempt began: the links then work.
 func (t *Tracker) RecordSilence(lifetime uint64, startedAt time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -75,8 +75,7 @@
 // this host; "" if it has none.
 type EntryAddressChanged struct{ Address string }
 
-// LinksChanged reports that this host has lost the links to all upstreams, or that they work
-// again.
+// LinksChanged reports whether this host has lost the links to all upstreams.
 type LinksChanged struct{ Partitioned bool }
 
 func (Tick) isEvent()                {}
--- a/internal/upstream/connectionpool.go
+++ b/internal/upstream/connectionpool.go
@@ -45,8 +45,8 @@
 type ConnectionPool struct {
 	Protocol Protocol
 
-	// onSlowDial is called while a connection takes longer than slowDialDelay to open; nil if
-	// nobody wants to know.
+	// onSlowDial is called for each connection that has not opened after slowDialDelay. It may
+	// be nil.
 	onSlowDial func(startedAt time.Time)
 	// longBodies bounds the long bodies that are being read.
 	longBodies byteBudget
