--- a/internal/dispatch/conclude.go
+++ b/internal/dispatch/conclude.go
@@ -170,6 +170,7 @@
 	}
 	switch {
 	case ran == 0:
+		answer.NotRun = true
 	case reason == ReasonDeadline:
 		answer.Status = http.StatusGatewayTimeout
 	default:
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/account"
 	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 )
@@ -44,6 +45,8 @@
 	// upstream.EncodeHeader returns them.
 	Header []byte
 	Body   []byte
+	// Account is the caller's client account; nil for none.
+	Account *account.Account
 	// Remaining is how much of the caller's timeout remains; zero if the caller sent no
 	// timeout.
 	Remaining time.Duration
@@ -70,6 +73,8 @@
 	// gives no delay.
 	RetryAfter time.Duration
 	Reason     Reason
+	// NotRun is set if no upstream has run the request and none may still run it.
+	NotRun bool
 }
 
 // A Summary describes a finished request for the request log and the metrics.
@@ -101,9 +106,23 @@
 	Elapsed                    time.Duration
 }
 
-// Fingerprint identifies the request and its repetitions.
+// AccountName returns the name of the caller's client account; empty for none.
+func (r *Request) AccountName() string {
+	if r.Account == nil {
+		return ""
+	}
+	return r.Account.Name()
+}
+
+// Fingerprint identifies the request and its repetitions. Equal requests of different client
+// accounts have different fingerprints: evidence against the request of one account must not
+// block another account.
 func (r *Request) Fingerprint() uint64 {
 	h := xxhash.New()
+	if r.Account != nil {
+		_, _ = h.WriteString(r.Account.Name())
+		_, _ = h.Write([]byte{0})
+	}
 	for _, s := range []string{r.Method, r.Host, r.Target} {
 		_, _ = h.WriteString(s)
 		_, _ = h.Write([]byte{0})
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -229,7 +229,7 @@
 	f.attempts++
 	attempt := &upstream.Attempt{
 		Method: f.request.Method, Target: f.request.Target, Host: f.request.Host, Header: f.request.Header,
-		Body: f.request.Body, RequestID: f.request.ID, UpstreamID: assignment.Upstream.ID(), Address: assignment.Upstream.Address(),
+		Body: f.request.Body, RequestID: f.request.ID, Account: f.request.AccountName(), UpstreamID: assignment.Upstream.ID(), Address: assignment.Upstream.Address(),
 		Deadline: f.deadline, RequireNewConnection: !f.route.Idempotent() || f.isTesting,
 	}
 	if f.isTesting && f.route.Idempotent() {
--- a/internal/peer/hosts.go
+++ b/internal/peer/hosts.go
@@ -26,6 +26,8 @@
 	TestRun(ctx context.Context, address string, request *wire.TestRunRequest) (*wire.TestRunReply, error)
 	// CheckUpstream asks whether an upstream runs.
 	CheckUpstream(ctx context.Context, address string, request *wire.CheckUpstreamRequest) (*wire.CheckUpstreamReply, error)
+	// IssueTokens asks for tokens for requests of a client account.
+	IssueTokens(ctx context.Context, address string, request *wire.IssueTokensRequest) (*wire.IssueTokensReply, error)
 }
 
 // A HostHandler handles the calls of peers on a host.
@@ -35,6 +37,7 @@
 	Relay(ctx context.Context, request *wire.RelayRequest) (*wire.RelayReply, error)
 	TestRun(ctx context.Context, request *wire.TestRunRequest) (*wire.TestRunReply, error)
 	CheckUpstream(ctx context.Context, request *wire.CheckUpstreamRequest) (*wire.CheckUpstreamReply, error)
+	IssueTokens(ctx context.Context, request *wire.IssueTokensRequest) (*wire.IssueTokensReply, error)
 }
 
 // A HostClient is the HostTransport over drpc.
@@ -69,6 +72,13 @@
 	})
 }
 
+// IssueTokens implements HostTransport.
+func (c *HostClient) IssueTokens(ctx context.Context, address string, request *wire.IssueTokensRequest) (*wire.IssueTokensReply, error) {
+	return callWithTimeout(ctx, c.client, address, func(ctx context.Context, conn drpc.Conn) (*wire.IssueTokensReply, error) {
+		return wire.NewDRPCHostClient(conn).IssueTokens(ctx, request)
+	})
+}
+
 // Relay implements HostTransport.
 func (c *HostClient) Relay(ctx context.Context, address string, request *wire.RelayRequest) (*wire.RelayReply, error) {
 	acquire := c.client.acquire
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -18,7 +18,7 @@
 func DecodeAttempt(now time.Time, r *wire.RelayRequest) *upstream.Attempt {
 	return &upstream.Attempt{
 		Method: r.GetMethod(), Target: r.GetTarget(), Host: r.GetHost(), Header: r.GetHeader(), Body: r.GetBody(),
-		RequestID: r.GetRequestId(), Deadline: now.Add(time.Duration(r.GetLeftMicros()) * time.Microsecond), RequireNewConnection: r.GetFresh(),
+		RequestID: r.GetRequestId(), Account: r.GetAccount(), Deadline: now.Add(time.Duration(r.GetLeftMicros()) * time.Microsecond), RequireNewConnection: r.GetFresh(),
 	}
 }
 
@@ -56,7 +56,7 @@
 		Service: a.Relay.Service, Route: a.Relay.Route, TargetMicros: a.Relay.LatencyTarget.Microseconds(), Gathers: a.Relay.Gathers,
 		Fingerprint: a.Relay.Fingerprint, Tried: a.Relay.TriedUpstreams, RequestId: a.RequestID, Method: a.Method, Target: a.Target,
 		Host: a.Host, Header: a.Header, Body: a.Body, LeftMicros: remaining.Microseconds(), Fresh: a.RequireNewConnection,
-		Last: a.Relay.IsLastAttempt, TestRun: a.Relay.IsTestRun,
+		Last: a.Relay.IsLastAttempt, TestRun: a.Relay.IsTestRun, Account: a.Account,
 	}
 }
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/account"
 )
 
 // A RouteSpec is a route as configured by operators.
@@ -33,6 +35,8 @@
 	MaxRecords int
 	// MinShardRatio is the ratio of the shards that an answer requires, 0 to 1.
 	MinShardRatio float64
+	// Public is set if callers of the route need not belong to a client account.
+	Public bool
 }
 
 // A Destination is a service and its weight in a route.
@@ -74,6 +78,8 @@
 	byHost   map[string][]*Route
 	services map[string]ServiceSpec
 	limits   Limits
+	// accounts are the client accounts; nil if the configuration has none.
+	accounts *account.Directory
 }
 
 // scheduleSize is the length of the schedule of a route with several destinations.
@@ -96,6 +102,15 @@
 	return t
 }
 
+// WithAccounts sets the client accounts of the configuration, before the table is used.
+func (t *Table) WithAccounts(d *account.Directory) *Table {
+	t.accounts = d
+	return t
+}
+
+// Accounts returns the client accounts; nil if the configuration has none.
+func (t *Table) Accounts() *account.Directory { return t.accounts }
+
 // Limits returns the limits on the requests of callers.
 func (t *Table) Limits() Limits { return t.limits }
 
@@ -208,6 +223,9 @@
 // Timeout returns the maximum time until a caller gets an answer.
 func (r *Route) Timeout() time.Duration { return r.spec.Timeout }
 
+// IsPublic reports whether callers need not belong to a client account.
+func (r *Route) IsPublic() bool { return r.spec.Public }
+
 // MaxRecords returns the maximum number of records in an answer merged from shards.
 func (r *Route) MaxRecords() int { return r.spec.MaxRecords }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -62,6 +62,8 @@
 	// UpstreamID identifies the upstream to which the attempt is sent.
 	UpstreamID string
 	Address    string
+	// Account is the name of the caller's client account; empty for none.
+	Account string
 	// Deadline is when the exchange is aborted.
 	Deadline time.Time
 	// RequireNewConnection is set if the attempt must not reuse a connection.
