Client accounts: requests are authenticated and upstreams get the account's name

It is now decoded into the accounts of its version, mistakes in it are kept as typed problems and logged once per version. Keys are kept as digests only.

--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -5,6 +5,7 @@
 
 import (
 	"crypto/sha256"
+	"math"
 )
 
 // A Spec is a client account as configured by operators.
@@ -37,6 +38,7 @@
 	byName map[string]*Account
 	// byDigest holds the accounts by the digest of each of their keys.
 	byDigest map[digest]*Account
+	problems []Problem
 }
 
 // A digest is the SHA-256 hash of a key.
@@ -60,20 +62,86 @@
 	return routePriority
 }
 
-// NewDirectory returns the accounts of one version of the configuration.
+// NewDirectory returns the accounts of one version of the configuration. What it could not
+// use of them is in Problems.
 func NewDirectory(specs []Spec) *Directory {
 	d := &Directory{byName: make(map[string]*Account, len(specs)), byDigest: make(map[digest]*Account)}
-	for _, s := range specs {
-		a := &Account{spec: s}
-		d.byName[s.Name] = a
-		for _, k := range s.Keys {
-			d.byDigest[sha256.Sum256([]byte(k))] = a
+	keyCounts := make(map[*Account]int, len(specs))
+	var accounts []*Account
+	for i, s := range specs {
+		if kind := nameProblem(s.Name); kind != 0 {
+			d.report(Problem{kind: kind, entry: i})
+			continue
+		}
+		a := d.byName[s.Name]
+		if a != nil {
+			d.report(Problem{kind: DuplicateName, entry: i, account: s.Name})
+		} else {
+			a = &Account{spec: d.usable(i, s)}
+			d.byName[s.Name] = a
+			accounts = append(accounts, a)
+		}
+		keyCounts[a] += d.addKeys(i, a, s.Keys)
+	}
+	for _, a := range accounts {
+		if keyCounts[a] == 0 {
+			d.report(Problem{kind: NoKeys, entry: -1, account: a.Name()})
 		}
-		a.spec.Keys = nil
 	}
 	return d
 }
 
+// addKeys adds the keys of an entry to its account and returns how many the account keeps.
+func (d *Directory) addKeys(entry int, a *Account, keys []string) int {
+	kept := 0
+	for _, k := range keys {
+		if k == "" {
+			d.report(Problem{kind: EmptyKey, entry: entry, account: a.Name()})
+			continue
+		}
+		digest := sha256.Sum256([]byte(k))
+		if owner := d.byDigest[digest]; owner == a {
+			continue
+		} else if owner != nil {
+			d.report(Problem{kind: DuplicateKey, entry: entry, account: a.Name(), owner: owner.Name()})
+			continue
+		}
+		d.byDigest[digest] = a
+		kept++
+	}
+	return kept
+}
+
+// usable returns a specification without its keys, and without figures that aren't usable.
+func (d *Directory) usable(entry int, s Spec) Spec {
+	s.Keys = nil
+	if !isUsableFigure(s.Limit.RatePerSecond) {
+		s.Limit = Limit{}
+		d.report(Problem{kind: InvalidRate, entry: entry, account: s.Name})
+	}
+	if !isUsableFigure(s.Limit.Burst) {
+		s.Limit = Limit{}
+		d.report(Problem{kind: InvalidBurst, entry: entry, account: s.Name})
+	}
+	if s.HasPriority && s.Priority < 0 {
+		s.HasPriority, s.Priority = false, 0
+		d.report(Problem{kind: InvalidPriority, entry: entry, account: s.Name})
+	}
+	return s
+}
+
+func isUsableFigure(x float64) bool { return x >= 0 && !math.IsInf(x, 0) }
+
+// Problems returns what could not be used of the configured accounts.
+func (d *Directory) Problems() []Problem {
+	if d == nil {
+		return nil
+	}
+	return d.problems
+}
+
+func (d *Directory) report(p Problem) { d.problems = append(d.problems, p) }
+
 // ByKey returns the account to which a key belongs, or nil if the key is unknown.
 func (d *Directory) ByKey(key string) *Account {
 	if d == nil {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -118,7 +118,7 @@
 	f := newInFlightRequest(d, request, route)
 	answer := f.run(ctx)
 	d.OnFinish(Summary{
-		RequestID: request.ID, Fingerprint: f.fingerprint, Route: route.Name(), Version: version, Status: answer.Status, Reason: answer.Reason,
+		RequestID: request.ID, Fingerprint: f.fingerprint, Account: request.AccountName(), Route: route.Name(), Version: version, Status: answer.Status, Reason: answer.Reason,
 		Parts: len(f.parts), MissingParts: answer.MissingParts, Attempts: f.attempts, Hedges: f.hedges, Retries: f.retries,
 		MissingDetails: f.missingDetails(), LastFailure: f.lastFailure, Verdict: f.verdict, Elapsed: time.Since(f.startedAt),
 		Unanswered: f.unansweredCount(), EndedUpstreams: f.endedUpstreams, Probed: f.silenceProbed,
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -27,6 +27,8 @@
 	ReasonCallerDisconnected Reason = "caller-gone"
 	ReasonUnanswered         Reason = "unanswered"
 	ReasonNotStarted         Reason = "not-started"
+	ReasonUnknownKey         Reason = "unknown-key"
+	ReasonKeyUndecided       Reason = "key-undecided"
 )
 
 // A Reason says why a request failed, or why a part is missing in an answer.
@@ -47,6 +49,9 @@
 	Body   []byte
 	// Account is the caller's client account; nil for none.
 	Account *account.Account
+	// Credential is what the caller has sent to identify its account. It is cleared once
+	// Account is set.
+	Credential account.Credential
 	// Remaining is how much of the caller's timeout remains; zero if the caller sent no
 	// timeout.
 	Remaining time.Duration
@@ -81,10 +86,12 @@
 type Summary struct {
 	RequestID   string
 	Fingerprint uint64
-	Route       string
-	Version     uint64
-	Status      int
-	Reason      Reason
+	// Account is the name of the caller's client account; empty for none.
+	Account string
+	Route   string
+	Version uint64
+	Status  int
+	Reason  Reason
 	// Parts is the number of parts of the request. MissingParts has the meaning of
 	// Answer.MissingParts. Attempts is the number of all attempts.
 	Parts, MissingParts, Attempts int
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -105,6 +105,7 @@
 	h.table = t
 	h.Metrics.configurationVersion.Set(float64(t.Version()))
 	h.Log.WithField("version", t.Version()).Info("configuration activated")
+	h.logAccountProblems(t)
 	services := t.Services()
 	maps.DeleteFunc(h.pools, func(name string, _ *pool.Pool) bool {
 		return !slices.Contains(services, name) && len(h.inventory.ForService(name)) == 0
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -185,9 +185,14 @@
 	return list
 }
 
-// Answer runs a request and returns the answer for the caller.
+// Answer runs a request with the active configuration and returns the answer for the caller.
 func (h *Host) Answer(ctx context.Context, request *dispatch.Request) dispatch.Answer {
-	table := h.Table()
+	return h.AnswerWith(ctx, request, h.Table())
+}
+
+// AnswerWith is Answer with the configuration with which the request was decoded; nil if there
+// was none.
+func (h *Host) AnswerWith(ctx context.Context, request *dispatch.Request, table *routing.Table) dispatch.Answer {
 	if table == nil {
 		return dispatch.Answer{Status: http.StatusServiceUnavailable, RetryAfter: noConfigurationRetryDelay}
 	}
@@ -196,6 +201,9 @@
 	if route == nil {
 		return dispatch.Answer{Status: http.StatusNotFound}
 	}
+	if answer, refused := h.authenticate(request, route, table); refused {
+		return answer
+	}
 	return h.dispatcher.Run(ctx, request, route, table.Version())
 }
 
--- a/internal/host/requestlog.go
+++ b/internal/host/requestlog.go
@@ -149,7 +149,7 @@
 		return
 	}
 	fields := logrus.Fields{
-		"request": s.RequestID, "fingerprint": formatFingerprint(s.Fingerprint), "route": s.Route, "version": s.Version, "status": s.Status, "reason": string(s.Reason),
+		"request": s.RequestID, "fingerprint": formatFingerprint(s.Fingerprint), "account": s.Account, "route": s.Route, "version": s.Version, "status": s.Status, "reason": string(s.Reason),
 		"parts": s.Parts, "missing": s.MissingParts, "attempts": s.Attempts, "late": s.Hedges, "retried": s.Retries,
 		"lacking": s.MissingDetails, "failure": s.LastFailure, "took-ms": s.Elapsed.Milliseconds(),
 		"store-age-ms": l.mirrorAge().Milliseconds(), "unanswered": s.Unanswered, "ended": s.EndedUpstreams, "probed": s.Probed,
