Rate limits of client accounts: issuers, holders and their calls

Callers of one account can send several times its limit at many hosts at once. Up to three hosts issue the tokens of an account; the others ask them before a request is dispatched, and refuse it with 429 and Retry-After if none has a token. Requests without an account, and accounts without a limit, pass as before.

--- /dev/null
+++ b/internal/allowance/holder.go
@@ -0,0 +1,337 @@
+package allowance
+
+import (
+	"math"
+	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/account"
+)
+
+const (
+	// hedgeDelay is how long an issuer may take before the next one is asked as well. A call
+	// takes a few milliseconds.
+	hedgeDelay = 25 * time.Millisecond
+	// unreachablePeriod is how long an issuer is not asked after a call has failed, and
+	// notIssuerPeriod after it has answered that it is none: views of the members differ for
+	// as long as gossip takes.
+	unreachablePeriod = time.Second
+	notIssuerPeriod   = 250 * time.Millisecond
+	// maxEmptyPeriod bounds how long an issuer that had no token is not asked.
+	maxEmptyPeriod = maxPromise
+	// horizon is the time for which a host asks for tokens. Tokens for a longer time would
+	// often expire.
+	horizon = 300 * time.Millisecond
+	// rateMemory is the time constant of the estimate of an account's rate.
+	rateMemory = time.Second
+	// MaxWanted bounds the tokens of one call.
+	MaxWanted = 64
+	// undecidedWait is the wait of requests that no issuer has answered.
+	undecidedWait = unreachablePeriod
+	// ownAllowanceFraction is the part of the members that must run for a refusal of the
+	// issuers to be final: below it, they issue less than the limit.
+	ownAllowanceFraction = 0.95
+)
+
+// The kinds of decisions.
+const (
+	// Admitted requests may run.
+	Admitted Kind = iota
+	// Ask asks for a call to Issuer for Wanted tokens, which is decided again at its end, and
+	// at Until at the latest.
+	Ask
+	// Wait asks to wait for the end of a call, until Until if it is set.
+	Wait
+	// Refused requests must not run.
+	Refused
+)
+
+// A Kind is the kind of a Decision.
+type Kind int
+
+// A Request is a request of an account as one version of the configuration knows it.
+type Request struct {
+	Account string
+	Limit   account.Limit
+	Version uint64
+}
+
+// A Decision is what to do with a request.
+type Decision struct {
+	Kind   Kind
+	Ticket Ticket
+	Issuer Member
+	Wanted int
+	Until  time.Time
+	// Wait is the time until a refused request can expect a token.
+	Wait time.Duration
+	// Empty is how many issuers have no token, Unreachable how many did not answer.
+	Empty, Unreachable int
+}
+
+// A Ticket is what an admitted request has used.
+type Ticket struct {
+	Account string
+	// Issuer is the host that has issued the token; empty for a request out of the own
+	// allowance.
+	Issuer  string
+	expires time.Time
+	at      time.Time
+}
+
+// A Holder spends the tokens of accounts on one host. It is not safe for concurrent use.
+type Holder struct {
+	Margin Margin
+
+	holdings map[string]*holding
+}
+
+// A holding is the state of one account.
+type holding struct {
+	limit   account.Limit
+	version uint64
+	grants  []grant
+	view    *View
+	issuers []issuerState
+	// arrivals is a count of the arrivals that decays with rateMemory, as of arrivedAt.
+	arrivals  float64
+	arrivedAt time.Time
+	// ownUses are the times of requests out of the own allowance within the window.
+	ownUses []time.Time
+	// older bounds the tokens of issuers with an older version of the configuration.
+	older bucket
+}
+
+// A grant is the tokens of one call.
+type grant struct {
+	issuer  string
+	count   int
+	expires time.Time
+}
+
+// An issuerState is what a holder knows of one issuer of an account.
+type issuerState struct {
+	Member
+	// calledAt is when the outstanding call was made; zero if there is none.
+	calledAt time.Time
+	// emptyUntil is when it expects to have a token again. askAgainAt is when it is asked
+	// again after that or after a failure.
+	emptyUntil, askAgainAt time.Time
+	failed                 bool
+}
+
+// Take decides on a request.
+func (h *Holder) Take(now time.Time, r Request, v *View, arrived bool) Decision {
+	k := h.holding(now, r, v)
+	if arrived {
+		k.arrivals = k.rate(now)*rateMemory.Seconds() + 1
+		k.arrivedAt = now
+	}
+	if g := k.firstGrant(now); g != nil {
+		g.count--
+		return Decision{Kind: Admitted, Ticket: Ticket{Account: r.Account, Issuer: g.issuer, expires: g.expires, at: now}}
+	}
+	waiting := false
+	for n := range k.issuers {
+		s := &k.issuers[n]
+		switch {
+		case !s.calledAt.IsZero() && now.Sub(s.calledAt) < hedgeDelay:
+			return Decision{Kind: Wait, Until: s.calledAt.Add(hedgeDelay)}
+		case !s.calledAt.IsZero():
+			waiting = true
+		case !now.Before(s.askAgainAt):
+			s.calledAt, s.failed = now, false
+			wanted := 1 + int(k.rate(now)*horizon.Seconds())
+			return Decision{Kind: Ask, Issuer: s.Member, Wanted: min(wanted, MaxWanted), Until: now.Add(hedgeDelay)}
+		}
+	}
+	if waiting {
+		return Decision{Kind: Wait}
+	}
+	return h.Conclude(now, r, v)
+}
+
+// Conclude decides on a request that can wait for no issuer any more. It is run out of the own
+// allowance if the issuers do not answer or may issue only a part of the limit, and refused
+// otherwise.
+func (h *Holder) Conclude(now time.Time, r Request, v *View) Decision {
+	k := h.holding(now, r, v)
+	d := Decision{Kind: Refused, Wait: undecidedWait}
+	for _, s := range k.issuers {
+		if s.failed || !s.calledAt.IsZero() || !now.Before(s.emptyUntil) {
+			d.Unreachable++
+			continue
+		}
+		d.Empty++
+		if wait := s.emptyUntil.Sub(now); d.Empty == 1 || wait < d.Wait {
+			d.Wait = wait
+		}
+	}
+	if d.Empty > 0 && v.fraction() >= ownAllowanceFraction {
+		return d
+	}
+	k.expireOwnUses(now, h.Margin.Window)
+	if len(k.ownUses) < v.ownAllowance(h.Margin, r.Account, r.Limit) {
+		k.ownUses = append(k.ownUses, now)
+		return Decision{Kind: Admitted, Ticket: Ticket{Account: r.Account, at: now}, Empty: d.Empty, Unreachable: d.Unreachable}
+	}
+	return d
+}
+
+// Receive records the answer of an issuer to a call that was made at calledAt. version is the
+// version of the configuration of the issuer.
+func (h *Holder) Receive(now, calledAt time.Time, name, issuer string, reply Reply, version uint64) {
+	k := h.holdings[name]
+	if k == nil {
+		return
+	}
+	issued := reply.Issued
+	if version < k.version {
+		issued = k.boundByOwnLimit(now, issued)
+	}
+	if expires := calledAt.Add(min(reply.Validity, Validity)); issued > 0 && now.Before(expires) {
+		k.grants = append(k.grants, grant{issuer: issuer, count: issued, expires: expires})
+	}
+	s := k.issuer(issuer)
+	if s == nil {
+		return
+	}
+	s.calledAt = time.Time{}
+	switch {
+	case reply.NotIssuer:
+		s.failed, s.askAgainAt = true, now.Add(notIssuerPeriod)
+	case reply.Issued == 0:
+		s.emptyUntil = now.Add(reply.Wait)
+		s.askAgainAt = now.Add(min(reply.Wait, maxEmptyPeriod))
+	}
+}
+
+// Fail records that a call to an issuer has failed.
+func (h *Holder) Fail(now time.Time, name, issuer string) {
+	if k := h.holdings[name]; k != nil {
+		if s := k.issuer(issuer); s != nil {
+			s.calledAt, s.failed, s.askAgainAt = time.Time{}, true, now.Add(unreachablePeriod)
+		}
+	}
+}
+
+// GiveBack returns the token of a request that has not run. It can be used until it expires.
+func (h *Holder) GiveBack(now time.Time, t Ticket) {
+	k := h.holdings[t.Account]
+	switch {
+	case k == nil:
+	case t.Issuer != "" && now.Before(t.expires):
+		k.grants = append(k.grants, grant{issuer: t.Issuer, count: 1, expires: t.expires})
+	case t.Issuer == "":
+		for n, at := range k.ownUses {
+			if at.Equal(t.at) {
+				k.ownUses = append(k.ownUses[:n], k.ownUses[n+1:]...)
+				return
+			}
+		}
+	}
+}
+
+// Maintain drops the accounts that are unused.
+func (h *Holder) Maintain(now time.Time) {
+	for name, k := range h.holdings {
+		if now.Sub(k.arrivedAt) >= max(idlePeriod, h.Margin.Window) {
+			delete(h.holdings, name)
+		}
+	}
+}
+
+// Len returns the number of accounts in use.
+func (h *Holder) Len() int { return len(h.holdings) }
+
+// holding returns the state of an account, adapted to the version and the view of a request.
+func (h *Holder) holding(now time.Time, r Request, v *View) *holding {
+	if h.holdings == nil {
+		h.holdings = make(map[string]*holding)
+	}
+	k, ok := h.holdings[r.Account]
+	if !ok {
+		k = &holding{limit: r.Limit, version: r.Version, arrivedAt: now}
+		h.holdings[r.Account] = k
+	}
+	if r.Version > k.version {
+		if r.Limit.RatePerSecond < k.limit.RatePerSecond || r.Limit.Burst < k.limit.Burst {
+			k.grants = nil
+		}
+		k.version, k.limit = r.Version, r.Limit
+	}
+	if k.view != v {
+		k.setView(v, r.Account)
+	}
+	return k
+}
+
+// setView sets the issuers, and keeps what is known of those that remain.
+func (k *holding) setView(v *View, name string) {
+	k.view = v
+	members := v.issuers(name)
+	states := make([]issuerState, len(members))
+	for n, m := range members {
+		states[n] = issuerState{Member: m}
+		if s := k.issuer(m.Host); s != nil {
+			states[n] = *s
+		}
+	}
+	k.issuers = states
+}
+
+func (k *holding) issuer(host string) *issuerState {
+	for n := range k.issuers {
+		if k.issuers[n].Host == host {
+			return &k.issuers[n]
+		}
+	}
+	return nil
+}
+
+// firstGrant returns the tokens that expire first, or nil if there are none.
+func (k *holding) firstGrant(now time.Time) *grant {
+	valid := k.grants[:0]
+	first := 0
+	for _, g := range k.grants {
+		if g.count == 0 || !now.Before(g.expires) {
+			continue
+		}
+		valid = append(valid, g)
+		if g.expires.Before(valid[first].expires) {
+			first = len(valid) - 1
+		}
+	}
+	k.grants = valid
+	if len(valid) == 0 {
+		return nil
+	}
+	return &k.grants[first]
+}
+
+// rate returns the number of arrivals per second.
+func (k *holding) rate(now time.Time) float64 {
+	return k.arrivals * math.Exp(-now.Sub(k.arrivedAt).Seconds()/rateMemory.Seconds()) / rateMemory.Seconds()
+}
+
+func (k *holding) expireOwnUses(now time.Time, window time.Duration) {
+	for len(k.ownUses) > 0 && now.Sub(k.ownUses[0]) > window {
+		k.ownUses = k.ownUses[1:]
+	}
+}
+
+// boundByOwnLimit returns how many of the tokens of an issuer with an older version may be
+// used: this host takes no more than the limit that it knows allows.
+func (k *holding) boundByOwnLimit(now time.Time, issued int) int {
+	if k.limit.IsUnlimited() {
+		return issued
+	}
+	b := &k.older
+	if b.updatedAt.IsZero() {
+		b.tokens, b.updatedAt = 1, now
+	}
+	b.rate, b.capacity = k.limit.RatePerSecond, max(1, k.limit.Burst)
+	b.fill(now)
+	issued = min(issued, int(b.tokens))
+	b.tokens -= float64(issued)
+	return issued
+}
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -24,6 +24,7 @@
 	ReasonAwaitingTest       Reason = "awaiting-test"
 	ReasonCrashSuspected     Reason = "crash-suspected"
 	ReasonAtLimit            Reason = "at-limit"
+	ReasonAccountLimit       Reason = "account-limit"
 	ReasonCallerDisconnected Reason = "caller-gone"
 	ReasonUnanswered         Reason = "unanswered"
 	ReasonNotStarted         Reason = "not-started"
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -247,6 +247,7 @@
 // plans, which were computed from the previous view.
 func (h *Host) updateFleetView() {
 	view := newFleetView(h.Self.Host(), h.fleet.Members())
+	h.allowances.invalidateView()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.view = view
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -202,7 +202,7 @@
 	h := &Host{
 		Settings: Settings{
 			DataCenter: f.dataCenterOf(address), Peers: seeds, ExtraRatio: 0.2, ExtraSlack: fleetExtraSlack, ExtraWindowSeconds: 10, CallerListen: address, PeerListen: address,
-			GraceSeconds: 6,
+			GraceSeconds: 6, AccountWindowSeconds: 5, AccountTolerance: 0.1, AccountSlack: 20,
 		},
 		Self: roster.NewMember(address, f.dataCenterOf(address), address, "", incarnation, roster.Alive).WithCapacity(f.capacityOf(address)), Feed: p, LeaseStore: p, HostTransport: p, Decoder: testDecoder{routes: f.routes, services: f.services},
 		Upstreams: f.upstreamTransport(address), Metrics: NewMetrics(prometheus.NewRegistry()), Log: log, Seed: incarnation,
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -131,6 +131,8 @@
 	guard     *crashGuard
 	links     *links
 	newsBoard newsBoard
+	// allowances admits requests by the limits of their accounts.
+	allowances *allowances
 }
 
 // Init must be called before anything else.
@@ -145,6 +147,7 @@
 	h.addressCache = make(map[string][]string)
 	h.guard = newCrashGuard(h)
 	h.links = newLinks(h)
+	h.allowances = newAllowances(h)
 	h.Upstreams.NotifySlowDials(h.links.recordSlowDial)
 	h.requestLog = &requestLog{log: h.Log, metrics: h.Metrics, links: h.links.Tracker, mirrorAge: func() time.Duration { return h.follower.Age() }}
 	h.fleet = &membership.Fleet{Self: h.Self, Seed: h.Seed, Exchange: h.exchangeGossip, OnChange: h.handleMemberChange, Tasks: &h.group}
@@ -196,7 +199,7 @@
 	if route == nil {
 		return dispatch.Answer{Status: http.StatusNotFound}
 	}
-	return h.dispatcher.Run(ctx, request, route, table.Version())
+	return h.answerAdmitted(ctx, request, route, table.Version())
 }
 
 // Leave announces to the other hosts that this host is stopping, so that they no longer
@@ -292,6 +295,7 @@
 			h.Upstreams.CloseExpired(now)
 			h.updateInventory(now)
 			h.guard.maintain(now)
+			h.allowances.maintain(now)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -70,6 +71,9 @@
 		request.Probe = peer.EncodeMember(*probe)
 	}
 	reply, err := h.HostTransport.Exchange(ctx, address, request)
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		h.allowances.recordContact(address, err == nil)
+	}
 	if err != nil {
 		return false, fmt.Errorf("exchange gossip: %w", err)
 	}
@@ -115,6 +119,7 @@
 	h.Log.WithFields(map[string]any{
 		"member": c.New.Host(), "from": c.Old.State(), "to": c.New.State(), "incarnation": c.New.Incarnation(), "partitioned": c.New.IsPartitioned(),
 	}).Info("member changed")
+	h.allowances.invalidateView()
 	if c.Old.CanOwn() != c.New.CanOwn() || c.Old.IsPartitioned() != c.New.IsPartitioned() || (c.Old.State() == roster.Dead) != (c.New.State() == roster.Dead) {
 		select {
 		case h.fleetChanges <- struct{}{}:
--- a/internal/host/requestlog.go
+++ b/internal/host/requestlog.go
@@ -46,6 +46,8 @@
 	configurationVersion prometheus.Gauge
 	partitioned          prometheus.Gauge
 	probes               *prometheus.CounterVec
+	accountRequests      *prometheus.CounterVec
+	tokenCalls           *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of a host.
@@ -107,6 +109,13 @@
 			Name: "foxtailshelf_upstream_probes_total", Help: "Connections opened to find out whether an upstream runs, by result.",
 		}, []string{"result"}),
 	}
+	m.accountRequests = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "foxtailshelf_account_requests_total", Help: "Requests of limited client accounts by outcome: admitted, own-allowance, refused.",
+	}, []string{"outcome"})
+	m.tokenCalls = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "foxtailshelf_token_calls_total", Help: "Calls to other hosts for tokens of client accounts by result: issued, none, not-issuer, failed.",
+	}, []string{"result"})
+	registry.MustRegister(m.accountRequests, m.tokenCalls)
 	registry.MustRegister(m.answers, m.answerSeconds, m.attempts, m.attemptResults, m.suspectRequests, m.testRuns, m.upstreamCrashes, m.storeEras, m.leavingUpstreams, m.rests, m.limitChanges, m.missingParts, m.unloggedLines, m.badRecords, m.relayedAttempts, m.configurationVersion, m.partitioned, m.probes)
 	return m
 }
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -25,6 +25,12 @@
 	ExtraSlack float64 `json:"extra-slack" validate:"min=0,max=100000"`
 	// ExtraWindowSeconds is the length of the windows for extra attempts.
 	ExtraWindowSeconds float64 `json:"extra-window-seconds" validate:"min=0.1,max=3600"`
+	// Requests of a client account in any window of AccountWindowSeconds may exceed its limit
+	// by AccountTolerance times the limit, plus AccountSlack. The hosts use this margin for
+	// requests that they have to decide alone; zero for none.
+	AccountWindowSeconds float64 `json:"account-window-seconds" validate:"min=0,max=3600"`
+	AccountTolerance     float64 `json:"account-tolerance" validate:"min=0,max=10"`
+	AccountSlack         float64 `json:"account-slack" validate:"min=0,max=100000"`
 	// MaxAddressTTLSeconds bounds how long callers may cache advertised addresses.
 	MaxAddressTTLSeconds float64 `json:"most-address-seconds" validate:"min=0.1,max=600"`
 	// CPUShare is the part of each core that the process may use, 0 to 1, LinkMegabits
