Inventory: evacuated data centres, later cold periods of a lifetime

Upstreams of an evacuated data centre are retired, and return cold and in steps. An entry of a later sequence that states a remaining cold time starts the period again; the first one of a lifetime counted for ever before. An entry that is read again, is older or comes late from a peer has no effect.

--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -78,6 +78,12 @@
 	drainingSince time.Time
 	missingSince  time.Time
 	coldUntil     time.Time
+	// coldSequence is the highest sequence of an entry of this lifetime that was read.
+	coldSequence int64
+	// isEvacuated is set while the data centre is evacuated, returnedAt is when that last
+	// ended; zero if it did not recently.
+	isEvacuated bool
+	returnedAt  time.Time
 	// isDiallingHost is set for a host that runs attempts at the upstreams of the
 	// service.
 	isDiallingHost bool
@@ -99,6 +105,12 @@
 	leavingSince map[uint64]time.Time
 	// eraBegunAt is when the store last came back from a copy; zero if it has not.
 	eraBegunAt time.Time
+	// evacuated holds the evacuated data centres, returnedAt when the evacuation of others has
+	// recently ended.
+	evacuated  map[string]bool
+	returnedAt map[string]time.Time
+	// coldPeriods holds the cold periods of upstreams that were removed, by lifetime.
+	coldPeriods map[uint64]coldPeriod
 }
 
 // A departure is what is remembered of an upstream that has left or is draining.
@@ -116,8 +128,14 @@
 // Address returns the address at which the upstream listens.
 func (u Upstream) Address() string { return u.spec.Address }
 
-// ColdUntil returns the time until which the upstream is slow after its start.
-func (u Upstream) ColdUntil() time.Time { return u.coldUntil }
+// ColdUntil returns the time until which the upstream is slow after its start or after the
+// evacuation of its data centre.
+func (u Upstream) ColdUntil() time.Time {
+	if until := u.returnedAt.Add(returnPeriod); !u.returnedAt.IsZero() && until.After(u.coldUntil) {
+		return until
+	}
+	return u.coldUntil
+}
 
 // DataCenter returns the data centre.
 func (u Upstream) DataCenter() string { return u.spec.DataCenter }
@@ -148,16 +166,22 @@
 // Eligibility returns whether the upstream may get new attempts at the given time.
 func (u Upstream) Eligibility(now time.Time) Eligibility {
 	switch {
-	case !u.drainingSince.IsZero() && now.Sub(u.drainingSince) > drainGracePeriod,
-		!u.missingSince.IsZero() && now.Sub(u.missingSince) > missingGracePeriod:
+	case u.isEvacuated || u.hasLeft(now):
 		return Retired
-	case !u.drainingSince.IsZero() || !u.missingSince.IsZero():
+	case !u.drainingSince.IsZero() || !u.missingSince.IsZero() || u.isReturning(now):
 		return LastResort
 	default:
 		return InService
 	}
 }
 
+// hasLeft reports whether the grace period of an upstream that is draining or whose entry is
+// missing has ended.
+func (u Upstream) hasLeft(now time.Time) bool {
+	return (!u.drainingSince.IsZero() && now.Sub(u.drainingSince) > drainGracePeriod) ||
+		(!u.missingSince.IsZero() && now.Sub(u.missingSince) > missingGracePeriod)
+}
+
 // HasSameLifetime reports whether both records are of the same lifetime of an upstream: a
 // restart or another address begins a new one.
 func (u Upstream) HasSameLifetime(other Upstream) bool {
@@ -189,7 +213,7 @@
 func New() *Inventory {
 	return &Inventory{
 		upstreams: make(map[string]Upstream), byService: make(map[string]map[string]bool), departures: make(map[uint64]departure),
-		leavingSince: make(map[uint64]time.Time),
+		leavingSince: make(map[uint64]time.Time), returnedAt: make(map[string]time.Time), coldPeriods: make(map[uint64]coldPeriod),
 	}
 }
 
@@ -240,7 +264,10 @@
 		}
 		seen[s.ID] = true
 		old, isKnown := i.upstreams[s.ID]
-		u := updatedUpstream(now, old, isKnown, s)
+		u := i.withEvacuation(updatedUpstream(now, old, isKnown, s))
+		if !isKnown {
+			u = i.restoreColdPeriod(u)
+		}
 		if since := i.leavingTime(u); u.drainingSince.IsZero() {
 			u.drainingSince = since
 		}
@@ -276,7 +303,8 @@
 			if u.drainingSince.IsZero() && !isLost {
 				ended = append(ended, u)
 			}
-		case u.Eligibility(now) == Retired:
+		case u.hasLeft(now):
+			i.keepColdPeriod(now, u)
 			i.remove(u)
 			changed = append(changed, u.spec.Service)
 		}
@@ -382,18 +410,17 @@
 }
 
 // updatedUpstream returns the record of an upstream after its entry was read. If the
-// entry is of the same lifetime as the old record, neither the cold period nor the
-// drain grace period starts again.
+// entry is of the same lifetime as the old record, the drain grace period does not start
+// again.
 func updatedUpstream(now time.Time, old Upstream, isKnown bool, s UpstreamSpec) Upstream {
-	u := Upstream{spec: s, coldUntil: now.Add(s.ColdRemaining)}
+	u := Upstream{spec: s, coldUntil: now.Add(s.ColdRemaining), coldSequence: s.Sequence}
 	isSameLifetime := isKnown && u.HasSameLifetime(old)
 	u.lifetimeKey = old.lifetimeKey
 	if !isSameLifetime {
 		u.lifetimeKey = s.lifetimeKey()
 	}
 	if isSameLifetime {
-		u.coldUntil = old.coldUntil
-		u.spec.ColdRemaining = old.spec.ColdRemaining
+		u = u.continueColdPeriod(old)
 	}
 	if s.Draining {
 		u.drainingSince = now
