Pool: limit on requests at cold upstreams; none if all are evacuated

A cold upstream takes few requests a second from all hosts, and crashes above that. A member has a second bucket of turns while it is cold, which starts with less than one turn, whatever had accumulated before. The lower limit binds. If all upstreams of a service that are left are evacuated, other hosts have none either, so the attempt is not relayed and the request is refused at once.

--- a/internal/pool/detour.go
+++ b/internal/pool/detour.go
@@ -37,6 +37,9 @@
 // reaches no upstream of the service itself and they are not excluded; all others otherwise,
 // without those that the attempt avoids if there are more.
 func (p *Pool) usableMembers(now time.Time, r Requirements) []*member {
+	if p.isEvacuated(now) {
+		return nil
+	}
 	direct, detours := p.members[:len(p.members)-p.detourCount], p.members[len(p.members)-p.detourCount:]
 	if len(detours) == 0 || r.DirectOnly {
 		return direct
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -41,6 +41,8 @@
 	// rate is how many turns per second this host has; turns are those it had at updatedAt.
 	rate, turns float64
 	updatedAt   time.Time
+	// burst is how many turns accumulate at most; zero for those of limitBurst.
+	burst float64
 }
 
 // TurnDelay returns how long an attempt has to wait until an upstream takes it, if all
@@ -63,8 +65,8 @@
 	}
 	rate := 0.0
 	for _, m := range p.members {
-		if m.limit != nil && m.isUsable(now) {
-			rate += m.limit.rate
+		if m.isUsable(now) {
+			rate += m.turnRate(now)
 		}
 	}
 	next := at.Add(maxPromiseDelay)
@@ -84,7 +86,7 @@
 		if !m.isUsable(now) || r.excludes(m) {
 			continue
 		}
-		delay := m.limit.turnDelay(now, r.IsOptional)
+		delay := m.turnDelay(now, r.IsOptional)
 		if delay == 0 {
 			return 0
 		}
@@ -162,7 +164,12 @@
 }
 
 // capacity returns how many turns accumulate at most.
-func (l *requestLimit) capacity() float64 { return max(1, l.rate*limitBurst.Seconds()) }
+func (l *requestLimit) capacity() float64 {
+	if l.burst > 0 {
+		return l.burst
+	}
+	return max(1, l.rate*limitBurst.Seconds())
+}
 
 func (l *requestLimit) advance(now time.Time) {
 	if elapsed := now.Sub(l.updatedAt); elapsed > 0 {
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -79,6 +79,8 @@
 	restUntil time.Time
 	// limit is the limit on requests that the upstream has stated; nil if none.
 	limit *requestLimit
+	// cold is the limit on requests while the upstream is cold; nil if none.
+	cold *requestLimit
 	// reducedLimit is the concurrency limit that was set at limitReducedAt, when the
 	// upstream had too many connections. From then on the limit grows by one every
 	// limitGrowthInterval.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -73,6 +73,8 @@
 	// LimitShares is the part of the limits on requests that upstreams of a data centre state
 	// which this host may use, 0 to 1; LoadShare applies to other data centres.
 	LimitShares map[string]float64
+	// ColdLimit bounds this host's requests at each cold upstream; nil for no bound.
+	ColdLimit *ColdLimit
 	// MaxConcurrent bounds the concurrent attempts at one upstream; it does not
 	// apply to dialling hosts.
 	MaxConcurrent int
@@ -104,7 +106,9 @@
 	// hasDiallingHosts is set if dialling hosts run attempts at the upstreams for
 	// this host.
 	hasDiallingHosts bool
-	extra            *budget.Window
+	// hasEvacuated is set if any upstream is in an evacuated data centre.
+	hasEvacuated bool
+	extra        *budget.Window
 	// connectDuration is a moving average of the duration of connecting.
 	connectDuration time.Duration
 	unanswered      unansweredAttempts
@@ -131,6 +135,7 @@
 	}
 	p.extra.SetLimits(policy.ExtraRatio, policy.ExtraSlack)
 	p.policy = policy
+	p.hasEvacuated = slices.ContainsFunc(upstreams, inventory.Upstream.IsEvacuated)
 	p.hasDiallingHosts = slices.ContainsFunc(upstreams, func(u inventory.Upstream) bool { return u.IsDiallingHost() && !u.IsDetour() })
 	old := p.members
 	p.members = make([]*member, 0, len(upstreams))
@@ -140,9 +145,12 @@
 			m := newMember(u)
 			m.restUntil, m.limit = p.restUntil[u.LifetimeKey()], p.limits[u.LifetimeKey()]
 			p.members = append(p.members, m)
+			p.limitCold(now, m, false)
 			continue
 		}
+		wasCold := old[i].isCold(now)
 		old[i].upstream = u
+		p.limitCold(now, old[i], wasCold)
 		p.members = append(p.members, old[i])
 	}
 	p.detourCount = 0
@@ -246,7 +254,7 @@
 	}
 	assignment := &Assignment{Upstream: best.upstream, member: best, latencyStats: r.LatencyStats, typicalLatency: typical, startedAt: now, fingerprint: r.Fingerprint}
 	best.running = append(best.running, assignment)
-	best.limit.take()
+	best.takeTurn(now)
 	return assignment
 }
 
@@ -255,7 +263,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	assignment.member.remove(assignment)
-	assignment.member.limit.giveBack()
+	assignment.member.giveBackTurn()
 }
 
 // ExpectedLatency returns the expected duration of an attempt at the fastest upstream;
@@ -270,7 +278,7 @@
 		if !m.isUsable(now) {
 			continue
 		}
-		latency := m.expectedLatency(now, typical) + m.limit.turnDelay(now, false)
+		latency := m.expectedLatency(now, typical) + m.turnDelay(now, false)
 		if len(m.running) >= p.concurrencyLimit(now, m, s) {
 			latency = fullFactor * max(latency, s.target)
 		}
@@ -289,22 +297,6 @@
 	return p.unanswered.end(now, u)
 }
 
-// ForgetUnanswered discards the attempts that began after a time and were reported to
-// RecordUnanswered, because the link to their upstream was lost.
-func (p *Pool) ForgetUnanswered(since time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.unanswered.forget(since)
-}
-
-// HasUnanswered reports whether RecordEnd would return attempts at an upstream.
-func (p *Pool) HasUnanswered(u inventory.Upstream) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	l, ok := p.unanswered.byLifetime[u.LifetimeKey()]
-	return ok && len(l.attempts) > 0
-}
-
 // RecordUnanswered records an attempt without a response, of a request to which no other
 // upstream of the service has responded. It returns the attempt as a crash if the upstream
 // has ended since; otherwise RecordEnd or RecordOutcome will return it if the upstream ends
@@ -387,7 +379,7 @@
 			return p.unanswered.end(now, m.upstream)
 		}
 	case upstream.Unreachable:
-		m.limit.giveBack()
+		m.giveBackTurn()
 		if !o.AtConnectionLimit && !o.ConnectAborted {
 			m.recordUnreachable(now)
 		}
@@ -431,7 +423,7 @@
 	switch {
 	case m.upstream.Eligibility(now) != eligibility || !m.isUsable(now) || r.excludes(m):
 		return false
-	case m.limit.turnDelay(now, r.IsOptional) > 0:
+	case m.turnDelay(now, r.IsOptional) > 0:
 		return false
 	case len(m.running) >= p.concurrencyLimit(now, m, r.LatencyStats):
 		return false
--- a/internal/pool/unanswered.go
+++ b/internal/pool/unanswered.go
@@ -37,6 +37,22 @@
 	testRun     bool
 }
 
+// ForgetUnanswered discards the attempts that began after a time and were reported to
+// RecordUnanswered, because the link to their upstream was lost.
+func (p *Pool) ForgetUnanswered(since time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unanswered.forget(since)
+}
+
+// HasUnanswered reports whether RecordEnd would return attempts at an upstream.
+func (p *Pool) HasUnanswered(u inventory.Upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, ok := p.unanswered.byLifetime[u.LifetimeKey()]
+	return ok && len(l.attempts) > 0
+}
+
 // record adds an attempt, or returns it as a crash if the upstream has ended.
 func (u *unansweredAttempts) record(now time.Time, a *Assignment, testRun bool) []Crash {
 	if a.Upstream.IsDiallingHost() {
