Host: evacuations, and this host's part of the requests at cold upstreams

The key of an evacuation and the rate of cold upstreams are decoded from the store. Invalid figures cost a log line and nothing else: before, a wrong type lost the whole record. At a cold upstream only as many hosts send as requests may accumulate in a second, chosen by rendezvous hashing over all known members, since 300 hosts with a share of a request each could send at once.

--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -52,7 +52,7 @@
 	var peers []roster.Member
 	h.mu.Lock()
 	h.beginEra(now, revision)
-	h.upstreamSpecs = h.upstreamSpecs[:0]
+	h.upstreamSpecs, h.evacuatedRecords = h.upstreamSpecs[:0], h.evacuatedRecords[:0]
 	cached := make(map[string]cachedRecord, len(records))
 	for _, r := range records {
 		d := h.decodeRecord(r)
@@ -63,6 +63,9 @@
 		if d.Upstream != nil {
 			h.upstreamSpecs = append(h.upstreamSpecs, *d.Upstream)
 		}
+		if d.EvacuatedDataCenter != "" {
+			h.evacuatedRecords = append(h.evacuatedRecords, d.EvacuatedDataCenter)
+		}
 		if d.PeerAddress != "" && d.PeerAddress != h.Self.GateAddress() {
 			peers = append(peers, d.peer)
 		}
@@ -140,7 +143,9 @@
 // configurePool sets the upstreams and the limits of a pool. The caller holds h.mu.
 func (h *Host) configurePool(now time.Time, p *pool.Pool, service string) {
 	plan := h.dialPlanFor(service)
-	p.Configure(now, h.upstreamsFor(service, plan), h.poolPolicy(plan))
+	policy := h.poolPolicy(plan)
+	policy.ColdLimit = h.coldLimitFor(now, service)
+	p.Configure(now, h.upstreamsFor(service, plan), policy)
 }
 
 // poolPolicy returns the limits of this host for a service with the given plan.
@@ -169,7 +174,8 @@
 // changed. A record that cannot be decoded is logged, counted and treated as empty. The
 // caller holds h.mu.
 func (h *Host) decodeRecord(r keyvalue.Change) cachedRecord {
-	if cached, ok := h.cachedRecords[r.Key()]; ok && cached.revision == r.Revision() {
+	cached, ok := h.cachedRecords[r.Key()]
+	if ok && cached.revision == r.Revision() {
 		return cached
 	}
 	decoded, err := h.Decoder.DecodeRecord(r)
@@ -177,6 +183,7 @@
 		h.Metrics.badRecords.Inc()
 		h.Log.WithError(err).WithField("key", r.Key()).Warn("store record skipped: cannot be decoded")
 	}
+	h.recordIgnored(r.Key(), cached.Ignored, decoded.Ignored)
 	record := cachedRecord{revision: r.Revision(), DecodedRecord: decoded}
 	if decoded.PeerAddress != "" {
 		record.peer = h.registeredMember(decoded.PeerAddress, decoded.PeerRegistration)
@@ -193,7 +200,10 @@
 	if h.table == nil {
 		return
 	}
+	begun, returned := h.updateEvacuation(now)
 	changed, ended := h.inventory.Update(now, h.upstreamSpecs)
+	h.recordEvacuations(begun)
+	changed = append(changed, returned...)
 	var crashes []pool.Crash
 	for _, u := range ended {
 		h.Log.WithFields(map[string]any{"upstream": u.ID(), "service": u.Service(), "address": u.Address()}).Info("entry of upstream vanished")
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -54,6 +54,11 @@
 	// wire.Member.
 	PeerAddress      string
 	PeerRegistration string
+	// EvacuatedDataCenter is the data centre that the key evacuates.
+	EvacuatedDataCenter string
+	// Ignored describes the parts of the value that are invalid and do not count; empty if
+	// there are none.
+	Ignored string
 }
 
 var _ UpstreamTransport = (*upstream.ConnectionPool)(nil)
@@ -111,9 +116,11 @@
 	recordsRevision keyvalue.Revision
 	// upstreamSpecs are all upstreams that are listed in the store.
 	upstreamSpecs []inventory.UpstreamSpec
-	inventory     *inventory.Inventory
-	pools         map[string]*pool.Pool
-	latencyStats  map[string]*pool.LatencyStats
+	// evacuatedRecords are the evacuated data centres that are listed in the store.
+	evacuatedRecords []string
+	inventory        *inventory.Inventory
+	pools            map[string]*pool.Pool
+	latencyStats     map[string]*pool.LatencyStats
 	// cachedRecords holds the decoded records by key, so that only changed records are
 	// decoded again.
 	cachedRecords map[string]cachedRecord
@@ -122,6 +129,9 @@
 	// dialPlans caches the plans that were computed from view.
 	dialPlans map[planKey]dialPlan
 	stopping  bool
+	// startedAt is when Init was called; settled is set once memberSettlePeriod has passed.
+	startedAt time.Time
+	settled   bool
 
 	addressMu sync.Mutex
 	// addressCache holds the advertised addresses by data centre. It is cleared when a
@@ -135,6 +145,7 @@
 
 // Init must be called before anything else.
 func (h *Host) Init() {
+	h.startedAt = time.Now()
 	h.inventory = inventory.New()
 	h.pools = make(map[string]*pool.Pool)
 	h.latencyStats = make(map[string]*pool.LatencyStats)
@@ -146,7 +157,7 @@
 	h.guard = newCrashGuard(h)
 	h.links = newLinks(h)
 	h.Upstreams.NotifySlowDials(h.links.recordSlowDial)
-	h.requestLog = &requestLog{log: h.Log, metrics: h.Metrics, links: h.links.Tracker, mirrorAge: func() time.Duration { return h.follower.Age() }}
+	h.requestLog = &requestLog{log: h.Log, metrics: h.Metrics, links: h.links.Tracker, mirrorAge: func() time.Duration { return h.follower.Age() }, evacuated: h.evacuatedDataCenters}
 	h.fleet = &membership.Fleet{Self: h.Self, Seed: h.Seed, Exchange: h.exchangeGossip, OnChange: h.handleMemberChange, Tasks: &h.group}
 	h.fleet.Init()
 	h.follower = &mirror.Follower{
@@ -291,6 +302,8 @@
 		case now := <-ticker.C:
 			h.Upstreams.CloseExpired(now)
 			h.updateInventory(now)
+			h.closeEvacuatedConnections()
+			h.settle(now)
 			h.guard.maintain(now)
 		case <-ctx.Done():
 			return
--- a/internal/host/requestlog.go
+++ b/internal/host/requestlog.go
@@ -46,6 +46,7 @@
 	configurationVersion prometheus.Gauge
 	partitioned          prometheus.Gauge
 	probes               *prometheus.CounterVec
+	evacuationMetrics
 }
 
 // NewMetrics registers the metrics of a host.
@@ -108,6 +109,7 @@
 		}, []string{"result"}),
 	}
 	registry.MustRegister(m.answers, m.answerSeconds, m.attempts, m.attemptResults, m.suspectRequests, m.testRuns, m.upstreamCrashes, m.storeEras, m.leavingUpstreams, m.rests, m.limitChanges, m.missingParts, m.unloggedLines, m.badRecords, m.relayedAttempts, m.configurationVersion, m.partitioned, m.probes)
+	m.evacuationMetrics = newEvacuationMetrics(registry)
 	return m
 }
 
@@ -122,6 +124,8 @@
 	mirrorAge func() time.Duration
 	// links is what the host's own connections to upstreams have shown.
 	links *reachability.Tracker
+	// evacuated returns the evacuated data centres.
+	evacuated func() []string
 
 	mu sync.Mutex
 	// currentSecond is the Unix time in seconds to which lineCount applies.
@@ -155,6 +159,9 @@
 		"store-age-ms": l.mirrorAge().Milliseconds(), "unanswered": s.Unanswered, "ended": s.EndedUpstreams, "probed": s.Probed,
 	}
 	maps.Copy(fields, linkFields(l.links.Summary(time.Now())))
+	if list := l.evacuated(); len(list) > 0 {
+		fields["evacuated"] = list
+	}
 	if s.Verdict.Decision != quarantine.Allowed {
 		maps.Copy(fields, verdictFields(s.Verdict))
 	}
--- a/internal/host/state.go
+++ b/internal/host/state.go
@@ -13,6 +13,8 @@
 	Upstreams       int      `json:"upstreams"`
 	Members         []string `json:"members"`
 	Stopping        bool     `json:"stopping"`
+	// EvacuatedDataCenters are the data centres whose upstreams get no requests.
+	EvacuatedDataCenters []string `json:"evacuated-data-centers,omitempty"`
 }
 
 // State returns the current state for operators.
@@ -27,6 +29,7 @@
 	if h.table != nil {
 		s.Version = h.table.Version()
 	}
+	s.EvacuatedDataCenters = h.inventory.Evacuated()
 	s.Upstreams, s.Stopping = h.inventory.Len(), h.stopping
 	return s
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -51,6 +51,9 @@
 	// MaxConnections bounds the connections that one upstream accepts from all
 	// hosts together.
 	MaxConnections int
+	// ColdRequestsPerSecond bounds the requests per second that one upstream takes from all
+	// hosts together while it is cold; zero for no limit.
+	ColdRequestsPerSecond float64
 }
 
 // Limits bound the requests of callers.
