Host: plays of evacuations and of cold upstreams; hosts return one after the other

After an evacuation the upstreams of a data centre returned in steps. The first of them got the requests of all: 37 in a second where 5 were allowed in a fleet of 7 hosts.

--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -36,6 +36,8 @@
 	tableKey  = "table"
 	// upstreamKeyPrefix is the prefix of the keys of simulated upstreams.
 	upstreamKeyPrefix = "upstreams/"
+	// evacuationKeyPrefix is the prefix of the keys that evacuate data centres.
+	evacuationKeyPrefix = "evacuated/"
 )
 
 var errUnreachable = errors.New("host or store unreachable")
@@ -122,6 +124,9 @@
 	if address, ok := strings.CutPrefix(r.Key(), "hosts/"); ok {
 		return DecodedRecord{PeerAddress: address, PeerRegistration: string(r.Value())}, nil
 	}
+	if dataCenter, ok := strings.CutPrefix(r.Key(), evacuationKeyPrefix); ok {
+		return DecodedRecord{EvacuatedDataCenter: dataCenter}, nil
+	}
 	if strings.HasPrefix(r.Key(), upstreamKeyPrefix) {
 		var spec inventory.UpstreamSpec
 		if err := json.Unmarshal(r.Value(), &spec); err != nil {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/dispatch"
@@ -147,6 +148,7 @@
 func (h *Host) Init() {
 	h.startedAt = time.Now()
 	h.inventory = inventory.New()
+	h.inventory.Seed = xxhash.Sum64String(h.Self.Host())
 	h.pools = make(map[string]*pool.Pool)
 	h.latencyStats = make(map[string]*pool.LatencyStats)
 	h.dialPlans = make(map[planKey]dialPlan)
--- a/internal/inventory/evacuation.go
+++ b/internal/inventory/evacuation.go
@@ -10,15 +10,12 @@
 	"time"
 )
 
-const (
-	// returnPeriod is how long upstreams count as cold after the evacuation of their data
-	// centre: their caches have seen no request, and what hosts knew of them is outdated.
-	returnPeriod = 3 * time.Second
-	// returnSteps is the number of steps in which upstreams return to service during
-	// returnPeriod, each a last resort until then. A data centre has at least a few upstreams
-	// of each service, and four steps of 0.75 s are longer than hosts take to hear of a change.
-	returnSteps = 4
-)
+// returnPeriod is how long upstreams count as cold after the evacuation of their data
+// centre: their caches have seen no request, and what hosts knew of them is outdated. Hosts
+// return to them one after the other in this time; until then the upstreams are a last resort.
+// If the upstreams returned one after the other instead, the first would get what is meant for
+// all of its data centre: seven times the allowed requests in a fleet of 7 hosts.
+const returnPeriod = 3 * time.Second
 
 // SetEvacuated replaces the data centres whose upstreams get no attempts. A data centre that
 // is missing just after the store has come back from a copy stays evacuated for
@@ -76,22 +73,13 @@
 
 // withEvacuation returns the record of an upstream with the state of its data centre.
 func (i *Inventory) withEvacuation(u Upstream) Upstream {
-	u.isEvacuated, u.returnedAt = false, time.Time{}
+	u.isEvacuated, u.returnedAt, u.inServiceAt = false, time.Time{}, time.Time{}
 	if len(i.evacuated) > 0 {
 		u.isEvacuated = i.evacuated[u.spec.DataCenter]
 	}
-	if len(i.returnedAt) > 0 {
-		u.returnedAt = i.returnedAt[u.spec.DataCenter]
+	if at, ok := i.returnedAt[u.spec.DataCenter]; ok {
+		const steps = 1 << 32
+		u.returnedAt, u.inServiceAt = at, at.Add(time.Duration(float64(returnPeriod)*float64(i.Seed%steps)/steps))
 	}
 	return u
 }
-
-// isReturning reports whether an upstream whose data centre was evacuated is not in service
-// yet. The upstreams of a service return in steps.
-func (u Upstream) isReturning(now time.Time) bool {
-	if u.returnedAt.IsZero() {
-		return false
-	}
-	step := time.Duration(u.lifetimeKey%returnSteps) + 1
-	return now.Sub(u.returnedAt) < step*returnPeriod/returnSteps
-}
--- a/internal/inventory/evacuation_test.go
+++ b/internal/inventory/evacuation_test.go
@@ -14,10 +14,11 @@
 }
 
 // TestEvacuatedUpstreamsAreRetired checks that no upstream of an evacuated data centre is
-// eligible, also one whose entry comes later, and that they return cold and in steps.
+// eligible, also one whose entry comes later, and that they return cold and as a last resort.
 func TestEvacuatedUpstreamsAreRetired(t *testing.T) {
 	c := qt.New(t)
 	i := New()
+	i.Seed = 1 << 31
 	specs := []UpstreamSpec{newSpecIn("a", "z1"), newSpecIn("b", "z2")}
 	i.Update(start, specs)
 	c.Check(i.SetEvacuated(start, []string{"z1", "unknown"}), qt.DeepEquals, []string{"s"})
@@ -34,6 +35,8 @@
 	for _, u := range i.ForService("s") {
 		c.Check(u.ColdUntil().After(back), qt.Equals, u.DataCenter() == "z1", qt.Commentf("%s", u.ID()))
 	}
+	c.Check(eligibilityByID(i, back.Add(returnPeriod/2-1))["a"], qt.Equals, LastResort)
+	c.Check(eligibilityByID(i, back.Add(returnPeriod/2))["a"], qt.Equals, InService)
 	later := back.Add(returnPeriod)
 	i.Update(later, specs)
 	c.Check(eligibilityByID(i, later), qt.DeepEquals, map[string]Eligibility{"a": InService, "b": InService, "late": InService})
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -84,6 +84,8 @@
 	// ended; zero if it did not recently.
 	isEvacuated bool
 	returnedAt  time.Time
+	// inServiceAt is when the upstream is in service again after that.
+	inServiceAt time.Time
 	// isDiallingHost is set for a host that runs attempts at the upstreams of the
 	// service.
 	isDiallingHost bool
@@ -95,6 +97,10 @@
 // An Inventory holds the upstreams that have an entry in the store, and those whose
 // entry has vanished until Update removes them. It is not safe for concurrent use.
 type Inventory struct {
+	// Seed differs between hosts. It determines when the upstreams of a data centre return to
+	// service after its evacuation.
+	Seed uint64
+
 	upstreams map[string]Upstream
 	// byService holds the ids of each service's upstreams.
 	byService map[string]map[string]bool
@@ -168,7 +174,7 @@
 	switch {
 	case u.isEvacuated || u.hasLeft(now):
 		return Retired
-	case !u.drainingSince.IsZero() || !u.missingSince.IsZero() || u.isReturning(now):
+	case !u.drainingSince.IsZero() || !u.missingSince.IsZero() || now.Before(u.inServiceAt):
 		return LastResort
 	default:
 		return InService
