Accounts: unknown keys are judged by the age of the applied copy; accounts rank requests

The bound is now the age that copies usually reach in a fleet of the size, from 2 s to 4.5 s, below the 5 s within which a version takes effect. It counts what has been applied: after an outage, a host doesn't refuse a key for good while it still applies the list.

Requests of an account with a priority are ranked by it instead of by that of their route, also among the requests of one route.

--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -39,6 +39,10 @@
 	// byDigest holds the accounts by the digest of each of their keys.
 	byDigest map[digest]*Account
 	problems []Problem
+	// mostUrgent is the most urgent priority of the accounts that have one, if hasPriority is
+	// set. followsRoute is set if there are accounts without a priority.
+	mostUrgent                int
+	hasPriority, followsRoute bool
 }
 
 // A digest is the SHA-256 hash of a key.
@@ -54,9 +58,9 @@
 func (a *Account) Limit() Limit { return a.spec.Limit }
 
 // Priority returns the priority of the account's requests on a route with a priority; 0 is
-// the most urgent.
+// the most urgent. Requests of no account, which is nil, have the priority of the route.
 func (a *Account) Priority(routePriority int) int {
-	if a.spec.HasPriority {
+	if a != nil && a.spec.HasPriority {
 		return a.spec.Priority
 	}
 	return routePriority
@@ -84,6 +88,7 @@
 		keyCounts[a] += d.addKeys(i, a, s.Keys)
 	}
 	for _, a := range accounts {
+		d.rank(a)
 		if keyCounts[a] == 0 {
 			d.report(Problem{kind: NoKeys, entry: -1, account: a.Name()})
 		}
@@ -132,6 +137,28 @@
 
 func isUsableFigure(x float64) bool { return x >= 0 && !math.IsInf(x, 0) }
 
+func (d *Directory) rank(a *Account) {
+	switch p := a.spec.Priority; {
+	case !a.spec.HasPriority:
+		d.followsRoute = true
+	case !d.hasPriority || p < d.mostUrgent:
+		d.hasPriority, d.mostUrgent = true, p
+	}
+}
+
+// MostUrgent returns the most urgent priority that a request on a route with a priority can
+// have, given that callers without an account can use the route if it is public.
+func (d *Directory) MostUrgent(routePriority int, isPublic bool) int {
+	switch {
+	case d == nil || !d.hasPriority:
+		return routePriority
+	case d.followsRoute || isPublic:
+		return min(routePriority, d.mostUrgent)
+	default:
+		return d.mostUrgent
+	}
+}
+
 // Problems returns what could not be used of the configured accounts.
 func (d *Directory) Problems() []Problem {
 	if d == nil {
--- a/internal/account/decision.go
+++ b/internal/account/decision.go
@@ -16,9 +16,13 @@
 	Undecided
 )
 
-// maxCopyAge is the age of this host's copy of the store up to which an unknown key is
-// certainly refused. While the store works, hosts hear of a new version in far less time.
-const maxCopyAge = 2 * time.Second
+// An unknown key is certainly refused while the copy of the store is no older than copies
+// usually are, or than minCertainAge. Above maxCertainAge it never is: a new version must apply
+// on all hosts 5 s after it was written.
+const (
+	minCertainAge = 2 * time.Second
+	maxCertainAge = 4500 * time.Millisecond
+)
 
 // String returns the verdict as it is logged.
 func (v Verdict) String() string {
@@ -36,11 +40,13 @@
 
 // Authenticate decides on a request with a credential on a route, which may be public. The
 // account is nil if the request is refused, or served without one. copyAge is how long ago the
-// host's copy of the store was last known to be complete.
+// host's copy of the store was last known to be complete, usualAge the age that copies reach in
+// a fleet of this size while the store works. In large fleets it is above minCertainAge: with a
+// bound of 2 s alone, a tenth of the hosts of 89 and half of 300 could refuse no unknown key.
 //
 // The decision is made for hosts that are cut off while keys are added: they keep serving the
 // keys that they know, and refuse no caller for good whose key may be newer than their copy.
-func (d *Directory) Authenticate(c Credential, isPublic bool, copyAge time.Duration) (Verdict, *Account) {
+func (d *Directory) Authenticate(c Credential, isPublic bool, copyAge, usualAge time.Duration) (Verdict, *Account) {
 	if d == nil {
 		return Serve, nil
 	}
@@ -52,7 +58,7 @@
 	switch {
 	case isPublic:
 		return Serve, nil
-	case c.kind == keyCredential && copyAge > maxCopyAge:
+	case c.kind == keyCredential && copyAge > min(max(usualAge, minCertainAge), maxCertainAge):
 		return Undecided, nil
 	default:
 		return UnknownKey, nil
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -147,7 +147,7 @@
 	avoidsOwnLinks, avoidedDataCenter := f.doubtedLinks(p)
 	return pool.Requirements{
 		LatencyStats: f.latencyStats, Fingerprint: f.fingerprint, TriedUpstreams: p.tried, MaxDuration: maxDuration,
-		IsLastAttempt: p.ran+1 >= f.route.MaxAttempts() || !f.route.Idempotent(), IsOptional: f.route.IsOutranked() || p.running > 0,
+		IsLastAttempt: p.ran+1 >= f.route.MaxAttempts() || !f.route.Idempotent(), IsOptional: f.route.IsOutranked(f.request.Account) || p.running > 0,
 		AvoidsOwnLinks: avoidsOwnLinks, AvoidedDataCenter: avoidedDataCenter,
 	}
 }
--- a/internal/host/authentication.go
+++ b/internal/host/authentication.go
@@ -8,6 +8,7 @@
 
 	"github.com/foxtailshelf/foxtailshelf/internal/account"
 	"github.com/foxtailshelf/foxtailshelf/internal/dispatch"
+	"github.com/foxtailshelf/foxtailshelf/internal/membership"
 	"github.com/foxtailshelf/foxtailshelf/internal/routing"
 )
 
@@ -16,6 +17,10 @@
 // seconds; other hosts may know the key already.
 const keyUndecidedRetryDelay = time.Second
 
+// replacedConfigurationAge is the age of a version that a newer one has replaced while the
+// request was decoded. It is above all bounds.
+const replacedConfigurationAge = time.Hour
+
 // maxProblemLines bounds the log lines about the accounts of one version: a configuration may
 // hold tens of thousands of accounts with the same mistake.
 const maxProblemLines = 40
@@ -27,7 +32,7 @@
 		return dispatch.Answer{}, false
 	}
 	startedAt := time.Now()
-	verdict, a := table.Accounts().Authenticate(request.Credential, route.IsPublic(), h.follower.Age())
+	verdict, a := table.Accounts().Authenticate(request.Credential, route.IsPublic(), h.configurationAge(table), h.usualCopyAge())
 	request.Account, request.Credential = a, account.Credential{}
 	answer := dispatch.Answer{NotRun: true}
 	switch verdict {
@@ -44,6 +49,23 @@
 	return answer, true
 }
 
+// configurationAge returns how long ago a version of the configuration was last known to be the
+// newest one.
+func (h *Host) configurationAge(table *routing.Table) time.Duration {
+	age := h.follower.AppliedAge()
+	if h.Table() != table {
+		return replacedConfigurationAge
+	}
+	return age
+}
+
+// usualCopyAge returns the age that copies of the store reach while it works.
+func (h *Host) usualCopyAge() time.Duration {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return membership.UsualCopyAge(len(h.view.members))
+}
+
 // logAccountProblems logs what could not be used of the accounts of a version.
 func (h *Host) logAccountProblems(t *routing.Table) {
 	problems := t.Accounts().Problems()
--- a/internal/host/requestlog.go
+++ b/internal/host/requestlog.go
@@ -177,7 +177,7 @@
 	}
 	l.log.WithFields(logrus.Fields{
 		"request": a.RequestID, "fingerprint": formatFingerprint(fingerprint), "upstream": a.UpstreamID, "result": o.Result.String(),
-		"refused": o.ConnectionRefused, "relayed": a.Relay != nil,
+		"refused": o.ConnectionRefused, "relayed": a.Relay != nil, "account": a.Account,
 	}).WithError(o.Err).Info("attempt without a response")
 }
 
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -204,8 +204,17 @@
 	if rank < WatcherCount {
 		return true
 	}
-	allowedAge := maxCopyAge + time.Duration(bits.Len(uint(f.OwnerCount())))*copyAgePerDoubling
-	return age > allowedAge+time.Duration(min(rank-WatcherCount, maxRank))*copyAgePerRank
+	return age > allowedCopyAge(f.OwnerCount(), rank)
+}
+
+// UsualCopyAge returns the age that copies of the store reach in a fleet of a size while the
+// store works: that above which the last host by rank reads the store itself.
+func UsualCopyAge(hosts int) time.Duration { return allowedCopyAge(max(1, hosts), hosts-1) }
+
+// allowedCopyAge returns the age of its copy above which a host reads the store itself, although
+// it isn't a watcher.
+func allowedCopyAge(hosts, rank int) time.Duration {
+	return maxCopyAge + time.Duration(bits.Len(uint(hosts)))*copyAgePerDoubling + time.Duration(max(0, min(rank-WatcherCount, maxRank)))*copyAgePerRank
 }
 
 // otherOwners returns the members that may own groups, without this host.
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -74,6 +74,10 @@
 	mirror *Mirror
 	// confirmedAt is when the mirror was last confirmed to be up to date.
 	confirmedAt time.Time
+	// appliedAt is confirmedAt without the confirmations of a change for which OnChange has
+	// not returned; isApplying is set while there is such a change.
+	appliedAt  time.Time
+	isApplying bool
 	// storeReachable is set if the last call to the store succeeded, not counting calls
 	// that failed because the store had discarded changes. It is set initially.
 	storeReachable bool
@@ -110,6 +114,17 @@
 	return time.Since(f.confirmedAt)
 }
 
+// AppliedAge returns the age of what OnChange has been called with. It differs from Age while
+// OnChange runs, which takes a while for a large store that comes back after an outage.
+func (f *Follower) AppliedAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.appliedAt.IsZero() {
+		return time.Since(f.startedAt) + time.Hour
+	}
+	return time.Since(f.appliedAt)
+}
+
 // Difference returns the changes that a peer at haveRevision lacks.
 func (f *Follower) Difference(haveRevision keyvalue.Revision) Difference {
 	age := f.Age()
@@ -218,6 +233,9 @@
 	if at := time.Now().Add(-age); at.After(f.confirmedAt) {
 		f.confirmedAt = at
 	}
+	if !f.isApplying {
+		f.appliedAt = f.confirmedAt
+	}
 }
 
 // syncOnce makes one call to the store and updates the mirror. It waits for changes
@@ -306,6 +324,7 @@
 	defer f.applyMu.Unlock()
 	f.mu.Lock()
 	changed := change(f.mirror)
+	f.isApplying = changed
 	f.confirm(age)
 	var records []keyvalue.Change
 	if changed {
@@ -315,6 +334,9 @@
 	f.mu.Unlock()
 	if changed {
 		f.OnChange(records, revision)
+		f.mu.Lock()
+		f.isApplying, f.appliedAt = false, f.confirmedAt
+		f.mu.Unlock()
 	}
 	return changed
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -67,8 +68,8 @@
 	// schedule holds the services of successive requests and then repeats; each
 	// destination occurs in proportion to its weight. A route with Shards has none.
 	schedule []string
-	// isOutranked is set if a more urgent route has one of its services.
-	isOutranked bool
+	// mostUrgent is the most urgent priority that requests for one of its services can have.
+	mostUrgent int
 }
 
 // A Table is one version of the routing configuration. Only the request counts of its
@@ -105,6 +106,7 @@
 // WithAccounts sets the client accounts of the configuration, before the table is used.
 func (t *Table) WithAccounts(d *account.Directory) *Table {
 	t.accounts = d
+	t.rankRoutes()
 	return t
 }
 
@@ -140,21 +142,26 @@
 	return slices.Compact(names)
 }
 
-// rankRoutes determines which routes are outranked.
+// rankRoutes determines the most urgent priorities with which the requests of each route
+// compete.
 func (t *Table) rankRoutes() {
 	highest := make(map[string]int)
 	for _, list := range t.byHost {
 		for _, r := range list {
 			for _, s := range r.services() {
-				if p, ok := highest[s]; !ok || r.spec.Priority < p {
-					highest[s] = r.spec.Priority
+				own := t.accounts.MostUrgent(r.spec.Priority, r.spec.Public)
+				if p, ok := highest[s]; !ok || own < p {
+					highest[s] = own
 				}
 			}
 		}
 	}
 	for _, list := range t.byHost {
 		for _, r := range list {
-			r.isOutranked = slices.ContainsFunc(r.services(), func(s string) bool { return highest[s] < r.spec.Priority })
+			r.mostUrgent = math.MaxInt
+			for _, s := range r.services() {
+				r.mostUrgent = min(r.mostUrgent, highest[s])
+			}
 		}
 	}
 }
@@ -202,8 +209,11 @@
 	return r.schedule[i : i+1]
 }
 
-// IsOutranked reports whether a more urgent route has one of the services of the route.
-func (r *Route) IsOutranked() bool { return r.isOutranked }
+// IsOutranked reports whether there can be requests for one of the services of the route that
+// are more urgent than those of an account on the route; nil for no account.
+func (r *Route) IsOutranked(a *account.Account) bool {
+	return r.mostUrgent < a.Priority(r.spec.Priority)
+}
 
 // services returns all services of the route.
 func (r *Route) services() []string {
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/account"
 )
 
 func TestMatch(t *testing.T) {
@@ -72,3 +75,41 @@
 	c.Check(table.Service("s1").MaxConnections, qt.Equals, 9)
 	c.Check(table.Service("s9"), qt.Equals, ServiceSpec{})
 }
+
+// TestAccountsRankRequests guards against requests of urgent accounts that count as less urgent
+// because of their route, and the other way round.
+func TestAccountsRankRequests(t *testing.T) {
+	urgent, late, plain := account.Spec{Name: "urgent", HasPriority: true}, account.Spec{Name: "late", HasPriority: true, Priority: 3}, account.Spec{Name: "plain"}
+	for _, test := range []struct {
+		name     string
+		accounts []account.Spec
+		public   bool
+		// want are the accounts, "" for none, whose requests are outranked on the routes with
+		// priority 1 and 2.
+		want string
+	}{
+		{"no accounts", nil, false, "2:"},
+		{"plain only", []account.Spec{plain}, false, "2:plain 2:"},
+		{"all kinds", []account.Spec{urgent, late, plain}, false, "1:late 1:plain 1: 2:late 2:plain 2:"},
+		{"late only", []account.Spec{late}, false, ""},
+		{"late only, public", []account.Spec{late}, true, "1:late 2:late 2:"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var d *account.Directory
+			if test.accounts != nil {
+				d = account.NewDirectory(test.accounts)
+			}
+			one := []Destination{{"s", 1}}
+			table := NewTable(1, []RouteSpec{{Host: "h", Prefix: "/1", Priority: 1, Destinations: one, Public: test.public}, {Host: "h", Prefix: "/2", Priority: 2, Destinations: one}}, nil, Limits{}).WithAccounts(d)
+			var outranked []string
+			for _, path := range []string{"1", "2"} {
+				for _, name := range []string{"urgent", "late", "plain", ""} {
+					if a := d.ByName(name); (a != nil || name == "") && table.Match("h", "/"+path).IsOutranked(a) {
+						outranked = append(outranked, path+":"+name)
+					}
+				}
+			}
+			qt.New(t).Check(strings.Join(outranked, " "), qt.Equals, test.want)
+		})
+	}
+}
