--- a/internal/account/problem.go
+++ b/internal/account/problem.go
@@ -78,7 +78,7 @@
 	case DuplicateName:
 		return fmt.Sprintf("account %q is in the list again as number %d: its keys are added, its limits and priority are ignored", p.account, p.entry+1)
 	case EmptyKey:
-		return fmt.Sprintf("account %q has an empty key: skipped", p.account)
+		return fmt.Sprintf("account %q has a key that is empty or no text: skipped", p.account)
 	case DuplicateKey:
 		return fmt.Sprintf("account %q has a key that account %q has before it: the key belongs to %q", p.account, p.owner, p.owner)
 	case NoKeys:
--- a/internal/command/main_test.go
+++ b/internal/command/main_test.go
@@ -41,7 +41,7 @@
 	testscript.Main(m, map[string]func(){
 		"foxtail-entry": program(EntryMain), "foxtail-gate": program(GateMain), "foxtail-standin": program(StandinMain), "foxtailctl": program(ControlMain),
 		"foxtail-host": program(func(arguments []string) int {
-			return HostMain(os.Stdout, "foxtail-host", "", arguments, func(string, host.Settings) error { return nil })
+			return HostMain(os.Stdout, "foxtail-host", "", arguments, nil, func(string, host.Settings) error { return nil })
 		}),
 	})
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -142,6 +142,27 @@
 	return slices.Compact(names)
 }
 
+// A RouteService is a service of a route.
+type RouteService struct{ Route, Service string }
+
+// UndeclaredServices returns the services of routes that are not declared, by route and service.
+func (t *Table) UndeclaredServices() []RouteService {
+	var list []RouteService
+	for _, routes := range t.byHost {
+		for _, r := range routes {
+			for _, s := range r.services() {
+				if _, ok := t.services[s]; !ok {
+					list = append(list, RouteService{Route: r.Name(), Service: s})
+				}
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b RouteService) int {
+		return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.Service, b.Service))
+	})
+	return slices.Compact(list)
+}
+
 // rankRoutes determines the most urgent priorities with which the requests of each route
 // compete.
 func (t *Table) rankRoutes() {
