--- a/internal/allowance/contacts.go
+++ b/internal/allowance/contacts.go
@@ -3,12 +3,15 @@
 import "time"
 
 const (
-	// contactPeriod is how long an answer of another host counts. A host is replaced as an
-	// issuer at the earliest 3 s after another host suspects it (roster.SuspicionTimeout), so
-	// a host that is cut off stops to issue before.
-	contactPeriod = 3 * time.Second
-	// minContacts is how many hosts must have answered in contactPeriod; a host probes 6.
-	minContacts = 4
+	// TakeoverDelay is how long after it has suspected an issuer a host expects another one to
+	// issue tokens in its place.
+	TakeoverDelay = 1500 * time.Millisecond
+	// contactPeriod is how long an answer of another host counts. A host is suspected at the
+	// earliest 0.6 s after it was cut off, which is how long a direct and an indirect probe
+	// take. It stops to issue before it is replaced.
+	contactPeriod = 2 * time.Second
+	// minContacts is how many hosts must have answered in contactPeriod; a host probes 4.
+	minContacts = 3
 	// settledFraction is the fraction from which a host counts as connected to the others.
 	settledFraction = 0.5
 )
--- a/internal/allowance/holder.go
+++ b/internal/allowance/holder.go
@@ -27,9 +27,6 @@
 	MaxWanted = 64
 	// undecidedWait is the wait of requests that no issuer has answered.
 	undecidedWait = unreachablePeriod
-	// ownAllowanceFraction is the part of the members that must run for a refusal of the
-	// issuers to be final: below it, they issue less than the limit.
-	ownAllowanceFraction = 0.95
 )
 
 // The kinds of decisions.
@@ -99,6 +96,8 @@
 	ownUses []time.Time
 	// older bounds the tokens of issuers with an older version of the configuration.
 	older bucket
+	// missing holds this host's part of the tokens of the issuers to which calls have failed.
+	missing bucket
 }
 
 // A grant is the tokens of one call.
@@ -116,7 +115,8 @@
 	// emptyUntil is when it expects to have a token again. askAgainAt is when it is asked
 	// again after that or after a failure.
 	emptyUntil, askAgainAt time.Time
-	failed                 bool
+	// failed is set if the last call has failed or takes longer than a request waits.
+	failed bool
 }
 
 // Take decides on a request.
@@ -134,14 +134,19 @@
 	for n := range k.issuers {
 		s := &k.issuers[n]
 		switch {
+		case !s.calledAt.IsZero() && s.failed:
+			// An issuer whose last call has failed is asked in the background.
 		case !s.calledAt.IsZero() && now.Sub(s.calledAt) < hedgeDelay:
 			return Decision{Kind: Wait, Until: s.calledAt.Add(hedgeDelay)}
 		case !s.calledAt.IsZero():
 			waiting = true
 		case !now.Before(s.askAgainAt):
-			s.calledAt, s.failed = now, false
-			wanted := 1 + int(k.rate(now)*horizon.Seconds())
-			return Decision{Kind: Ask, Issuer: s.Member, Wanted: min(wanted, MaxWanted), Until: now.Add(hedgeDelay)}
+			s.calledAt = now
+			d := Decision{Kind: Ask, Issuer: s.Member, Wanted: min(1+int(k.rate(now)*horizon.Seconds()), MaxWanted), Until: now}
+			if !s.failed {
+				d.Until = now.Add(hedgeDelay)
+			}
+			return d
 		}
 	}
 	if waiting {
@@ -151,13 +156,18 @@
 }
 
 // Conclude decides on a request that can wait for no issuer any more. It is run out of the own
-// allowance if the issuers do not answer or may issue only a part of the limit, and refused
-// otherwise.
+// allowance if possible, also if the issuers have no token: most accounts send few requests, at
+// random times, and several at once must not be refused. For each issuer to which the last call
+// has failed, the host also has its part of what this issuer may issue: the issuer is dead, or
+// it does without this part, see Issuer.fraction.
 func (h *Holder) Conclude(now time.Time, r Request, v *View) Decision {
 	k := h.holding(now, r, v)
+	k.fillMissing(now)
 	d := Decision{Kind: Refused, Wait: undecidedWait}
-	for _, s := range k.issuers {
-		if s.failed || !s.calledAt.IsZero() || !now.Before(s.emptyUntil) {
+	for n := range k.issuers {
+		s := &k.issuers[n]
+		s.failed = s.failed || !s.calledAt.IsZero()
+		if s.failed || !now.Before(s.emptyUntil) {
 			d.Unreachable++
 			continue
 		}
@@ -166,13 +176,15 @@
 			d.Wait = wait
 		}
 	}
-	if d.Empty > 0 && v.fraction() >= ownAllowanceFraction {
-		return d
-	}
 	k.expireOwnUses(now, h.Margin.Window)
-	if len(k.ownUses) < v.ownAllowance(h.Margin, r.Account, r.Limit) {
+	admitted := Decision{Kind: Admitted, Ticket: Ticket{Account: r.Account, at: now}, Empty: d.Empty, Unreachable: d.Unreachable}
+	if len(k.ownUses) < v.part(h.Margin.OwnAllowance(r.Limit, v.hosts), r.Account) {
 		k.ownUses = append(k.ownUses, now)
-		return Decision{Kind: Admitted, Ticket: Ticket{Account: r.Account, at: now}, Empty: d.Empty, Unreachable: d.Unreachable}
+		return admitted
+	}
+	if k.missing.tokens >= 1 {
+		k.missing.tokens--
+		return admitted
 	}
 	return d
 }
@@ -195,10 +207,11 @@
 	if s == nil {
 		return
 	}
-	s.calledAt = time.Time{}
+	k.fillMissing(now)
+	s.calledAt, s.failed = time.Time{}, false
 	switch {
 	case reply.NotIssuer:
-		s.failed, s.askAgainAt = true, now.Add(notIssuerPeriod)
+		s.emptyUntil, s.askAgainAt = time.Time{}, now.Add(notIssuerPeriod)
 	case reply.Issued == 0:
 		s.emptyUntil = now.Add(reply.Wait)
 		s.askAgainAt = now.Add(min(reply.Wait, maxEmptyPeriod))
@@ -209,6 +222,7 @@
 func (h *Holder) Fail(now time.Time, name, issuer string) {
 	if k := h.holdings[name]; k != nil {
 		if s := k.issuer(issuer); s != nil {
+			k.fillMissing(now)
 			s.calledAt, s.failed, s.askAgainAt = time.Time{}, true, now.Add(unreachablePeriod)
 		}
 	}
@@ -260,13 +274,16 @@
 		k.version, k.limit = r.Version, r.Limit
 	}
 	if k.view != v {
-		k.setView(v, r.Account)
+		k.setView(now, v, r.Account)
 	}
 	return k
 }
 
 // setView sets the issuers, and keeps what is known of those that remain.
-func (k *holding) setView(v *View, name string) {
+func (k *holding) setView(now time.Time, v *View, name string) {
+	if k.view != nil {
+		k.fillMissing(now)
+	}
 	k.view = v
 	members := v.issuers(name)
 	states := make([]issuerState, len(members))
@@ -279,6 +296,24 @@
 	k.issuers = states
 }
 
+// fillMissing adds this host's part of what the failed issuers may issue. It is called before
+// the set of failed issuers changes.
+func (k *holding) fillMissing(now time.Time) {
+	failed := 0
+	for _, s := range k.issuers {
+		if s.failed {
+			failed++
+		}
+	}
+	if failed == 0 {
+		k.missing = bucket{updatedAt: now}
+		return
+	}
+	part := (k.view.shareTo - k.view.shareFrom) * float64(failed) / float64(len(k.issuers))
+	k.missing.rate, k.missing.capacity = part*k.limit.RatePerSecond, max(1, part*k.limit.Burst)
+	k.missing.fill(now)
+}
+
 func (k *holding) issuer(host string) *issuerState {
 	for n := range k.issuers {
 		if k.issuers[n].Host == host {
--- a/internal/allowance/issuer.go
+++ b/internal/allowance/issuer.go
@@ -11,7 +11,7 @@
 const (
 	// maxPause is how long an issuer may do nothing and still count as connected. It is below
 	// the time after which other hosts replace it.
-	maxPause = 2500 * time.Millisecond
+	maxPause = 1500 * time.Millisecond
 	// maxPromise bounds how far ahead tokens are promised to hosts that were refused. A host
 	// does not ask again before its time. The accounts of callers that stop sending too much
 	// must not be refused for longer.
@@ -56,6 +56,11 @@
 	tokens    float64
 	updatedAt time.Time
 	usedAt    time.Time
+	// reserveFrom is when the bucket began to get its reserve, reservePerSecond how much of
+	// it. It is complete after reserveTime.
+	reserveFrom      time.Time
+	reserveTime      time.Duration
+	reservePerSecond float64
 	// promisedUntil is when the last token that was promised to a host is expected.
 	promisedUntil time.Time
 	// rate and capacity are those of the last use.
@@ -95,7 +100,7 @@
 	part := i.fraction(now) / float64(len(issuers))
 	b := i.bucket(now, name)
 	b.rate = l.RatePerSecond * part
-	b.capacity = max(1, l.Burst*part) + i.Margin.reserve()
+	b.capacity = max(1, l.Burst*part) + i.Margin.reserve(i.view.hosts)
 	b.fill(now)
 	b.usedAt = now
 	if b.tokens < 1 {
@@ -127,7 +132,7 @@
 func (i *Issuer) Len() int { return len(i.buckets) }
 
 // step finds out whether the host is connected to the others. If it was not, other hosts may
-// have issued its tokens meanwhile: its buckets keep no more than new ones hold.
+// have issued its tokens meanwhile: its buckets keep one token.
 func (i *Issuer) step(now time.Time) {
 	wasPaused := now.Sub(i.steppedAt) > maxPause
 	i.steppedAt = now
@@ -140,23 +145,30 @@
 		i.settledAt = now
 	}
 	for _, b := range i.buckets {
-		b.tokens = min(b.tokens, 1+i.Margin.reserve())
-		b.updatedAt = now
+		i.restart(b, now, min(b.tokens, 1))
 	}
 }
 
-// fraction returns the part of the limits that this host and those connected to it may use.
-// The host itself counts as reached.
+// restart sets the tokens that a bucket has at a time at which the host may have become an
+// issuer of its account. The reserve follows during a window.
+func (i *Issuer) restart(b *bucket, from time.Time, tokens float64) {
+	b.tokens, b.updatedAt, b.reserveFrom, b.reserveTime = tokens, from, from, i.Margin.Window
+	if i.Margin.Window > 0 {
+		b.reservePerSecond = i.Margin.reserve(i.view.hosts) / i.Margin.Window.Seconds()
+	}
+}
+
+// fraction returns the part of the limits that this host and those connected to it may use: the
+// part of the load that they carry. Hosts that are cut off use the rest.
 func (i *Issuer) fraction(now time.Time) float64 {
-	others := i.view.known - 1
-	reached := 1 + i.contacts.Fraction(now, others)*float64(others)
-	return min(float64(i.view.running), reached) / float64(i.view.known)
+	own := i.view.shareTo - i.view.shareFrom
+	return min(i.view.running, own+(1-own)*i.contacts.Fraction(now, i.view.known-1))
 }
 
 func (i *Issuer) isIssuer(issuers []Member) bool { return slices.Contains(issuers, i.view.self) }
 
-// bucket returns the bucket of an account. A new one holds one token and the reserve if the
-// host is connected to the others, and what has accumulated since it may have become an issuer.
+// bucket returns the bucket of an account. If the host is connected to the others, a new one
+// holds one token and what has accumulated since the host may have become an issuer.
 func (i *Issuer) bucket(now time.Time, name string) *bucket {
 	b, ok := i.buckets[name]
 	if ok {
@@ -164,11 +176,11 @@
 	}
 	b = &bucket{updatedAt: now}
 	if !i.settledAt.IsZero() {
-		b.tokens = 1 + i.Margin.reserve()
-		b.updatedAt = i.viewChangedAt
-		if i.settledAt.After(b.updatedAt) {
-			b.updatedAt = i.settledAt
+		from := i.viewChangedAt
+		if i.settledAt.After(from) {
+			from = i.settledAt
 		}
+		i.restart(b, from, 1)
 	}
 	if i.buckets == nil {
 		i.buckets = make(map[string]*bucket)
@@ -179,7 +191,11 @@
 
 // fill adds the tokens that have accumulated.
 func (b *bucket) fill(now time.Time) {
-	b.tokens = min(b.capacity, b.tokens+b.rate*now.Sub(b.updatedAt).Seconds())
+	gained := b.rate * now.Sub(b.updatedAt).Seconds()
+	if reserveUntil := b.reserveFrom.Add(b.reserveTime); b.updatedAt.Before(reserveUntil) {
+		gained += b.reservePerSecond * min(now.Sub(b.updatedAt), reserveUntil.Sub(b.updatedAt)).Seconds()
+	}
+	b.tokens = min(b.capacity, b.tokens+gained)
 	b.updatedAt = now
 }
 
--- a/internal/allowance/view.go
+++ b/internal/allowance/view.go
@@ -6,8 +6,6 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
-
-	"github.com/foxtailshelf/foxtailshelf/internal/account"
 )
 
 // A Member is a host that may issue tokens.
@@ -15,17 +13,25 @@
 	Host, Address, DataCenter string
 }
 
+// A Share is the part of the load that a host carries: From to To, where the parts of all hosts
+// are consecutive parts of 0 to 1. Hosts is how many hosts carry the load; hosts with small
+// parts count less.
+type Share struct{ From, To, Hosts float64 }
+
 // A View is what a host knows of the others. It is immutable.
 type View struct {
 	self       Member
 	candidates []candidate
 	dataCenter []string
-	// running is how many members are believed to run, known how many are known, dead ones
-	// included.
-	running, known int
-	// shareFrom and shareTo bound the host's part of what all hosts share; the parts of the
-	// hosts are consecutive parts of 0 to 1.
+	// known is how many members are known, dead ones included. running is the part of the
+	// load that those of them carry that are believed to run.
+	known   int
+	running float64
+	// shareFrom and shareTo bound the host's part of the load; the parts of the hosts are
+	// consecutive parts of 0 to 1.
 	shareFrom, shareTo float64
+	// hosts is how many hosts carry the load.
+	hosts float64
 }
 
 type candidate struct {
@@ -35,11 +41,11 @@
 	place int
 }
 
-// NewView returns the view of a host. members are those that may issue tokens. running is how
-// many of all known members are not suspected to have failed. shareFrom and shareTo bound the
-// host's part of the load, as consecutive parts of 0 to 1.
-func NewView(self Member, members []Member, running, known int, shareFrom, shareTo float64) *View {
-	v := &View{self: self, running: running, known: max(1, known), shareFrom: shareFrom, shareTo: shareTo}
+// NewView returns the view of a host. members are those that may issue tokens, known is how many
+// are known in any state, and running the part of the load that those carry that are not
+// suspected to have failed.
+func NewView(self Member, members []Member, known int, running float64, share Share) *View {
+	v := &View{self: self, known: max(1, known), running: running, shareFrom: share.From, shareTo: share.To, hosts: share.Hosts}
 	for _, m := range members {
 		place := slices.Index(v.dataCenter, m.DataCenter)
 		if place < 0 {
@@ -51,9 +57,6 @@
 	return v
 }
 
-// fraction returns the part of the known members that the host believes to run.
-func (v *View) fraction() float64 { return float64(v.running) / float64(v.known) }
-
 // Equal reports whether two views have the same members that may issue tokens.
 func (v *View) Equal(o *View) bool {
 	return slices.EqualFunc(v.candidates, o.candidates, func(a, b candidate) bool { return a.Member == b.Member })
@@ -109,11 +112,10 @@
 	}
 }
 
-// ownAllowance returns this host's part of OwnAllowance in whole requests. The fractions of all
-// hosts are added up in an order that differs by account, so that the parts of all hosts
-// together are at most one more than the sum.
-func (v *View) ownAllowance(m Margin, name string, l account.Limit) int {
-	total := m.OwnAllowance(l)
+// part returns this host's part of a number of requests of an account, in whole requests. The
+// fractions of all hosts are added up from an offset that differs by account, so that the parts
+// of all hosts together are at most one more than the number.
+func (v *View) part(total float64, name string) int {
 	offset := float64(mix(xxhash.Sum64String(name))>>11) / (1 << 53)
 	return int(math.Floor(v.shareTo*total+offset) - math.Floor(v.shareFrom*total+offset))
 }
--- a/internal/host/allowance.go
+++ b/internal/host/allowance.go
@@ -19,8 +19,8 @@
 const (
 	// admissionTimeout bounds how long a request waits for tokens.
 	admissionTimeout = 60 * time.Millisecond
-	// tokenCallTimeout bounds a call for tokens. Tokens of later answers have expired.
-	tokenCallTimeout = allowance.Validity
+	// tokenCallTimeout bounds a call for tokens. Tokens of later answers would soon expire.
+	tokenCallTimeout = 250 * time.Millisecond
 	// minAllowanceViewAge bounds how often the members are evaluated.
 	minAllowanceViewAge = 50 * time.Millisecond
 )
@@ -36,6 +36,8 @@
 	viewAt time.Time
 	// isOutdated is set after a change of the members.
 	isOutdated bool
+	// suspectedAt holds when hosts that are suspected now were first seen so.
+	suspectedAt map[string]time.Time
 	// ended holds, by account, a channel that is closed at the end of the next call for its
 	// tokens.
 	ended map[string]chan struct{}
@@ -47,7 +49,7 @@
 		Window: time.Duration(s.AccountWindowSeconds * float64(time.Second)), Tolerance: s.AccountTolerance, Slack: s.AccountSlack,
 	}
 	return &allowances{
-		host: h, issuer: allowance.Issuer{Margin: m}, holder: allowance.Holder{Margin: m}, isOutdated: true, ended: make(map[string]chan struct{}),
+		host: h, issuer: allowance.Issuer{Margin: m}, holder: allowance.Holder{Margin: m}, isOutdated: true, ended: make(map[string]chan struct{}), suspectedAt: make(map[string]time.Time),
 	}
 }
 
@@ -271,13 +273,37 @@
 // currentView returns what the host knows of the others. The caller holds a.mu.
 func (a *allowances) currentView(now time.Time) *allowance.View {
 	if a.view == nil || (a.isOutdated && now.Sub(a.viewAt) >= minAllowanceViewAge) {
-		a.isOutdated, a.viewAt = false, now
-		a.view = newAllowanceView(a.host.Self.Host(), a.host.fleet.Members())
+		members := a.host.fleet.Members()
+		// Time alone changes the view while hosts are suspected.
+		a.isOutdated, a.viewAt = a.recordSuspects(now, members), now
+		mayIssue := func(m roster.Member) bool {
+			return m.State() == roster.Alive || (m.State() == roster.Suspect && now.Sub(a.suspectedAt[m.Host()]) < allowance.TakeoverDelay)
+		}
+		a.view = newAllowanceView(a.host.Self.Host(), members, mayIssue)
 		a.issuer.SetView(now, a.view)
 	}
 	return a.view
 }
 
+// recordSuspects records which hosts are suspected, and reports whether one became so less than
+// TakeoverDelay ago.
+func (a *allowances) recordSuspects(now time.Time, members []roster.Member) bool {
+	isRecent := false
+	for _, m := range members {
+		at, ok := a.suspectedAt[m.Host()]
+		switch {
+		case m.State() != roster.Suspect:
+			delete(a.suspectedAt, m.Host())
+		case !ok:
+			a.suspectedAt[m.Host()] = now
+			isRecent = true
+		case now.Sub(at) < allowance.TakeoverDelay:
+			isRecent = true
+		}
+	}
+	return isRecent
+}
+
 // logRefusal logs a request that was refused because of the limit of its account.
 func (a *allowances) logRefusal(request *dispatch.Request, r allowance.Request, d allowance.Decision) {
 	if !a.host.requestLog.allowLine() {
@@ -290,40 +316,43 @@
 	}).Info("request refused: account is at its limit")
 }
 
-// newAllowanceView returns what a host knows of the others. Hosts that leave issue no tokens
-// and do not count. Listed hosts count as running: after a start of all hosts, they agree on
+// newAllowanceView returns what a host knows of the others. Other hosts that leave issue no
+// tokens and do not count. Listed hosts count as running: after a start of all hosts, they agree on
 // the issuers as soon as they know the list, and a host that does not reach the others finds
-// out by its own probes.
-func newAllowanceView(host string, members []roster.Member) *allowance.View {
+// out by its own probes. mayIssue reports whether a member that was heard from may issue tokens.
+func newAllowanceView(host string, members []roster.Member, mayIssue func(roster.Member) bool) *allowance.View {
 	var self allowance.Member
 	var candidates []allowance.Member
-	running, known := 0, 0
+	known := 0
 	weights := loadWeights(members, allAdvertisedHosts(members))
-	total, before, own := 0.0, 0.0, 0.0
+	total, squares, running, before, own := 0.0, 0.0, 0.0, 0.0, 0.0
 	for i, m := range members {
-		total += weights[i]
 		c := allowance.Member{Host: m.Host(), Address: m.GateAddress(), DataCenter: m.DataCenter()}
+		isSelf := m.Host() == host
+		if m.State() == roster.Leaving && !isSelf {
+			continue
+		}
+		known++
+		total += weights[i]
+		squares += weights[i] * weights[i]
 		switch {
-		case m.Host() == host:
+		case isSelf:
 			self, own = c, weights[i]
 		case m.Host() < host:
 			before += weights[i]
 		}
-		if m.State() == roster.Leaving && m.Host() != host {
-			continue
-		}
-		known++
-		if m.State() == roster.Alive || m.State() == roster.Listed || m.Host() == host {
-			running++
+		if m.State() == roster.Alive || m.State() == roster.Listed || isSelf {
+			running += weights[i]
 		}
 		// The data centre of hosts from the settings is unknown until they are heard from.
-		if m.CanOwn() || (m.State() == roster.Listed && m.DataCenter() != "") {
+		if mayIssue(m) || isSelf || (m.State() == roster.Listed && m.DataCenter() != "") {
 			candidates = append(candidates, c)
 		}
 	}
-	total = max(total, minFleetSize*own)
 	if total == 0 {
-		total = 1
+		return allowance.NewView(self, candidates, known, 1, allowance.Share{Hosts: 1})
 	}
-	return allowance.NewView(self, candidates, running, known, before/total, (before+own)/total)
+	shared := max(total, minFleetSize*own)
+	share := allowance.Share{From: before / shared, To: (before + own) / shared, Hosts: total * total / squares}
+	return allowance.NewView(self, candidates, known, running/total, share)
 }
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/account"
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
 	"github.com/foxtailshelf/foxtailshelf/internal/peer"
@@ -62,12 +63,16 @@
 	dataCenters int
 	// mixedCapacities makes all hosts but the first 6 small.
 	mixedCapacities bool
-	// peerCalls counts the calls between hosts.
-	peerCalls int
+	// peerCalls counts the calls between hosts, tokenCalls those for tokens.
+	peerCalls, tokenCalls int
+	// sides are the hosts that reach only hosts of the same side; others are on side 0.
+	sides map[string]int
 	// routes are the routes of each configuration besides the one for "/".
 	routes []routing.RouteSpec
 	// services are the services with a connection limit.
 	services []routing.ServiceSpec
+	// accounts returns the client accounts of a configuration version; nil for none.
+	accounts func(version uint64) []account.Spec
 	// logCounts counts the log lines of each message by host.
 	logCounts map[string]map[string]int
 	// upstreams are the simulated upstreams; nil if the test sends no requests.
@@ -116,6 +121,7 @@
 	// routes are the routes of each configuration besides the one for "/".
 	routes   []routing.RouteSpec
 	services []routing.ServiceSpec
+	accounts func(version uint64) []account.Spec
 }
 
 func (d testDecoder) DecodeRecord(r keyvalue.Change) (DecodedRecord, error) {
@@ -137,13 +143,17 @@
 		return DecodedRecord{}, fmt.Errorf("read version: %w", err)
 	}
 	spec := routing.RouteSpec{Host: "h", Prefix: "/", Destinations: []routing.Destination{{Service: "s", Weight: 1}}}
-	return DecodedRecord{Table: routing.NewTable(version, append([]routing.RouteSpec{spec}, d.routes...), d.services, routing.Limits{})}, nil
+	table := routing.NewTable(version, append([]routing.RouteSpec{spec}, d.routes...), d.services, routing.Limits{})
+	if d.accounts != nil {
+		table.WithAccounts(account.NewDirectory(d.accounts(version)))
+	}
+	return DecodedRecord{Table: table}, nil
 }
 
 func (testDecoder) RegistrationKey(address string) string { return "hosts/" + address }
 
 func newTestFleet() *testFleet {
-	return &testFleet{hosts: make(map[string]*hostProcess), logCounts: make(map[string]map[string]int), leases: make(map[uint64]bool), records: make(map[string]keyvalue.Change), revision: 1}
+	return &testFleet{hosts: make(map[string]*hostProcess), sides: make(map[string]int), logCounts: make(map[string]map[string]int), leases: make(map[uint64]bool), records: make(map[string]keyvalue.Change), revision: 1}
 }
 
 // Levels implements logrus.Hook.
@@ -204,7 +214,7 @@
 			DataCenter: f.dataCenterOf(address), Peers: seeds, ExtraRatio: 0.2, ExtraSlack: fleetExtraSlack, ExtraWindowSeconds: 10, CallerListen: address, PeerListen: address,
 			GraceSeconds: 6, AccountWindowSeconds: 5, AccountTolerance: 0.1, AccountSlack: 20,
 		},
-		Self: roster.NewMember(address, f.dataCenterOf(address), address, "", incarnation, roster.Alive).WithCapacity(f.capacityOf(address)), Feed: p, LeaseStore: p, HostTransport: p, Decoder: testDecoder{routes: f.routes, services: f.services},
+		Self: roster.NewMember(address, f.dataCenterOf(address), address, "", incarnation, roster.Alive).WithCapacity(f.capacityOf(address)), Feed: p, LeaseStore: p, HostTransport: p, Decoder: testDecoder{routes: f.routes, services: f.services, accounts: f.accounts},
 		Upstreams: f.upstreamTransport(address), Metrics: NewMetrics(prometheus.NewRegistry()), Log: log, Seed: incarnation,
 	}
 	h.Init()
@@ -288,7 +298,7 @@
 		p.fleet.mu.Unlock()
 		return nil, errUnreachable
 	}
-	isIsolated := from.isolated || to.isolated
+	isIsolated := from.isolated || to.isolated || p.fleet.sides[p.self] != p.fleet.sides[address]
 	p.fleet.mu.Unlock()
 	if isIsolated {
 		<-ctx.Done()
@@ -342,6 +352,9 @@
 	if err != nil {
 		return nil, err
 	}
+	p.fleet.mu.Lock()
+	p.fleet.tokenCalls++
+	p.fleet.mu.Unlock()
 	return h.IssueTokens(ctx, r)
 }
 
