--- a/internal/host/authentication_test.go
+++ b/internal/host/authentication_test.go
@@ -58,11 +58,12 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				f := newTestFleet()
-				f.accounts = map[uint64][]account.Spec{
+				versions := map[uint64][]account.Spec{
 					2: {{Name: "a", Keys: []string{"k1", "k2"}}, {Name: "b", Keys: []string{"k3"}}},
 					3: {{Name: "a", Keys: []string{"k2"}}, {Name: "b", Keys: []string{"k1", "k4"}}},
 					4: {{Name: "b", Keys: []string{"k5"}}},
 				}
+				f.accounts = func(version uint64) []account.Spec { return versions[version] }
 				f.put(tableKey, "1")
 				f.mixedCapacities = size > 7
 				addresses := f.startHosts(size)
@@ -135,7 +136,9 @@
 		c := qt.New(t)
 		f, addresses := startLimitedSearchFleet(24, closesConnections, false, 8)
 		f.mu.Lock()
-		f.accounts = map[uint64][]account.Spec{2: {{Name: "a", Keys: []string{"k1"}}}}
+		f.accounts = func(version uint64) []account.Spec {
+			return map[uint64][]account.Spec{2: {{Name: "a", Keys: []string{"k1"}}}}[version]
+		}
 		f.mu.Unlock()
 		f.put(tableKey, "2")
 		time.Sleep(applyTime)
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -65,14 +65,16 @@
 	dataCenters int
 	// mixedCapacities makes all hosts but the first 6 small.
 	mixedCapacities bool
-	// peerCalls counts the calls between hosts.
-	peerCalls int
+	// peerCalls counts the calls between hosts, tokenCalls those for tokens.
+	peerCalls, tokenCalls int
+	// sides are the hosts that reach only hosts of the same side; others are on side 0.
+	sides map[string]int
 	// routes are the routes of each configuration besides the one for "/".
 	routes []routing.RouteSpec
 	// services are the services with a connection limit.
 	services []routing.ServiceSpec
-	// accounts are the client accounts by version of the configuration.
-	accounts map[uint64][]account.Spec
+	// accounts returns the client accounts of a configuration version; nil for none.
+	accounts func(version uint64) []account.Spec
 	// logCounts counts the log lines of each message by host.
 	logCounts map[string]map[string]int
 	// upstreams are the simulated upstreams; nil if the test sends no requests.
@@ -157,7 +159,7 @@
 func (testDecoder) RegistrationKey(address string) string { return "hosts/" + address }
 
 func newTestFleet() *testFleet {
-	return &testFleet{hosts: make(map[string]*hostProcess), logCounts: make(map[string]map[string]int), leases: make(map[uint64]bool), records: make(map[string]keyvalue.Change), revision: 1}
+	return &testFleet{hosts: make(map[string]*hostProcess), sides: make(map[string]int), logCounts: make(map[string]map[string]int), leases: make(map[uint64]bool), records: make(map[string]keyvalue.Change), revision: 1}
 }
 
 // Levels implements logrus.Hook.
@@ -174,10 +176,15 @@
 	return nil
 }
 
+// accountsOf returns the client accounts of a configuration version; nil for none.
 func (f *testFleet) accountsOf(version uint64) []account.Spec {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.accounts[version]
+	accounts := f.accounts
+	f.mu.Unlock()
+	if accounts == nil {
+		return nil
+	}
+	return accounts(version)
 }
 
 func (f *testFleet) put(key, value string) {
@@ -308,7 +315,7 @@
 		p.fleet.mu.Unlock()
 		return nil, errUnreachable
 	}
-	isIsolated := from.isolated || to.isolated
+	isIsolated := from.isolated || to.isolated || p.fleet.sides[p.self] != p.fleet.sides[address]
 	p.fleet.mu.Unlock()
 	if isIsolated {
 		<-ctx.Done()
@@ -362,6 +369,9 @@
 	if err != nil {
 		return nil, err
 	}
+	p.fleet.mu.Lock()
+	p.fleet.tokenCalls++
+	p.fleet.mu.Unlock()
 	return h.IssueTokens(ctx, r)
 }
 
