Dispatch: requests of accounts wait for their first attempts in order

A request of a client account asks package admission before its first attempts, also when it has just arrived, so that it does not overtake others that wait for the same services. It is woken when an attempt ends or when the request before it has started. One that cannot be placed before it must be refused, by its rank and by the work started lately, is refused at once with the expected wait as RetryAfter. Requests without an account wait as before. A request of an account counts as outranked at upstreams with a limit if more urgent accounts have used the same services lately.

--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -44,11 +44,17 @@
 // sendAsCaller sends a request and, if it is refused, sends it once more after
 // RetryAfter, which the caller caps at a third of its remaining time.
 func sendAsCaller(d *testDispatcher, id string) callerResult {
+	return sendRequestAsCaller(d, func(attempt int, remaining time.Duration) *Request {
+		return &Request{ID: fmt.Sprint(id, "-", attempt), Method: http.MethodGet, Target: "/" + id, Host: "h", Remaining: remaining}
+	})
+}
+
+// sendRequestAsCaller is sendAsCaller for the requests that newRequest returns.
+func sendRequestAsCaller(d *testDispatcher, newRequest func(attempt int, remaining time.Duration) *Request) callerResult {
 	var r callerResult
 	send := func(attempt int, remaining time.Duration) (Answer, time.Duration) {
 		startedAt := time.Now()
-		request := &Request{ID: fmt.Sprint(id, "-", attempt), Method: http.MethodGet, Target: "/" + id, Host: "h", Remaining: remaining}
-		return d.Run(context.Background(), request, d.route, 1), time.Since(startedAt)
+		return d.Run(context.Background(), newRequest(attempt, remaining), d.route, 1), time.Since(startedAt)
 	}
 	r.first, r.firstElapsed = send(1, timeout)
 	if r.first.Status != http.StatusServiceUnavailable {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -79,6 +79,11 @@
 	CallerAllowance, ConnectAllowance time.Duration
 	Group                             *work.Group
 
+	// OnWaiting is called with 1 when a request of a client account begins to wait for its
+	// first attempts and with -1 when it ends to. It must not block. It may be nil.
+	OnWaiting func(change float64)
+
+	waiting          waitingRequests
 	callerTimeoutsMu sync.Mutex
 	// callerTimeouts holds the estimates by route name.
 	callerTimeouts map[string]*callerTimeout
@@ -122,6 +127,7 @@
 		Parts: len(f.parts), MissingParts: answer.MissingParts, Attempts: f.attempts, Hedges: f.hedges, Retries: f.retries,
 		MissingDetails: f.missingDetails(), LastFailure: f.lastFailure, Verdict: f.verdict, Elapsed: time.Since(f.startedAt),
 		Unanswered: f.unansweredCount(), EndedUpstreams: f.endedUpstreams, Probed: f.silenceProbed,
+		Admission: f.admission, Rank: f.rank, Waited: f.waited,
 	})
 	return answer
 }
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -35,6 +35,7 @@
 	// cancelAttempt holds the functions that give up the attempts.
 	cancelAttempt map[*pool.Assignment]context.CancelFunc
 	crashState
+	waitState
 }
 
 type attemptResult struct {
@@ -61,6 +62,7 @@
 	f.results = make(chan attemptResult, len(f.parts)*maxAttemptsPerPart)
 	f.cancelAttempt = make(map[*pool.Assignment]context.CancelFunc)
 	f.probeResults = make(chan probeResult, maxSilenceProbes)
+	f.initWaiting()
 	return f
 }
 
@@ -77,6 +79,7 @@
 func (f *inFlightRequest) run(ctx context.Context) Answer {
 	attemptsCtx, cancel := context.WithCancel(context.Background())
 	defer func() { f.cancelUnneeded(ctx, cancel) }()
+	defer func() { f.finishWaiting(ctx.Err() != nil) }()
 	for _, p := range f.parts {
 		p.pool.RecordRequest(f.startedAt)
 		p.needsAttempt = true
@@ -109,6 +112,7 @@
 		case <-linksChanged:
 			linksChanged = f.dispatcher.Links.Changed()
 			f.handleLinkChange()
+		case <-f.wake:
 		case <-timer.C:
 		case <-ctx.Done():
 			return Answer{Status: http.StatusServiceUnavailable, Reason: ReasonCallerDisconnected}
@@ -149,6 +153,7 @@
 // runAttempt runs an attempt and sends its result. Each call has its own goroutine.
 func (f *inFlightRequest) runAttempt(ctx context.Context, p *part, assignment *pool.Assignment, a *upstream.Attempt, isExtra bool) {
 	outcome := f.dispatcher.RunAttempt(ctx, p.pool, assignment, a)
+	f.dispatcher.waiting.notify(p.service)
 	f.results <- attemptResult{part: p, assignment: assignment, outcome: outcome, isExtra: isExtra}
 }
 
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -103,7 +103,13 @@
 	// were probed because none had responded.
 	Unanswered, EndedUpstreams int
 	Probed                     bool
-	Elapsed                    time.Duration
+	// Admission says how a request of a client account got its first attempts. Rank is
+	// how many requests were last to be tried before it while it waited, Waited for how
+	// long it waited.
+	Admission Admission
+	Rank      int
+	Waited    time.Duration
+	Elapsed   time.Duration
 }
 
 // AccountName returns the name of the caller's client account; empty for none.
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -23,6 +23,10 @@
 		f.abandonUnstarted()
 		return
 	}
+	if !f.mayTryFirst(now) {
+		return
+	}
+	defer f.recordFirstTry(now)
 	if f.attempts == 0 && f.route.Gathers() && !f.assignFirst(now) {
 		return
 	}
@@ -147,7 +151,7 @@
 	avoidsOwnLinks, avoidedDataCenter := f.doubtedLinks(p)
 	return pool.Requirements{
 		LatencyStats: f.latencyStats, Fingerprint: f.fingerprint, TriedUpstreams: p.tried, MaxDuration: maxDuration,
-		IsLastAttempt: p.ran+1 >= f.route.MaxAttempts() || !f.route.Idempotent(), IsOptional: f.route.IsOutranked() || p.running > 0,
+		IsLastAttempt: p.ran+1 >= f.route.MaxAttempts() || !f.route.Idempotent(), IsOptional: f.isOutranked() || p.running > 0,
 		AvoidsOwnLinks: avoidsOwnLinks, AvoidedDataCenter: avoidedDataCenter,
 	}
 }
--- /dev/null
+++ b/internal/dispatch/waiting_test.go
@@ -0,0 +1,276 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/account"
+	"github.com/foxtailshelf/foxtailshelf/internal/routing"
+	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
+)
+
+// An accountLoad is what one account sends: perSecond requests, times factor from 2 to 6 s.
+type accountLoad struct {
+	spec              account.Spec
+	perSecond, factor float64
+}
+
+// An accountResult is what the callers of one account got between 2 and 6 s.
+type accountResult struct {
+	sent, served, missing int
+	elapsed               []time.Duration
+}
+
+func (a accountResult) share() float64 { return float64(a.served) / float64(max(1, a.sent)) }
+
+func (a accountResult) quantile(q float64) time.Duration {
+	if len(a.elapsed) == 0 {
+		return 0
+	}
+	slices.Sort(a.elapsed)
+	return a.elapsed[min(len(a.elapsed)-1, int(q*float64(len(a.elapsed))))]
+}
+
+const (
+	floodStart = 2 * time.Second
+	floodEnd   = 6 * time.Second
+	loadEnd    = 7 * time.Second
+)
+
+// playAccounts plays the loads of accounts. If areKnown is false, the requests carry no
+// account, as without accounts in the configuration.
+func playAccounts(t *testing.T, spec routing.RouteSpec, react func(string, int, *upstream.Attempt) reaction, loads []accountLoad, areKnown bool) map[string]accountResult {
+	t.Helper()
+	results := make(map[string]accountResult)
+	admissions := make(map[Admission]int)
+	synctest.Test(t, func(*testing.T) {
+		d := newTestDispatcherWithPolicy(spec, soleHostPolicy, react)
+		startedAt := time.Now()
+		var mu sync.Mutex
+		var senders, requests work.Group
+		for i, l := range loads {
+			a := account.NewDirectory([]account.Spec{l.spec}).ByName(l.spec.Name)
+			random := rand.New(rand.NewPCG(uint64(i), 1))
+			senders.Go(func() {
+				for n := 0; time.Since(startedAt) < loadEnd; n++ {
+					since := time.Since(startedAt)
+					isFlood := since >= floodStart && since < floodEnd
+					requests.Go(func() {
+						r := sendForAccount(d, fmt.Sprint(l.spec.Name, "-", n), a, areKnown)
+						mu.Lock()
+						defer mu.Unlock()
+						if isFlood {
+							results[l.spec.Name] = results[l.spec.Name].add(r)
+						}
+					})
+					perSecond := l.perSecond
+					if isFlood && l.factor > 0 {
+						perSecond *= l.factor
+					}
+					time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
+				}
+			})
+		}
+		senders.Wait()
+		requests.Wait()
+		d.Group.Wait()
+		for _, s := range d.summaries {
+			admissions[s.Admission]++
+		}
+	})
+	t.Logf("admissions %v", admissions)
+	if !areKnown && len(admissions) != 1 {
+		t.Errorf("requests without an account have waited in order: %v", admissions)
+	}
+	return results
+}
+
+func (a accountResult) add(r callerResult) accountResult {
+	a.sent++
+	if r.first.Status == http.StatusOK {
+		a.missing += r.first.MissingParts
+	}
+	if r.wasServed() {
+		a.served++
+	}
+	switch {
+	case r.first.Status == http.StatusOK:
+		a.elapsed = append(a.elapsed, r.firstElapsed)
+	case r.second.Status == http.StatusOK:
+		a.elapsed = append(a.elapsed, r.secondElapsed)
+	}
+	return a
+}
+
+// sendForAccount is sendAsCaller for a caller of an account.
+func sendForAccount(d *testDispatcher, id string, a *account.Account, isKnown bool) callerResult {
+	if !isKnown {
+		a = nil
+	}
+	return sendRequestAsCaller(d, func(attempt int, remaining time.Duration) *Request {
+		return &Request{ID: fmt.Sprint(id, "-", attempt), Method: http.MethodGet, Target: "/" + id, Host: "h", Remaining: remaining, Account: a}
+	})
+}
+
+func manyAccounts(count int, perSecond float64) []accountLoad {
+	var loads []accountLoad
+	for i := range count {
+		loads = append(loads, accountLoad{spec: account.Spec{Name: fmt.Sprintf("small-%02d", i)}, perSecond: perSecond})
+	}
+	return loads
+}
+
+func flood(names int, perSecond, factor float64) []accountLoad {
+	var loads []accountLoad
+	for i := range names {
+		loads = append(loads, accountLoad{spec: account.Spec{Name: fmt.Sprintf("flood-%d", i)}, perSecond: perSecond, factor: factor})
+	}
+	return loads
+}
+
+// duringFlood changes a reaction for some of a, b and c of each service while accounts
+// flood.
+func duringFlood(react func(string, int, *upstream.Attempt) reaction, affected string, change func(reaction) reaction) func(string, int, *upstream.Attempt) reaction {
+	var startedAt time.Time
+	return func(id string, n int, a *upstream.Attempt) reaction {
+		if startedAt.IsZero() {
+			startedAt = time.Now()
+		}
+		r := react(id, n, a)
+		if since := time.Since(startedAt); since >= floodStart && since < floodEnd && strings.Contains(affected, id[len(id)-1:]) {
+			return change(r)
+		}
+		return r
+	}
+}
+
+// TestFloodingAccountBearsItsCost plays accounts that send several times their usual rate
+// while upstreams lack capacity, and other accounts that send what they always do. The
+// others must be served as if they were alone as far as the capacity suffices for them, and
+// all accounts together no worse than if each request tried on its own.
+func TestFloodingAccountBearsItsCost(t *testing.T) {
+	limited := func() func(string, int, *upstream.Attempt) reaction {
+		return newQueueingUpstreams(20*time.Millisecond, "s")
+	}
+	slow := func() func(string, int, *upstream.Attempt) reaction {
+		return duringFlood(limited(), "a", func(r reaction) reaction {
+			r.delay += 200 * time.Millisecond
+			return r
+		})
+	}
+	halfCrashed := func() func(string, int, *upstream.Attempt) reaction {
+		return duringFlood(limited(), "bc", func(reaction) reaction {
+			return reaction{delay: time.Millisecond, outcome: upstream.Outcome{Result: upstream.Unreachable, ConnectionRefused: true}}
+		})
+	}
+	small := manyAccounts(20, 5)
+	tests := map[string]struct {
+		loads []accountLoad
+		react func() func(string, int, *upstream.Attempt) reaction
+		// minShare is the part of the requests of small accounts to be served in time.
+		// Where the capacity that is left is about what they send, and most of it is
+		// freed in clumps, minShare is zero: they must get more than before.
+		minShare float64
+	}{
+		"five-times":        {append(flood(1, 60, 5), small...), limited, 0.95},
+		"ten-times":         {append(flood(1, 60, 10), small...), limited, 0.95},
+		"three-accounts":    {append(flood(3, 40, 10), small...), limited, 0.95},
+		"many-small":        {append(flood(1, 60, 10), manyAccounts(200, 0.5)...), limited, 0.95},
+		"slow-upstreams":    {append(flood(1, 60, 5), small...), slow, 0},
+		"crashed-upstreams": {append(flood(1, 60, 2), small...), halfCrashed, 0},
+	}
+	for name, test := range tests {
+		for _, spec := range []routing.RouteSpec{singleRoute(true), gatherRoute(1), gatherRoute(0.75)} {
+			t.Run(fmt.Sprint(name, "/", spec.Name, "-", spec.MinShardRatio), func(t *testing.T) {
+				c := qt.New(t)
+				small, floods := sumResults(t, "before", playAccounts(t, spec, test.react(), test.loads, false))
+				smallInOrder, floodsInOrder := sumResults(t, "in order", playAccounts(t, spec, test.react(), test.loads, true))
+				c.Check(smallInOrder.share() >= test.minShare, qt.IsTrue, qt.Commentf("%.3f", smallInOrder.share()))
+				c.Check(smallInOrder.share() > small.share(), qt.IsTrue)
+				c.Check(smallInOrder.share() >= 1.2*floodsInOrder.share() || smallInOrder.share() >= 0.99, qt.IsTrue)
+				c.Check(float64(smallInOrder.served+floodsInOrder.served) >= 0.93*float64(small.served+floods.served), qt.IsTrue)
+			})
+		}
+	}
+}
+
+// sumResults logs and sums the results of small and of flooding accounts.
+func sumResults(t *testing.T, name string, results map[string]accountResult) (small, floods accountResult) {
+	t.Helper()
+	for n, r := range results {
+		sum := &small
+		if strings.HasPrefix(n, "flood") {
+			sum = &floods
+		}
+		sum.sent += r.sent
+		sum.served += r.served
+		sum.missing += r.missing
+		sum.elapsed = append(sum.elapsed, r.elapsed...)
+	}
+	for kind, r := range map[string]accountResult{"small": small, "flood": floods} {
+		t.Logf("%s: %s accounts: %d sent, %.3f served in time, p50 %v, p99 %v, %d parts missing", name, kind, r.sent, r.share(), r.quantile(0.5).Round(time.Millisecond), r.quantile(0.99).Round(time.Millisecond), r.missing)
+	}
+	return small, floods
+}
+
+// TestUrgentAccountsComeFirst has an account with a better priority than its route send
+// beside one that sends ten times what upstreams can run. All of its requests must be
+// served in time, although both use the same route.
+func TestUrgentAccountsComeFirst(t *testing.T) {
+	c := qt.New(t)
+	ordinary := accountLoad{spec: account.Spec{Name: "ordinary", HasPriority: true, Priority: 2}, perSecond: 100, factor: 10}
+	urgent := accountLoad{spec: account.Spec{Name: "urgent", HasPriority: true, Priority: 1}, perSecond: 20, factor: 5}
+	results := playAccounts(t, singleRoute(true), newQueueingUpstreams(20*time.Millisecond, "s"), []accountLoad{ordinary, urgent}, true)
+	c.Check(results["urgent"].share() >= 0.95, qt.IsTrue, qt.Commentf("%.3f", results["urgent"].share()))
+	c.Check(results["ordinary"].served > 0, qt.IsTrue)
+}
+
+// TestHopelessRequestIsRefusedAtOnce fills all upstreams and the queue, and sends one more
+// request of the same account. It must be refused within a millisecond, as not run, with
+// when to come back; and the first request of another account must be served.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newTestDispatcherWithPolicy(singleRoute(true), soleHostPolicy, newQueueingUpstreams(20*time.Millisecond, "s"))
+		waiting := 0.0
+		var mu sync.Mutex
+		d.OnWaiting = func(change float64) {
+			mu.Lock()
+			defer mu.Unlock()
+			waiting += change
+		}
+		directory := account.NewDirectory([]account.Spec{{Name: "flood"}, {Name: "other"}})
+		run := func(name string) (Answer, time.Duration) {
+			startedAt := time.Now()
+			return d.Run(t.Context(), &Request{ID: name, Method: http.MethodGet, Target: "/" + name, Host: "h", Account: directory.ByName(name)}, d.route, 1), time.Since(startedAt)
+		}
+		var group work.Group
+		for range 500 {
+			group.Go(func() { run("flood") })
+			time.Sleep(time.Millisecond)
+		}
+		answer, elapsed := run("flood")
+		c.Check(answer.Status, qt.Equals, http.StatusServiceUnavailable)
+		c.Check(answer.Reason, qt.Equals, ReasonBusy)
+		c.Check(answer.NotRun, qt.IsTrue)
+		c.Check(answer.RetryAfter >= failureRetryDelay, qt.IsTrue)
+		c.Check(elapsed < time.Millisecond, qt.IsTrue, qt.Commentf("%v", elapsed))
+		answer, elapsed = run("other")
+		c.Check(answer.Status, qt.Equals, http.StatusOK)
+		c.Check(elapsed <= target, qt.IsTrue, qt.Commentf("%v", elapsed))
+		group.Wait()
+		d.Group.Wait()
+		c.Check(waiting, qt.Equals, 0.0)
+		c.Check(d.summaries[len(d.summaries)-1].Admission, qt.Not(qt.Equals), AdmissionNone)
+	})
+}
