Host: counters and log fields of admission

foxtailshelf_waiting_requests, foxtailshelf_admission_total by outcome, and the fields admission, rank and waited-ms of the request log, for requests with an account.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -162,6 +162,7 @@
 		OnLeaving:        h.recordLeaving,
 		Links:            h.links,
 		OnFinish:         h.requestLog.record,
+		OnWaiting:        h.Metrics.waitingRequests.Add,
 		CallerAllowance:  callerRoundTripTime + callerOverhead,
 		ConnectAllowance: callerRoundTripTime,
 		Group:            &h.group,
--- a/internal/host/requestlog.go
+++ b/internal/host/requestlog.go
@@ -46,6 +46,8 @@
 	configurationVersion prometheus.Gauge
 	partitioned          prometheus.Gauge
 	probes               *prometheus.CounterVec
+	waitingRequests      prometheus.Gauge
+	admissions           *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of a host.
@@ -106,7 +108,10 @@
 		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "foxtailshelf_upstream_probes_total", Help: "Connections opened to find out whether an upstream runs, by result.",
 		}, []string{"result"}),
+		waitingRequests: newWaitingRequests(),
+		admissions:      newAdmissions(),
 	}
+	registry.MustRegister(m.waitingRequests, m.admissions)
 	registry.MustRegister(m.answers, m.answerSeconds, m.attempts, m.attemptResults, m.suspectRequests, m.testRuns, m.upstreamCrashes, m.storeEras, m.leavingUpstreams, m.rests, m.limitChanges, m.missingParts, m.unloggedLines, m.badRecords, m.relayedAttempts, m.configurationVersion, m.partitioned, m.probes)
 	return m
 }
@@ -140,6 +145,7 @@
 	m.attempts.WithLabelValues("late").Add(float64(s.Hedges))
 	m.attempts.WithLabelValues("retry").Add(float64(s.Retries))
 	m.missingParts.Add(float64(s.MissingParts))
+	m.recordAdmission(s)
 	isClean := s.Reason == dispatch.ReasonNone && s.MissingParts == 0 && s.Retries == 0
 	if isClean {
 		return
@@ -155,6 +161,7 @@
 		"store-age-ms": l.mirrorAge().Milliseconds(), "unanswered": s.Unanswered, "ended": s.EndedUpstreams, "probed": s.Probed,
 	}
 	maps.Copy(fields, linkFields(l.links.Summary(time.Now())))
+	maps.Copy(fields, admissionFields(s))
 	if s.Verdict.Decision != quarantine.Allowed {
 		maps.Copy(fields, verdictFields(s.Verdict))
 	}
