Pool: requests that wait in order wait at hosts, not at upstreams

With several hosts, upstreams that lack capacity do not show it by a lack of places: the attempts wait at the upstream, in the order in which they came.

Requests of accounts now have a limit of concurrent attempts at each upstream that follows from what attempts take, below one where the hosts are more than the slots. Requests of accounts that have used their share, and less urgent ones, get a lower limit, so that the others find room at once; these also leave out no parts because of load. A flow that was refused keeps its place: its virtual time was set to the current one without a start.

--- a/internal/admission/lines.go
+++ b/internal/admission/lines.go
@@ -198,7 +198,7 @@
 
 // take adds a ticket of another Queue.
 func (q *Queue[K, V]) take(now time.Time, t *Ticket[K, V]) {
-	f := q.flow(now, t.flow.level.priority, t.flow.key)
+	f := q.flow(now, t.flow.level.priority, t.flow.key, t.work)
 	q.sequence++
 	t.sequence = q.sequence
 	f.add(t)
@@ -267,6 +267,16 @@
 	return slices.ContainsFunc(a, func(r R) bool { return slices.Contains(b, r) })
 }
 
+// IsWithinShare reports whether the flow of a request has used less than its share of the
+// resources that the request needs: its request would be served if all flows had their
+// share.
+func (l *Lines[R, K, V]) IsWithinShare(c Claim[R, K]) bool {
+	return !slices.ContainsFunc(c.Resources, func(r R) bool {
+		n := l.byResource[r]
+		return n != nil && !n.queue.isWithinShare(c.Priority, c.Flow, c.Work)
+	})
+}
+
 // IsOutranked reports whether requests of a better priority have competed for the resources
 // lately.
 func (l *Lines[R, K, V]) IsOutranked(c Claim[R, K]) bool {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -54,8 +54,8 @@
 type level[K comparable, V any] struct {
 	queue    *Queue[K, V]
 	priority int
-	// now is the virtual start of the request that started last. A flow that was idle starts
-	// there, so that it neither owes nor saves anything.
+	// now is the highest virtual start of the requests that have started. A flow that was idle
+	// starts one request before it, so that it saves no more than that.
 	now    float64
 	flows  map[K]*flow[K, V]
 	active activeFlows[K, V]
@@ -67,9 +67,12 @@
 type flow[K comparable, V any] struct {
 	level *level[K, V]
 	key   K
-	// start is the virtual time at which the next request starts.
-	start   float64
-	tickets []*Ticket[K, V]
+	// finish is the virtual time at which the last started request ends, start the one at
+	// which the next request starts: not before finish, and not more than the work of the
+	// first waiting one before level.now as of its arrival. So it comes before requests of
+	// flows that have used their share, whatever upstreams these are kept from.
+	finish, start float64
+	tickets       []*Ticket[K, V]
 	// work is the sum of the work of tickets.
 	work   float64
 	usedAt time.Time
@@ -108,7 +111,7 @@
 	if q.waiting >= maxWaiting {
 		return nil
 	}
-	f := q.flow(now, priority, key)
+	f := q.flow(now, priority, key, work)
 	q.sequence++
 	t := &Ticket[K, V]{Value: value, work: work, sequence: q.sequence, arrivedAt: now, triedAt: now}
 	q.rate.advance(now, q.waiting > 0)
@@ -134,12 +137,13 @@
 // Charge charges a flow with the work of a request that has started without waiting.
 func (q *Queue[K, V]) Charge(now time.Time, priority int, key K, work float64) {
 	q.rate.advance(now, q.waiting > 0)
-	q.charge(now, q.flow(now, priority, key), work)
+	q.charge(now, q.flow(now, priority, key, work), work)
 }
 
 func (q *Queue[K, V]) charge(now time.Time, f *flow[K, V], work float64) {
 	f.level.now = max(f.level.now, f.start)
 	f.start += work
+	f.finish = f.start
 	f.usedAt = now
 	f.level.fix(f)
 	q.rate.add(work)
@@ -266,12 +270,24 @@
 	return q.rate.duration(work)
 }
 
+// isWithinShare reports whether a flow has used less than its share: it has no waiting
+// requests, and the flows that have not been idle are ahead of it by at least this work.
+func (q *Queue[K, V]) isWithinShare(priority int, key K, work float64) bool {
+	for _, l := range q.levels {
+		if l.priority == priority {
+			f := l.flows[key]
+			return f == nil || (len(f.tickets) == 0 && f.finish+work <= l.now)
+		}
+	}
+	return true
+}
+
 // hasBetter reports whether there are flows of a better priority.
 func (q *Queue[K, V]) hasBetter(priority int) bool {
 	return slices.ContainsFunc(q.levels, func(l *level[K, V]) bool { return l.priority < priority && len(l.flows) > 0 })
 }
 
-func (q *Queue[K, V]) flow(now time.Time, priority int, key K) *flow[K, V] {
+func (q *Queue[K, V]) flow(now time.Time, priority int, key K, work float64) *flow[K, V] {
 	i, ok := slices.BinarySearchFunc(q.levels, priority, func(l *level[K, V], priority int) int { return cmp.Compare(l.priority, priority) })
 	if !ok {
 		q.levels = slices.Insert(q.levels, i, &level[K, V]{queue: q, priority: priority, flows: make(map[K]*flow[K, V])})
@@ -282,11 +298,11 @@
 		if len(l.flows) >= maxFlows {
 			l.removeFlows(func(f *flow[K, V]) bool { return true })
 		}
-		f = &flow[K, V]{level: l, key: key, index: -1}
+		f = &flow[K, V]{level: l, key: key, finish: l.now - work, index: -1}
 		l.flows[key] = f
 	}
 	if len(f.tickets) == 0 {
-		f.start = max(f.start, l.now)
+		f.start = max(f.finish, l.now-work)
 	}
 	f.usedAt = now
 	return f
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -92,13 +92,14 @@
 		// The first part examined differs between requests. Otherwise the same parts
 		// would always use up abandonableCount.
 		p := f.parts[(i+int(fraction*float64(len(f.parts))))%len(f.parts)]
-		expected, reachable := p.pool.ExpectedLatency(f.startedAt, f.latencyStats)
+		expected, reachable := p.pool.ExpectedLatency(f.startedAt, f.requirements(p, 0))
 		switch {
 		case !reachable:
 			hopeless = append(hopeless, p)
 		case expected <= maxDuration || fraction < math.Pow(float64(maxDuration)/float64(expected), abandonExponent):
 		case expected > hopelessFactor*maxDuration:
 			hopeless = append(hopeless, p)
+		case f.hasRoom():
 		default:
 			slow = append(slow, p)
 		}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -152,7 +152,7 @@
 	return pool.Requirements{
 		LatencyStats: f.latencyStats, Fingerprint: f.fingerprint, TriedUpstreams: p.tried, MaxDuration: maxDuration,
 		IsLastAttempt: p.ran+1 >= f.route.MaxAttempts() || !f.route.Idempotent(), IsOptional: f.isOutranked() || p.running > 0,
-		AvoidsOwnLinks: avoidsOwnLinks, AvoidedDataCenter: avoidedDataCenter,
+		AvoidsOwnLinks: avoidsOwnLinks, AvoidedDataCenter: avoidedDataCenter, WaitsInOrder: f.request.Account != nil, LeavesRoom: f.leavesRoom || p.running > 0,
 	}
 }
 
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -62,6 +62,9 @@
 	queueDelay time.Duration
 	// isOutrankedByAccount is set if requests of a better priority were seen.
 	isOutrankedByAccount bool
+	// leavesRoom is set if the account had used its share when the request arrived, or if
+	// the request is outranked.
+	leavesRoom bool
 }
 
 // withLines calls do while no one else uses the lines.
@@ -92,9 +95,15 @@
 
 // initWaiting prepares a request of a client account for waiting in order.
 func (f *inFlightRequest) initWaiting() {
-	if f.request.Account != nil {
-		f.wake = make(chan struct{}, 1)
+	if f.request.Account == nil {
+		return
 	}
+	f.wake = make(chan struct{}, 1)
+	f.dispatcher.waiting.withLines(func(l *admission.Lines[string, string, chan struct{}]) {
+		c := f.claim()
+		f.isOutrankedByAccount = l.IsOutranked(c)
+		f.leavesRoom = f.isOutranked() || !l.IsWithinShare(c)
+	})
 }
 
 // isOrdered reports whether the request waits in order until its first attempts.
@@ -129,7 +138,6 @@
 		case !f.hasArrived:
 			f.hasArrived = true
 			c := f.claim()
-			f.isOutrankedByAccount = l.IsOutranked(c)
 			f.place, mayTry = l.Arrive(now, c, f.wake)
 			isFull = !mayTry && f.place == nil
 			f.countWaiting()
@@ -257,6 +265,10 @@
 	return f.isOutrankedByAccount || f.route.IsOutranked()
 }
 
+// hasRoom reports whether other requests leave room to this one at upstreams, so that their
+// load is no reason to leave out parts.
+func (f *inFlightRequest) hasRoom() bool { return f.request.Account != nil && !f.leavesRoom }
+
 // retryDelayInOrder returns when a caller may come back who was refused because other
 // requests come first.
 func (f *inFlightRequest) retryDelayInOrder() time.Duration {
--- a/internal/pool/assignment.go
+++ b/internal/pool/assignment.go
@@ -31,6 +31,12 @@
 	// IsOptional is set for hedges and for requests that are less urgent than others of the
 	// service. At upstreams with a limit on requests they leave some turns to the others.
 	IsOptional bool
+	// WaitsInOrder is set for requests that wait at this host in the order of priorities and
+	// shares. They must not wait at upstreams, which know neither.
+	WaitsInOrder bool
+	// LeavesRoom is set for those of them whose client account has used its share, and for
+	// less urgent ones: the others find upstreams with room, as if these were not there.
+	LeavesRoom bool
 }
 
 // excludes reports whether the attempt must not be assigned to a member.
@@ -50,7 +56,8 @@
 	typicalLatency time.Duration
 	startedAt      time.Time
 	// fingerprint identifies the request, to find requests that crash upstreams.
-	fingerprint uint64
+	fingerprint  uint64
+	waitsInOrder bool
 }
 
 // Fingerprint identifies the request of the attempt.
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -86,6 +86,8 @@
 	limitReducedAt time.Time
 	// lateness bounds the concurrent attempts for answers that are gathered.
 	lateness latenessLimit
+	// pace bounds the concurrent attempts of requests that wait in order.
+	pace pace
 	// noDialUntil is when new connections may be dialled again, after the upstream had
 	// too many connections. noDialPeriod is for how long none was dialled the last
 	// time; zero once the upstream has responded.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -244,7 +244,7 @@
 	if best == nil || (r.MaxDuration > 0 && best.expectedLatency(now, typical) > r.MaxDuration) {
 		return nil
 	}
-	assignment := &Assignment{Upstream: best.upstream, member: best, latencyStats: r.LatencyStats, typicalLatency: typical, startedAt: now, fingerprint: r.Fingerprint}
+	assignment := &Assignment{Upstream: best.upstream, member: best, latencyStats: r.LatencyStats, typicalLatency: typical, startedAt: now, fingerprint: r.Fingerprint, waitsInOrder: r.WaitsInOrder}
 	best.running = append(best.running, assignment)
 	best.limit.take()
 	return assignment
@@ -262,16 +262,17 @@
 // reachable is false if all upstreams are retired, down or resting. For an upstream at its
 // concurrency limit, the expected duration includes an estimated wait until a running
 // attempt ends.
-func (p *Pool) ExpectedLatency(now time.Time, s *LatencyStats) (expected time.Duration, reachable bool) {
+func (p *Pool) ExpectedLatency(now time.Time, r Requirements) (expected time.Duration, reachable bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	s := r.LatencyStats
 	typical := s.TypicalLatency()
 	for _, m := range p.usableMembers(now, Requirements{}) {
 		if !m.isUsable(now) {
 			continue
 		}
 		latency := m.expectedLatency(now, typical) + m.limit.turnDelay(now, false)
-		if len(m.running) >= p.concurrencyLimit(now, m, s) {
+		if len(m.running) >= p.attemptLimit(now, m, r) {
 			latency = fullFactor * max(latency, s.target)
 		}
 		if !reachable || latency < expected {
@@ -364,6 +365,10 @@
 	if stats := assignment.latencyStats; stats.isGather && (o.Result == upstream.Answered || o.Result == upstream.Aborted) {
 		m.lateness.record(now, assignment.startedAt.Add(o.ConnectDuration), stats.target, len(m.running), p.slotShare(m), p.connectionLimit(now, m))
 	}
+	isIdle := o.Load != nil && o.Load.Waiting == 0
+	if assignment.waitsInOrder && (o.Result == upstream.Aborted || (o.Result == upstream.Answered && !isIdle)) {
+		m.pace.record(now, assignment.startedAt.Add(o.ConnectDuration), assignment.latencyStats.target, len(m.running), p.policy.LoadShare*float64(m.upstream.Slots()), p.connectionLimit(now, m))
+	}
 	switch o.Result {
 	case upstream.Answered:
 		m.recordReachable(now)
@@ -433,13 +438,21 @@
 		return false
 	case m.limit.turnDelay(now, r.IsOptional) > 0:
 		return false
-	case len(m.running) >= p.concurrencyLimit(now, m, r.LatencyStats):
+	case len(m.running) >= p.attemptLimit(now, m, r):
 		return false
 	default:
 		return p.hasLink(now, m) && (!now.Before(m.noDialUntil) || p.hasConnection(m))
 	}
 }
 
+// attemptLimit returns how many concurrent attempts a member may get before this one.
+func (p *Pool) attemptLimit(now time.Time, m *member, r Requirements) int {
+	if r.WaitsInOrder {
+		return m.pace.apply(now, r.LeavesRoom, p.concurrencyLimit(now, m, r.LatencyStats))
+	}
+	return p.concurrencyLimit(now, m, r.LatencyStats)
+}
+
 // concurrencyLimit returns how many concurrent attempts a member may get before another
 // attempt of a class of requests.
 func (p *Pool) concurrencyLimit(now time.Time, m *member, s *LatencyStats) int {
