Dispatch, budget: shares of accounts in the extra attempts

An account whose requests fail, or that sends many, used up the budget of all: its retries were as good as any. Each account may now use the extra attempts that its own requests have earned, and a quarter of each budget is for whoever comes first. Requests without an account use the budget as before.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -84,6 +84,7 @@
 	OnWaiting func(change float64)
 
 	waiting          waitingRequests
+	extras           accountExtras
 	callerTimeoutsMu sync.Mutex
 	// callerTimeouts holds the estimates by route name.
 	callerTimeouts map[string]*callerTimeout
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -84,6 +84,7 @@
 		p.pool.RecordRequest(f.startedAt)
 		p.needsAttempt = true
 	}
+	f.recordEarned()
 	if answer, ended := f.checkVerdict(ctx, attemptsCtx); ended {
 		return answer
 	}
@@ -205,7 +206,7 @@
 func (f *inFlightRequest) undoArrival(result attemptResult) {
 	result.part.arrived--
 	if result.isExtra {
-		result.part.pool.Refund(time.Now())
+		f.refundExtra(time.Now(), result.part)
 	}
 }
 
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -63,7 +63,7 @@
 		return
 	}
 	isExtra := p.arrived > 0
-	started := (!isExtra || p.pool.SpendRetry(now)) && f.startOrRefund(ctx, now, p, isExtra, 0)
+	started := (!isExtra || f.spendRetry(now, p)) && f.startOrRefund(ctx, now, p, isExtra, 0)
 	switch {
 	case started:
 		p.needsAttempt = false
@@ -92,7 +92,7 @@
 	// Before the answer is due, a hedge whose response would be late is useless. After
 	// that maxDuration is zero: the duration of a hedge is not bounded.
 	maxDuration := max(0, f.answerDueAt.Sub(now))
-	if p.pool.SpendHedge(now) && f.startOrRefund(ctx, now, p, true, maxDuration) {
+	if f.spendHedge(now, p) && f.startOrRefund(ctx, now, p, true, maxDuration) {
 		f.hedges++
 	}
 }
@@ -196,7 +196,7 @@
 		return true
 	}
 	if isExtra {
-		p.pool.Refund(now)
+		f.refundExtra(now, p)
 	}
 	return false
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -177,6 +177,13 @@
 	return p.extra.RemainingRatio(now)
 }
 
+// ExtraRatio returns how many extra attempts each request earns.
+func (p *Pool) ExtraRatio() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.policy.ExtraRatio
+}
+
 // RestingUntil returns when the first of the upstreams that rest may be used again; zero if
 // none rests.
 func (p *Pool) RestingUntil(now time.Time) time.Time {
