--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -23,6 +23,10 @@
 		f.abandonUnstarted()
 		return
 	}
+	if !f.mayTryFirst(now) {
+		return
+	}
+	defer f.recordFirstTry(now)
 	if f.attempts == 0 && f.route.Gathers() && !f.assignFirst(now) {
 		return
 	}
@@ -59,7 +63,7 @@
 		return
 	}
 	isExtra := p.arrived > 0
-	started := (!isExtra || p.pool.SpendRetry(now)) && f.startOrRefund(ctx, now, p, isExtra, 0)
+	started := (!isExtra || f.spendRetry(now, p)) && f.startOrRefund(ctx, now, p, isExtra, 0)
 	switch {
 	case started:
 		p.needsAttempt = false
@@ -88,7 +92,7 @@
 	// Before the answer is due, a hedge whose response would be late is useless. After
 	// that maxDuration is zero: the duration of a hedge is not bounded.
 	maxDuration := max(0, f.answerDueAt.Sub(now))
-	if p.pool.SpendHedge(now) && f.startOrRefund(ctx, now, p, true, maxDuration) {
+	if f.spendHedge(now, p) && f.startOrRefund(ctx, now, p, true, maxDuration) {
 		f.hedges++
 	}
 }
@@ -147,8 +151,8 @@
 	avoidsOwnLinks, avoidedDataCenter := f.doubtedLinks(p)
 	return pool.Requirements{
 		LatencyStats: f.latencyStats, Fingerprint: f.fingerprint, TriedUpstreams: p.tried, MaxDuration: maxDuration,
-		IsLastAttempt: p.ran+1 >= f.route.MaxAttempts() || !f.route.Idempotent(), IsOptional: f.route.IsOutranked(f.request.Account) || p.running > 0,
-		AvoidsOwnLinks: avoidsOwnLinks, AvoidedDataCenter: avoidedDataCenter,
+		IsLastAttempt: p.ran+1 >= f.route.MaxAttempts() || !f.route.Idempotent(), IsOptional: f.isOutranked() || p.running > 0,
+		AvoidsOwnLinks: avoidsOwnLinks, AvoidedDataCenter: avoidedDataCenter, WaitsInOrder: f.request.Account != nil, LeavesRoom: f.leavesRoom || p.running > 0,
 	}
 }
 
@@ -192,7 +196,7 @@
 		return true
 	}
 	if isExtra {
-		p.pool.Refund(now)
+		f.refundExtra(now, p)
 	}
 	return false
 }
--- a/internal/host/requestlog.go
+++ b/internal/host/requestlog.go
@@ -49,6 +49,8 @@
 	accountRequests      *prometheus.CounterVec
 	tokenCalls           *prometheus.CounterVec
 	evacuationMetrics
+	waitingRequests prometheus.Gauge
+	admissions      *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics of a host.
@@ -109,6 +111,8 @@
 		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "foxtailshelf_upstream_probes_total", Help: "Connections opened to find out whether an upstream runs, by result.",
 		}, []string{"result"}),
+		waitingRequests: newWaitingRequests(),
+		admissions:      newAdmissions(),
 	}
 	m.accountRequests = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "foxtailshelf_account_requests_total", Help: "Requests of limited client accounts by outcome: admitted, own-allowance, refused.",
@@ -117,6 +121,7 @@
 		Name: "foxtailshelf_token_calls_total", Help: "Calls to other hosts for tokens of client accounts by result: issued, none, not-issuer, failed.",
 	}, []string{"result"})
 	registry.MustRegister(m.accountRequests, m.tokenCalls)
+	registry.MustRegister(m.waitingRequests, m.admissions)
 	registry.MustRegister(m.answers, m.answerSeconds, m.attempts, m.attemptResults, m.suspectRequests, m.testRuns, m.upstreamCrashes, m.storeEras, m.leavingUpstreams, m.rests, m.limitChanges, m.missingParts, m.unloggedLines, m.badRecords, m.relayedAttempts, m.configurationVersion, m.partitioned, m.probes)
 	m.evacuationMetrics = newEvacuationMetrics(registry)
 	return m
@@ -153,6 +158,7 @@
 	m.attempts.WithLabelValues("late").Add(float64(s.Hedges))
 	m.attempts.WithLabelValues("retry").Add(float64(s.Retries))
 	m.missingParts.Add(float64(s.MissingParts))
+	m.recordAdmission(s)
 	isClean := s.Reason == dispatch.ReasonNone && s.MissingParts == 0 && s.Retries == 0
 	if isClean {
 		return
@@ -171,6 +177,7 @@
 	if list := l.evacuated(); len(list) > 0 {
 		fields["evacuated"] = list
 	}
+	maps.Copy(fields, admissionFields(s))
 	if s.Verdict.Decision != quarantine.Allowed {
 		maps.Copy(fields, verdictFields(s.Verdict))
 	}
