Cold upstreams: other hosts send for those without a turn, all parts or none

If all replicas of a shard were cold, most hosts had no turn at all, and refused searches that the limit left room for. They forward these to the hosts with turns.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/pool"
 )
 
 const (
@@ -29,25 +31,11 @@
 // failure. If there are still too few, it abandons the parts for the result of
 // abandonReason; the request then fails unless enough parts remain.
 func (f *inFlightRequest) assignFirst(now time.Time) bool {
-	var assigned, resumable, waiting []*part
-	for _, p := range f.parts {
-		switch {
-		case p.reason == ReasonExpectedLate:
-			resumable = append(resumable, p)
-		case p.isDone():
-		default:
-			if p.assignment = p.pool.Assign(now, f.requirements(p, 0)); p.assignment == nil {
-				p.wasPassedOver = true
-				waiting = append(waiting, p)
-				continue
-			}
-			assigned = append(assigned, p)
-		}
-	}
-	for _, p := range resumable[:max(0, min(len(resumable), f.route.MinParts()-len(assigned)))] {
-		if p.assignment = p.pool.Assign(now, f.requirements(p, 0)); p.assignment != nil {
-			assigned = append(assigned, p)
-		}
+	assigned, waiting := f.assignParts(now, pool.Never)
+	if len(assigned) < f.route.MinParts() && f.hasColdRelay(now, waiting) {
+		// A host that has turns at some shards only would lose them.
+		unassign(assigned)
+		assigned, waiting = f.assignParts(now, pool.Always)
 	}
 	if len(assigned) >= f.route.MinParts() {
 		for _, p := range assigned {
@@ -64,6 +52,37 @@
 	return false
 }
 
+// assignParts assigns the first attempts of all parts that are not abandoned to upstreams, and of
+// parts that were abandoned as ReasonExpectedLate as far as the answer requires them. It returns
+// the parts with an assignment, and those that wait for one.
+func (f *inFlightRequest) assignParts(now time.Time, relay pool.ColdRelay) (assigned, waiting []*part) {
+	var resumable []*part
+	assign := func(p *part) bool {
+		r := f.requirements(p, 0)
+		r.ColdRelay = relay
+		p.assignment = p.pool.Assign(now, r)
+		return p.assignment != nil
+	}
+	for _, p := range f.parts {
+		switch {
+		case p.reason == ReasonExpectedLate:
+			resumable = append(resumable, p)
+		case p.isDone():
+		case assign(p):
+			assigned = append(assigned, p)
+		default:
+			p.wasPassedOver = true
+			waiting = append(waiting, p)
+		}
+	}
+	for _, p := range resumable[:max(0, min(len(resumable), f.route.MinParts()-len(assigned)))] {
+		if assign(p) {
+			assigned = append(assigned, p)
+		}
+	}
+	return assigned, waiting
+}
+
 // unassign cancels the assignments of parts.
 func unassign(parts []*part) {
 	for _, p := range parts {
@@ -139,7 +158,7 @@
 // part has started, early enough that the refusal reaches the caller within
 // maxRefusalRatio of the target; after that, when its response would be late.
 func (f *inFlightRequest) startBy() time.Time {
-	if f.attempts == 0 {
+	if f.isUnstarted() {
 		return f.startedAt.Add(max(0, time.Duration(maxRefusalRatio*float64(f.route.LatencyTarget()))-f.allowance))
 	}
 	return f.answerDueAt.Add(-f.latencyStats.TypicalLatency())
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -31,7 +31,9 @@
 	allowance                        time.Duration
 	// attempts counts all attempts, including hedges and retries.
 	attempts, hedges, retries int
-	lastFailure               string
+	// coldRefusals is the sum of those of the parts.
+	coldRefusals int
+	lastFailure  string
 	// cancelAttempt holds the functions that give up the attempts.
 	cancelAttempt map[*pool.Assignment]context.CancelFunc
 	crashState
@@ -179,6 +181,7 @@
 		}
 		if result.outcome.NotForwarded {
 			f.undoArrival(result)
+			f.recordColdRefusal(result)
 			break
 		}
 		f.lastFailure = fmt.Sprintf("upstream refused the attempt with status %d", result.outcome.Response.Status)
@@ -186,6 +189,7 @@
 		p.ran--
 		f.undoArrival(result)
 		f.undoTry(result)
+		f.recordColdRefusal(result)
 	case upstream.Broken, upstream.Aborted:
 		if result.outcome.LinkLost && f.route.Idempotent() {
 			f.undoArrival(result)
--- a/internal/dispatch/part.go
+++ b/internal/dispatch/part.go
@@ -17,6 +17,8 @@
 	// sent counts all attempts, arrived those that may have reached an upstream, ran
 	// those that an upstream may have run, and running those in flight.
 	sent, arrived, ran, running int
+	// coldRefusals counts the attempts that other hosts have not forwarded to cold upstreams.
+	coldRefusals int
 	// writtenOff holds the attempts in flight that were written off.
 	writtenOff []*pool.Assignment
 	// inFlight holds the assignments of the attempts in flight, without those whose upstream
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -23,7 +23,7 @@
 		f.abandonUnstarted()
 		return
 	}
-	if f.attempts == 0 && f.route.Gathers() && !f.assignFirst(now) {
+	if f.isUnstarted() && f.route.Gathers() && !f.assignFirst(now) {
 		return
 	}
 	for _, p := range f.parts {
@@ -48,6 +48,9 @@
 // the result of abandonReason, or as ReasonFailed if no retry started and answerDueAt
 // has passed.
 func (f *inFlightRequest) startNeeded(ctx context.Context, now time.Time, p *part) {
+	if f.awaitsSender(p) {
+		return
+	}
 	if reason := f.abandonReason(now, p); reason != ReasonNone {
 		p.abandon(reason)
 		return
@@ -133,7 +136,7 @@
 	switch {
 	case delay == 0:
 		return ReasonNone
-	case p.sent == 0 && now.Add(delay).After(f.startBy()):
+	case p.sent == p.coldRefusals && now.Add(delay).After(f.startBy()):
 		return ReasonAtLimit
 	case now.Add(delay).After(f.deadline):
 		return ReasonFailed
--- a/internal/host/coldlimit_test.go
+++ b/internal/host/coldlimit_test.go
@@ -46,6 +46,7 @@
 	excess, used                   float64
 	sent, served, refused, undated int
 	slowestRefusal                 time.Duration
+	statuses                       map[string]int
 }
 
 // TestColdUpstreamsGetNoMoreThanTheyTake makes upstreams cold that had been idle or busy, with
@@ -58,9 +59,10 @@
 			"relayed":   {rate: 2, maxConnections: 8},
 			"disturbed": {rate: 2, disturb: disturbHosts},
 			"all":       {rate: 4, all: true},
+			"enough":    {rate: 60, all: true},
 		} {
 			// The larger fleet plays a sample; -fleet-size 89 plays all.
-			if *fleetSize == 0 && size > 7 && name != "disturbed" && name != "all" {
+			if *fleetSize == 0 && size > 7 && name != "disturbed" && name != "all" && name != "enough" {
 				continue
 			}
 			p.size = size
@@ -104,7 +106,7 @@
 	load := newLoad(f, addresses, "/", time.Duration(float64(time.Second)/max(50, float64(p.size)/3)))
 	time.Sleep(4 * time.Second)
 	from := time.Now()
-	r := coldResult{}
+	r := coldResult{statuses: make(map[string]int)}
 	random := rand.New(rand.NewPCG(uint64(p.size), 1))
 	var bursts work.Group
 	for n := range 3 {
@@ -128,6 +130,7 @@
 			continue
 		}
 		r.sent++
+		r.statuses[fmt.Sprint(a.status, " ", a.reason)]++
 		switch a.status {
 		case 200:
 			r.served++
@@ -203,7 +206,7 @@
 				total, senders := 0.0, 0
 				for _, m := range members {
 					v.host = m.Host()
-					l := coldLimit(rate, 0, v)
+					l := coldLimit(rate, coldSenders(rate, 0, v), v)
 					if l.Rate == 0 {
 						c.Check(l.Burst, qt.Equals, 0.0)
 						continue
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -143,9 +143,10 @@
 // configurePool sets the upstreams and the limits of a pool. The caller holds h.mu.
 func (h *Host) configurePool(now time.Time, p *pool.Pool, service string) {
 	plan := h.dialPlanFor(service)
-	policy := h.poolPolicy(plan)
-	policy.ColdLimit = h.coldLimitFor(now, service)
-	p.Configure(now, h.upstreamsFor(service, plan), policy)
+	policy, upstreams := h.poolPolicy(plan), h.upstreamsFor(service, plan)
+	coldLimit, coldRelays := h.coldPolicy(now, service, upstreams)
+	policy.ColdLimit = coldLimit
+	p.Configure(now, append(upstreams, coldRelays...), policy)
 }
 
 // poolPolicy returns the limits of this host for a service with the given plan.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -142,6 +142,7 @@
 	guard     *crashGuard
 	links     *links
 	newsBoard newsBoard
+	turns     reservedTurns
 }
 
 // Init must be called before anything else.
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -70,9 +70,14 @@
 	attempt := relay.DecodeAttempt(time.Now(), r)
 	p := h.pool(r.GetService())
 	stats := h.latencyStatsFor(r.GetRoute(), time.Duration(r.GetTargetMicros())*time.Microsecond, r.GetGathers())
-	assignment := p.Assign(time.Now(), pool.Requirements{
+	requirements := pool.Requirements{
 		LatencyStats: stats, Fingerprint: r.GetFingerprint(), TriedUpstreams: r.GetTried(), IsLastAttempt: r.GetLast(), DirectOnly: true,
-	})
+	}
+	var assignment *pool.Assignment
+	if reserved, ok := h.reserveTurn(time.Now(), r, requirements); ok {
+		requirements.Reserved = reserved
+		assignment = p.Assign(time.Now(), requirements)
+	}
 	if assignment == nil {
 		h.Metrics.relayedAttempts.WithLabelValues(relayResultLabel(upstream.Refused)).Inc()
 		err := fmt.Errorf("host %s: no upstream is free", h.Self.Host())
--- a/internal/inventory/cold.go
+++ b/internal/inventory/cold.go
@@ -51,3 +51,17 @@
 	delete(i.coldPeriods, u.lifetimeKey)
 	return u.continueColdPeriod(Upstream{coldUntil: p.until, coldSequence: p.sequence})
 }
+
+// NewColdSender returns the record of a host that runs attempts at cold upstreams of a service
+// for other hosts. Its ID differs from that of the same host as a dialling host.
+func NewColdSender(service, address, dataCenter string, slots int) Upstream {
+	u := NewDiallingHost(service, address, dataCenter, slots)
+	u.spec.ID = "cold/" + address
+	u.lifetimeKey = u.spec.lifetimeKey()
+	u.isColdSender = true
+	return u
+}
+
+// IsColdSender reports whether the record is of a dialling host that is used only while the
+// upstreams are cold and this host may send them nothing.
+func (u Upstream) IsColdSender() bool { return u.isColdSender }
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -92,6 +92,8 @@
 	// isDetour is set for a dialling host that is a last way, for when this host itself
 	// reaches no upstream of the service.
 	isDetour bool
+	// isColdSender is set for a dialling host that is used only for upstreams that are cold.
+	isColdSender bool
 }
 
 // An Inventory holds the upstreams that have an entry in the store, and those whose
--- a/internal/pool/assignment.go
+++ b/internal/pool/assignment.go
@@ -31,8 +31,26 @@
 	// IsOptional is set for hedges and for requests that are less urgent than others of the
 	// service. At upstreams with a limit on requests they leave some turns to the others.
 	IsOptional bool
+	// ColdRelay says whether another host may send the attempt, if all upstreams that this
+	// host reaches are cold.
+	ColdRelay ColdRelay
+	// Reserved is the turn that was reserved for the attempt; nil for none.
+	Reserved *ReservedTurn
 }
 
+// ColdRelay says when other hosts send attempts to cold upstreams for this one.
+type ColdRelay int
+
+// The values of ColdRelay.
+const (
+	// IfNoTurn has other hosts send attempts if this host has no turn.
+	IfNoTurn ColdRelay = iota
+	// Never has this host send all attempts itself.
+	Never
+	// Always has other hosts send all attempts at cold upstreams.
+	Always
+)
+
 // excludes reports whether the attempt must not be assigned to a member.
 func (r Requirements) excludes(m *member) bool {
 	return (r.DirectOnly && m.upstream.IsDiallingHost()) || slices.Contains(r.TriedUpstreams, m.upstream.ID())
--- a/internal/pool/cold.go
+++ b/internal/pool/cold.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
+	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 )
 
 // A ColdLimit is this host's part of the requests that a cold upstream of a service takes from
@@ -16,6 +17,9 @@
 	// Rate is in requests per second. Burst is how many requests accumulate at most while
 	// they are not used; it is at least one if Rate is positive.
 	Rate, Burst float64
+	// RefusalPeriod is how long another host that has refused an attempt, because it had no
+	// turn either, is not asked again.
+	RefusalPeriod time.Duration
 }
 
 // limitCold updates the limit of a member with the policy. Turns that have accumulated before
@@ -84,3 +88,88 @@
 		return !m.upstream.IsDiallingHost() && m.upstream.Eligibility(now) != inventory.Retired
 	})
 }
+
+// usableSenders returns the first host that may send an attempt to a cold upstream. There is none
+// as long as any of the direct members could run it without a turn. All parts of a search go to
+// the same host: it has turns at all shards or at none, and if only some parts ran, these turns
+// would be lost.
+func (p *Pool) usableSenders(now time.Time, r Requirements, direct []*member) []*member {
+	if p.senderCount == 0 || r.DirectOnly || r.ColdRelay == Never {
+		return nil
+	}
+	isBlocked := false
+	for _, m := range direct {
+		switch {
+		case !m.isUsable(now) || r.excludes(m) || !p.hasLink(now, m):
+		case m.cold == nil || !m.isCold(now) || (r.ColdRelay != Always && m.cold.turnDelay(now, r.IsOptional) == 0):
+			return nil
+		default:
+			isBlocked = true
+		}
+	}
+	if !isBlocked {
+		return nil
+	}
+	for _, m := range p.members[len(p.members)-p.senderCount:] {
+		if m.isUsable(now) && !r.excludes(m) && !now.Before(m.refusedUntil) && len(m.running) < m.upstream.Slots() {
+			return []*member{m}
+		}
+	}
+	return nil
+}
+
+// HasColdRelay reports whether another host may send an attempt because all upstreams that this
+// host reaches are cold and it has no turn there.
+func (p *Pool) HasColdRelay(now time.Time, r Requirements) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.usableSenders(now, r, p.members[:len(p.members)-p.senderCount-p.detourCount])) > 0
+}
+
+// recordColdRefusal records that another host has not forwarded an attempt to a cold upstream.
+func (p *Pool) recordColdRefusal(now time.Time, m *member, o upstream.Outcome) {
+	if m.upstream.IsColdSender() && o.NotForwarded && p.policy.ColdLimit != nil {
+		m.refusedUntil = now.Add(p.policy.ColdLimit.RefusalPeriod)
+	}
+}
+
+// IsColdLimited reports whether a limit applies at any upstream because it is cold.
+func (p *Pool) IsColdLimited(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.members, func(m *member) bool { return m.cold != nil && m.isCold(now) })
+}
+
+// A ReservedTurn is a turn at a cold upstream that is kept for one attempt.
+type ReservedTurn struct{ member *member }
+
+// ReserveTurn reserves a turn for an attempt that will be assigned soon. It returns nil if the
+// attempt needs none, and false if an upstream is cold and none has a turn.
+func (p *Pool) ReserveTurn(now time.Time, r Requirements) (reserved *ReservedTurn, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.bestMember(now, p.usableMembers(now, r), r, inventory.InService)
+	switch {
+	case m == nil:
+		return nil, p.turnDelay(now, r) == 0
+	case m.cold == nil || !m.isCold(now):
+		return nil, true
+	default:
+		m.takeTurn(now)
+		return &ReservedTurn{member: m}, true
+	}
+}
+
+// Release gives back a turn that was reserved and not used.
+func (p *Pool) Release(t *ReservedTurn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t.release()
+}
+
+func (t *ReservedTurn) release() {
+	if t != nil && t.member != nil {
+		t.member.giveBackTurn()
+		t.member = nil
+	}
+}
--- a/internal/pool/detour.go
+++ b/internal/pool/detour.go
@@ -33,14 +33,20 @@
 	})
 }
 
-// usableMembers returns the members that may get an attempt: the detours, if this host
+// usableMembers returns the members that may get an attempt: the hosts that send to cold
+// upstreams, if all that this host reaches are cold and it has no turn there; the detours, if this host
 // reaches no upstream of the service itself and they are not excluded; all others otherwise,
 // without those that the attempt avoids if there are more.
 func (p *Pool) usableMembers(now time.Time, r Requirements) []*member {
 	if p.isEvacuated(now) {
 		return nil
 	}
-	direct, detours := p.members[:len(p.members)-p.detourCount], p.members[len(p.members)-p.detourCount:]
+	firstSender := len(p.members) - p.senderCount
+	firstDetour := firstSender - p.detourCount
+	direct, detours := p.members[:firstDetour], p.members[firstDetour:firstSender]
+	if senders := p.usableSenders(now, r, direct); len(senders) > 0 {
+		return senders
+	}
 	if len(detours) == 0 || r.DirectOnly {
 		return direct
 	}
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -81,6 +81,8 @@
 	limit *requestLimit
 	// cold is the limit on requests while the upstream is cold; nil if none.
 	cold *requestLimit
+	// refusedUntil is until when a host that sends to cold upstreams is not asked again.
+	refusedUntil time.Time
 	// reducedLimit is the concurrency limit that was set at limitReducedAt, when the
 	// upstream had too many connections. From then on the limit grows by one every
 	// limitGrowthInterval.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -100,9 +100,10 @@
 
 	mu     sync.Mutex
 	policy Policy
-	// members are the upstreams and the dialling hosts, followed by the detours.
-	members     []*member
-	detourCount int
+	// members are the upstreams and the dialling hosts, followed by the detours and the hosts
+	// that send to cold upstreams.
+	members                  []*member
+	detourCount, senderCount int
 	// hasDiallingHosts is set if dialling hosts run attempts at the upstreams for
 	// this host.
 	hasDiallingHosts bool
@@ -136,7 +137,7 @@
 	p.extra.SetLimits(policy.ExtraRatio, policy.ExtraSlack)
 	p.policy = policy
 	p.hasEvacuated = slices.ContainsFunc(upstreams, inventory.Upstream.IsEvacuated)
-	p.hasDiallingHosts = slices.ContainsFunc(upstreams, func(u inventory.Upstream) bool { return u.IsDiallingHost() && !u.IsDetour() })
+	p.hasDiallingHosts = slices.ContainsFunc(upstreams, func(u inventory.Upstream) bool { return u.IsDiallingHost() && !u.IsDetour() && !u.IsColdSender() })
 	old := p.members
 	p.members = make([]*member, 0, len(upstreams))
 	for _, u := range upstreams {
@@ -153,8 +154,11 @@
 		p.limitCold(now, old[i], wasCold)
 		p.members = append(p.members, old[i])
 	}
-	p.detourCount = 0
+	p.detourCount, p.senderCount = 0, 0
 	for _, m := range p.members {
+		if m.upstream.IsColdSender() {
+			p.senderCount++
+		}
 		if m.upstream.IsDetour() {
 			p.detourCount++
 		}
@@ -243,6 +247,7 @@
 func (p *Pool) Assign(now time.Time, r Requirements) *Assignment {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	r.Reserved.release()
 	typical := r.LatencyStats.TypicalLatency()
 	members := p.usableMembers(now, r)
 	best := p.bestMember(now, members, r, inventory.InService)
@@ -370,6 +375,7 @@
 			break
 		}
 		m.recordReachable(now)
+		p.recordColdRefusal(now, m, o)
 		m.addSample(now, m.currentSlowness(now), true)
 	case upstream.Misdirected:
 		// Another upstream has the address now, and the entry of this upstream will be
