--- a/internal/host/coldturns.go
+++ b/internal/host/coldturns.go
@@ -5,7 +5,6 @@
 // lost: under a load of three times the limit, 900 of 1,500 searches ended that way.
 
 import (
-	"path"
 	"sync"
 	"time"
 
@@ -47,7 +46,8 @@
 	if len(shards) == 0 {
 		return nil, true
 	}
-	key := path.Join(r.GetRequestId(), r.GetRoute())
+	// Callers choose the ids of their requests, so that different searches may share one.
+	key := formatFingerprint(r.GetFingerprint()) + " " + r.GetRequestId()
 	t := &h.turns
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/host/evacuation_test.go
+++ b/internal/host/evacuation_test.go
@@ -76,6 +76,11 @@
 				time.Sleep(evacuationTime / 3)
 				f.setStoreDown(false)
 				time.Sleep(evacuationTime / 3)
+				for a, r := range f.hosts {
+					for id := range evacuated {
+						c.Check(r.host.Upstreams.IdleCount(id), qt.Equals, 0, qt.Commentf("idle connections of %s to %s", a, id))
+					}
+				}
 				endedAt := time.Now()
 				f.remove(evacuationKeyPrefix + "z1")
 				time.Sleep(evacuationReturnTime)
--- a/internal/pool/cold_test.go
+++ b/internal/pool/cold_test.go
@@ -106,3 +106,25 @@
 	f.now = f.now.Add(time.Second / 2)
 	c.Check(f.Assign(f.now, r).Upstream.Address(), qt.Equals, "h1")
 }
+
+// TestReservedTurn checks that a reserved turn is there for its attempt only, and is given back if it is not used.
+func TestReservedTurn(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(newPolicy())
+	setCold(f, 1, &ColdLimit{Rate: 1, Burst: 1})
+	f.now = f.now.Add(2 * time.Second)
+	r := Requirements{LatencyStats: f.latencyStats}
+	turn, ok := f.ReserveTurn(f.now, r)
+	c.Check(ok && turn != nil, qt.IsTrue)
+	c.Check(f.Assign(f.now, r), qt.IsNil)
+	_, ok = f.ReserveTurn(f.now, r)
+	c.Check(ok, qt.IsFalse, qt.Commentf("no second turn"))
+	f.Release(turn)
+	f.Release(turn)
+	turn, _ = f.ReserveTurn(f.now, r)
+	r.Reserved = turn
+	c.Check(f.Assign(f.now, r), qt.IsNotNil)
+	f.Release(turn)
+	r.Reserved = nil
+	c.Check(f.Assign(f.now, r), qt.IsNil, qt.Commentf("a used turn is not given back"))
+}
