--- a/internal/dispatch/admission_test.go
+++ b/internal/dispatch/admission_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/account"
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
 	"github.com/foxtailshelf/foxtailshelf/internal/routing"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
@@ -284,6 +285,12 @@
 
 // TestUrgentRequestsComeFirstAtLimits has two routes send more than the limits of their service allow, one of them more urgent.
 func TestUrgentRequestsComeFirstAtLimits(t *testing.T) {
+	t.Run("routes", func(t *testing.T) { checkUrgentRequests(t, false) })
+	t.Run("accounts", func(t *testing.T) { checkUrgentRequests(t, true) })
+}
+
+// checkUrgentRequests sends requests of two routes, or of two accounts on the less urgent route.
+func checkUrgentRequests(t *testing.T, byAccount bool) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		const (
@@ -301,13 +308,22 @@
 			s.Host, s.Prefix, s.Timeout, s.LatencyTarget, s.Priority = "h", fmt.Sprintf("/%d/", i), timeout, target, i
 		}
 		table := routing.NewTable(1, []routing.RouteSpec{urgent, ordinary}, nil, routing.Limits{})
+		var accounts [2]*account.Account
+		if byAccount {
+			directory := account.NewDirectory([]account.Spec{{Name: "urgent", HasPriority: true}, {Name: "ordinary", HasPriority: true, Priority: 1}})
+			table.WithAccounts(directory)
+			accounts = [2]*account.Account{directory.ByName("urgent"), directory.ByName("ordinary")}
+		}
 		served := make([]int, 2)
 		var group work.Group
 		var mu sync.Mutex
 		for n := range 2 * count {
 			group.Go(func() {
 				path := fmt.Sprintf("/%d/", n%2)
-				a := d.Run(context.Background(), &Request{ID: fmt.Sprint(n), Method: http.MethodGet, Target: path, Host: "h"}, table.Match("h", path), 1)
+				if byAccount {
+					path = "/1/"
+				}
+				a := d.Run(context.Background(), &Request{ID: fmt.Sprint(n), Method: http.MethodGet, Target: path, Host: "h", Account: accounts[n%2]}, table.Match("h", path), 1)
 				mu.Lock()
 				defer mu.Unlock()
 				if a.Status == http.StatusOK {
--- a/internal/host/authentication.go
+++ b/internal/host/authentication.go
@@ -43,7 +43,7 @@
 	default:
 		answer.Status, answer.Reason = http.StatusUnauthorized, dispatch.ReasonUnknownKey
 	}
-	h.requestLog.record(dispatch.Summary{
+	h.refusalLog.record(dispatch.Summary{
 		RequestID: request.ID, Route: route.Name(), Version: table.Version(), Status: answer.Status, Reason: answer.Reason, Elapsed: time.Since(startedAt),
 	})
 	return answer, true
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -50,13 +50,17 @@
 func (h *Host) handleRecords(records []keyvalue.Change, revision keyvalue.Revision) {
 	now := time.Now()
 	var peers []roster.Member
+	// A configuration with tens of thousands of accounts takes so long to decode that requests
+	// must not wait for it.
+	cached := make(map[string]cachedRecord, len(records))
+	for _, r := range records {
+		cached[r.Key()] = h.decodeRecord(r)
+	}
 	h.mu.Lock()
 	h.beginEra(now, revision)
 	h.upstreamSpecs = h.upstreamSpecs[:0]
-	cached := make(map[string]cachedRecord, len(records))
 	for _, r := range records {
-		d := h.decodeRecord(r)
-		cached[r.Key()] = d
+		d := cached[r.Key()]
 		if d.Table != nil {
 			h.activate(d.Table)
 		}
@@ -67,8 +71,8 @@
 			peers = append(peers, d.peer)
 		}
 	}
-	h.cachedRecords = cached
 	h.mu.Unlock()
+	h.cachedRecords = cached
 	h.fleet.HandleHostList(peers)
 	h.updateFleetView()
 	h.updateInventory(now)
@@ -167,8 +171,8 @@
 }
 
 // decodeRecord returns the decoded record from the cache, or decodes it if it is new or has
-// changed. A record that cannot be decoded is logged, counted and treated as empty. The
-// caller holds h.mu.
+// changed. A record that cannot be decoded is logged, counted and treated as empty. Only
+// handleRecords calls it.
 func (h *Host) decodeRecord(r keyvalue.Change) cachedRecord {
 	if cached, ok := h.cachedRecords[r.Key()]; ok && cached.revision == r.Revision() {
 		return cached
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -97,6 +97,9 @@
 	follower   *mirror.Follower
 	dispatcher *dispatch.Dispatcher
 	requestLog *requestLog
+	// refusalLog logs the requests that are refused for their credentials. It has a bound of
+	// its own: callers with an unknown key must not use up the lines of all others.
+	refusalLog *requestLog
 	// fleetChanges holds a value while a change of the members is not applied yet.
 	fleetChanges chan struct{}
 	// eraChanges holds a value while this host has to register again, because the store has
@@ -115,7 +118,7 @@
 	pools         map[string]*pool.Pool
 	latencyStats  map[string]*pool.LatencyStats
 	// cachedRecords holds the decoded records by key, so that only changed records are
-	// decoded again.
+	// decoded again. Only handleRecords uses it.
 	cachedRecords map[string]cachedRecord
 	// view is derived from the current members.
 	view fleetView
@@ -147,6 +150,7 @@
 	h.links = newLinks(h)
 	h.Upstreams.NotifySlowDials(h.links.recordSlowDial)
 	h.requestLog = &requestLog{log: h.Log, metrics: h.Metrics, links: h.links.Tracker, mirrorAge: func() time.Duration { return h.follower.Age() }}
+	h.refusalLog = &requestLog{log: h.Log, metrics: h.Metrics, links: h.links.Tracker, mirrorAge: h.requestLog.mirrorAge}
 	h.fleet = &membership.Fleet{Self: h.Self, Seed: h.Seed, Exchange: h.exchangeGossip, OnChange: h.handleMemberChange, Tasks: &h.group}
 	h.fleet.Init()
 	h.follower = &mirror.Follower{
