--- a/internal/allowance/holder.go
+++ b/internal/allowance/holder.go
@@ -1,6 +1,7 @@
 package allowance
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -14,19 +15,22 @@
 	// unreachablePeriod is how long an issuer is not asked after a call has failed, and
 	// notIssuerPeriod after it has answered that it is none: views of the members differ for
 	// as long as gossip takes.
-	unreachablePeriod = time.Second
+	unreachablePeriod = 500 * time.Millisecond
 	notIssuerPeriod   = 250 * time.Millisecond
 	// maxEmptyPeriod bounds how long an issuer that had no token is not asked.
 	maxEmptyPeriod = maxPromise
 	// horizon is the time for which a host asks for tokens. Tokens for a longer time would
 	// often expire.
 	horizon = 300 * time.Millisecond
+	// holderIdlePeriod is how long an unused account is kept. Nothing that is known of it
+	// matters for longer, besides the requests within the window.
+	holderIdlePeriod = 10 * time.Second
 	// rateMemory is the time constant of the estimate of an account's rate.
 	rateMemory = time.Second
 	// MaxWanted bounds the tokens of one call.
 	MaxWanted = 64
 	// undecidedWait is the wait of requests that no issuer has answered.
-	undecidedWait = unreachablePeriod
+	undecidedWait = time.Second
 )
 
 // The kinds of decisions.
@@ -95,9 +99,9 @@
 	// ownUses are the times of requests out of the own allowance within the window.
 	ownUses []time.Time
 	// older bounds the tokens of issuers with an older version of the configuration.
-	older bucket
+	older *store
 	// missing holds this host's part of the tokens of the issuers to which calls have failed.
-	missing bucket
+	missing store
 }
 
 // A grant is the tokens of one call.
@@ -109,7 +113,7 @@
 
 // An issuerState is what a holder knows of one issuer of an account.
 type issuerState struct {
-	Member
+	*Member
 	// calledAt is when the outstanding call was made; zero if there is none.
 	calledAt time.Time
 	// emptyUntil is when it expects to have a token again. askAgainAt is when it is asked
@@ -135,14 +139,15 @@
 		s := &k.issuers[n]
 		switch {
 		case !s.calledAt.IsZero() && s.failed:
-			// An issuer whose last call has failed is asked in the background.
+			// A request waits for an issuer whose last call has failed only if it would be
+			// refused.
 		case !s.calledAt.IsZero() && now.Sub(s.calledAt) < hedgeDelay:
 			return Decision{Kind: Wait, Until: s.calledAt.Add(hedgeDelay)}
 		case !s.calledAt.IsZero():
 			waiting = true
 		case !now.Before(s.askAgainAt):
 			s.calledAt = now
-			d := Decision{Kind: Ask, Issuer: s.Member, Wanted: min(1+int(k.rate(now)*horizon.Seconds()), MaxWanted), Until: now}
+			d := Decision{Kind: Ask, Issuer: *s.Member, Wanted: min(1+int(k.rate(now)*horizon.Seconds()), MaxWanted), Until: now}
 			if !s.failed {
 				d.Until = now.Add(hedgeDelay)
 			}
@@ -152,7 +157,14 @@
 	if waiting {
 		return Decision{Kind: Wait}
 	}
-	return h.Conclude(now, r, v)
+	d := h.Conclude(now, r, v)
+	for _, s := range k.issuers {
+		// A host that was cut off until now would refuse the first request of each account.
+		if d.Kind == Refused && !s.calledAt.IsZero() && now.Sub(s.calledAt) < hedgeDelay {
+			return Decision{Kind: Wait, Until: s.calledAt.Add(hedgeDelay)}
+		}
+	}
+	return d
 }
 
 // Conclude decides on a request that can wait for no issuer any more. It is run out of the own
@@ -248,12 +260,33 @@
 // Maintain drops the accounts that are unused.
 func (h *Holder) Maintain(now time.Time) {
 	for name, k := range h.holdings {
-		if now.Sub(k.arrivedAt) >= max(idlePeriod, h.Margin.Window) {
+		if now.Sub(k.arrivedAt) >= max(holderIdlePeriod, h.Margin.Window) {
 			delete(h.holdings, name)
 		}
 	}
 }
 
+// Describe describes what is known of the issuers of an account: the state of each, and for how
+// long it will not be asked.
+func (h *Holder) Describe(now time.Time, name string) []string {
+	k := h.holdings[name]
+	if k == nil {
+		return nil
+	}
+	var list []string
+	for _, s := range k.issuers {
+		state := "empty"
+		switch {
+		case s.failed:
+			state = "unreachable"
+		case !s.calledAt.IsZero():
+			state = "asked"
+		}
+		list = append(list, fmt.Sprintf("%s: %s, not asked for %d ms", s.Host, state, max(0, s.askAgainAt.Sub(now)).Milliseconds()))
+	}
+	return list
+}
+
 // Len returns the number of accounts in use.
 func (h *Holder) Len() int { return len(h.holdings) }
 
@@ -306,7 +339,7 @@
 		}
 	}
 	if failed == 0 {
-		k.missing = bucket{updatedAt: now}
+		k.missing = store{updatedAt: now}
 		return
 	}
 	part := (k.view.shareTo - k.view.shareFrom) * float64(failed) / float64(len(k.issuers))
@@ -360,10 +393,10 @@
 	if k.limit.IsUnlimited() {
 		return issued
 	}
-	b := &k.older
-	if b.updatedAt.IsZero() {
-		b.tokens, b.updatedAt = 1, now
+	if k.older == nil {
+		k.older = &store{tokens: 1, updatedAt: now}
 	}
+	b := k.older
 	b.rate, b.capacity = k.limit.RatePerSecond, max(1, k.limit.Burst)
 	b.fill(now)
 	issued = min(issued, int(b.tokens))
--- a/internal/allowance/issuer.go
+++ b/internal/allowance/issuer.go
@@ -20,7 +20,7 @@
 	minWait = 5 * time.Millisecond
 	// unsettledWait is when a token is expected while the host is not connected to the others.
 	unsettledWait = 500 * time.Millisecond
-	// idlePeriod is how long a full bucket or an unused account is kept.
+	// idlePeriod is how long an unused bucket is kept that is full.
 	idlePeriod = 30 * time.Second
 	// maxIdlePeriod is how long an unused bucket is kept that is not full, for instance
 	// because its account has been removed.
@@ -51,11 +51,16 @@
 	buckets              map[string]*bucket
 }
 
-// A bucket holds the tokens of one account.
+// A store of tokens gains rate tokens per second up to its capacity.
+type store struct {
+	tokens, rate, capacity float64
+	updatedAt              time.Time
+}
+
+// A bucket holds the tokens of one account. rate and capacity are those of the last use.
 type bucket struct {
-	tokens    float64
-	updatedAt time.Time
-	usedAt    time.Time
+	store
+	usedAt time.Time
 	// reserveFrom is when the bucket began to get its reserve, reservePerSecond how much of
 	// it. It is complete after reserveTime.
 	reserveFrom      time.Time
@@ -63,8 +68,6 @@
 	reservePerSecond float64
 	// promisedUntil is when the last token that was promised to a host is expected.
 	promisedUntil time.Time
-	// rate and capacity are those of the last use.
-	rate, capacity float64
 }
 
 // RecordContact records whether a call to another host was answered.
@@ -165,7 +168,9 @@
 	return min(i.view.running, own+(1-own)*i.contacts.Fraction(now, i.view.known-1))
 }
 
-func (i *Issuer) isIssuer(issuers []Member) bool { return slices.Contains(issuers, i.view.self) }
+func (i *Issuer) isIssuer(issuers []*Member) bool {
+	return slices.ContainsFunc(issuers, func(m *Member) bool { return m.Host == i.view.self.Host })
+}
 
 // bucket returns the bucket of an account. If the host is connected to the others, a new one
 // holds one token and what has accumulated since the host may have become an issuer.
@@ -174,7 +179,7 @@
 	if ok {
 		return b
 	}
-	b = &bucket{updatedAt: now}
+	b = &bucket{store: store{updatedAt: now}}
 	if !i.settledAt.IsZero() {
 		from := i.viewChangedAt
 		if i.settledAt.After(from) {
@@ -190,13 +195,17 @@
 }
 
 // fill adds the tokens that have accumulated.
+func (s *store) fill(now time.Time) {
+	s.tokens = min(s.capacity, s.tokens+s.rate*now.Sub(s.updatedAt).Seconds())
+	s.updatedAt = now
+}
+
+// fill adds the tokens that have accumulated, and what is due of the reserve.
 func (b *bucket) fill(now time.Time) {
-	gained := b.rate * now.Sub(b.updatedAt).Seconds()
 	if reserveUntil := b.reserveFrom.Add(b.reserveTime); b.updatedAt.Before(reserveUntil) {
-		gained += b.reservePerSecond * min(now.Sub(b.updatedAt), reserveUntil.Sub(b.updatedAt)).Seconds()
+		b.tokens += b.reservePerSecond * min(now.Sub(b.updatedAt), reserveUntil.Sub(b.updatedAt)).Seconds()
 	}
-	b.tokens = min(b.capacity, b.tokens+gained)
-	b.updatedAt = now
+	b.store.fill(now)
 }
 
 // promise returns the time until the next token that is not promised to another host.
--- a/internal/allowance/view.go
+++ b/internal/allowance/view.go
@@ -67,7 +67,7 @@
 // member is lost, only its accounts get another issuer. The order is that in which
 // the host asks: itself, then those of its own data centre. Hosts of one data centre start
 // with different ones.
-func (v *View) issuers(name string) []Member {
+func (v *View) issuers(name string) []*Member {
 	h := xxhash.Sum64String(name)
 	best := make([]ranked, len(v.dataCenter))
 	var top [maxIssuers]ranked
@@ -94,9 +94,9 @@
 	slices.SortFunc(chosen, func(a, b *candidate) int {
 		return cmp.Or(cmp.Compare(v.distance(a), v.distance(b)), cmp.Compare(mix(h^own^a.hash), mix(h^own^b.hash)))
 	})
-	list := make([]Member, 0, len(chosen))
+	list := make([]*Member, 0, len(chosen))
 	for _, c := range chosen {
-		list = append(list, c.Member)
+		list = append(list, &c.Member)
 	}
 	return list
 }
--- a/internal/host/allowance.go
+++ b/internal/host/allowance.go
@@ -310,8 +310,11 @@
 		a.host.Metrics.unloggedLines.Inc()
 		return
 	}
+	a.mu.Lock()
+	issuers := a.holder.Describe(time.Now(), r.Account)
+	a.mu.Unlock()
 	a.host.Log.WithFields(logrus.Fields{
-		"request": request.ID, "account": r.Account, "version": r.Version, "limit": r.Limit.RatePerSecond, "wait-ms": d.Wait.Milliseconds(),
+		"issuers": issuers, "request": request.ID, "account": r.Account, "version": r.Version, "limit": r.Limit.RatePerSecond, "wait-ms": d.Wait.Milliseconds(),
 		"issuers-empty": d.Empty, "issuers-unreachable": d.Unreachable, "store-age-ms": a.host.follower.Age().Milliseconds(),
 	}).Info("request refused: account is at its limit")
 }
