--- a/internal/host/allowance.go
+++ b/internal/host/allowance.go
@@ -21,8 +21,9 @@
 	admissionTimeout = 60 * time.Millisecond
 	// tokenCallTimeout bounds a call for tokens. Tokens of later answers would soon expire.
 	tokenCallTimeout = 250 * time.Millisecond
-	// minAllowanceViewAge bounds how often the members are evaluated.
-	minAllowanceViewAge = 50 * time.Millisecond
+	// minAllowanceViewAge bounds how often the members are evaluated, which takes milliseconds
+	// in fleets of thousands.
+	minAllowanceViewAge = 200 * time.Millisecond
 )
 
 // allowances admits the requests of accounts and issues tokens to other hosts.
@@ -348,10 +349,13 @@
 			running += weights[i]
 		}
 		// The data centre of hosts from the settings is unknown until they are heard from.
-		if mayIssue(m) || isSelf || (m.State() == roster.Listed && m.DataCenter() != "") {
+		if mayIssue(m) || (m.State() == roster.Listed && m.DataCenter() != "") {
 			candidates = append(candidates, c)
 		}
 	}
+	if len(candidates) == 0 {
+		candidates = append(candidates, self)
+	}
 	if total == 0 {
 		return allowance.NewView(self, candidates, known, 1, allowance.Share{Hosts: 1})
 	}
