Pool: the first step of a lower limit leaves one attempt at a time

At usual loads a limit fell from two attempts to a pause after a few attempts that waited by chance.

--- a/internal/pool/pacing.go
+++ b/internal/pool/pacing.go
@@ -132,10 +132,10 @@
 }
 
 // lowered returns a limit after late attempts. The time that attempts wait at an upstream is in
-// proportion to their number.
+// proportion to their number. The first step leaves at least one attempt at a time.
 func (p *pace) lowered(limit, lowest float64, bound time.Duration, running, maximum int) float64 {
 	if limit == 0 {
-		limit = float64(maximum)
+		limit, lowest = float64(maximum), max(1, lowest)
 	}
 	factor := max(minPaceDecrease, min(maxPaceDecrease, float64(bound)/float64(p.elapsed)))
 	return max(lowest, factor*min(limit, float64(running+1)))
