Dispatch: requests of a route compete for all of its services

Requests that had left out different parts were taken for ones that need different services, and each had to be compared with all that wait. A test run counts as started, a quarantined request keeps its own RetryAfter, and a request that did not wait is not counted as one that has waited.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -254,7 +254,9 @@
 		}
 		before := min(f.work, max(position-f.start, head.work))
 		work += before
-		count += int(math.Ceil(before / f.work * float64(len(f.tickets))))
+		if f.work > 0 {
+			count += int(math.Ceil(before / f.work * float64(len(f.tickets))))
+		}
 	}
 	return count, work
 }
--- a/internal/dispatch/conclude.go
+++ b/internal/dispatch/conclude.go
@@ -165,10 +165,10 @@
 		answer.RetryAfter = f.retryDelayWithoutUpstream()
 	case reason == ReasonAtLimit:
 		answer.RetryAfter = f.retryDelayAtLimit()
-	case f.queueDelay > 0 && f.attempts == 0:
-		answer.RetryAfter = f.retryDelayInOrder()
 	case reason == ReasonQuarantined && f.verdict.Wait > 0:
 		answer.RetryAfter = f.verdict.Wait
+	case f.queueDelay > 0 && f.attempts == 0:
+		answer.RetryAfter = f.retryDelayInOrder()
 	}
 	switch {
 	case ran == 0:
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -111,16 +111,21 @@
 	return f.request.Account != nil && f.attempts == 0 && f.admission == AdmissionNone
 }
 
-// claim returns what the request needs. Its work is the time for which its parts occupy
-// upstreams.
+// claim returns what the request needs. Its work is the time for which the parts that are not
+// abandoned occupy upstreams. All services count as needed, so that requests of one route
+// need the same ones and their order is found at once.
 func (f *inFlightRequest) claim() admission.Claim[string, string] {
 	c := admission.Claim[string, string]{Priority: f.request.Account.Priority(f.route.Priority()), Flow: f.request.Account.Name()}
+	parts := 0
 	for _, p := range f.parts {
-		if !p.isDone() && !slices.Contains(c.Resources, p.service) {
+		if !slices.Contains(c.Resources, p.service) {
 			c.Resources = append(c.Resources, p.service)
 		}
+		if !p.isDone() {
+			parts++
+		}
 	}
-	c.Work = f.latencyStats.TypicalLatency().Seconds() * float64(max(1, len(c.Resources)))
+	c.Work = f.latencyStats.TypicalLatency().Seconds() * float64(max(1, parts))
 	return c
 }
 
@@ -190,6 +195,9 @@
 	case f.attempts > 0:
 		f.admission = AdmissionWaited
 		f.endWait(now, (*admission.Lines[string, string, chan struct{}]).Start)
+		if f.waited == 0 {
+			f.admission = AdmissionAtOnce
+		}
 	default:
 		f.waitForLacking(now)
 	}
@@ -247,9 +255,14 @@
 	if f.request.Account == nil || f.admission != AdmissionNone {
 		return
 	}
-	f.admission = AdmissionRefused
-	if isCallerGone {
+	switch {
+	case f.attempts > 0:
+		// A test run.
+		f.admission = AdmissionAtOnce
+	case isCallerGone:
 		f.admission = AdmissionCallerLeft
+	default:
+		f.admission = AdmissionRefused
 	}
 }
 
