Searches that crash upstreams: crash alerts, and canaries while one holds

Cause: a search goes to all its shards at once, so that each of a few crashing searches ends one replica of each shard, and hedges went out while the ends were being checked, as an upstream that had just responded counted as alive.

- A search without any response that has ended upstreams of two services raises an alert for its services, which holds for 10 s and is sent to 16 hosts at once, and by them to others.
- While it holds, a search that was not answered recently begins with a canary at the service with the most usable upstreams.
A service keeps its last upstream, except as many services as an answer can lack, the same ones on all hosts.
- Hosts avoid upstreams that others report as ended, and send new evidence first.
- An attempt whose connection is lost no longer counts as one whose upstream is alive; an attempt that responds after its request was answered no longer counts against the request.
- One test run in 5 s is permitted while an alert holds.

--- a/internal/dispatch/crashing.go
+++ b/internal/dispatch/crashing.go
@@ -66,7 +66,9 @@
 	// silenceProbed is set once upstreams were probed because none had responded, and
 	// isUpstreamAlive once one of them is known to work.
 	silenceProbed, isUpstreamAlive bool
-	probeResults                   chan probeResult
+	// hasRaisedAlert is set once the request has raised a crash alert.
+	hasRaisedAlert bool
+	probeResults   chan probeResult
 }
 
 // A probeResult says whether the upstream of an attempt in flight has ended.
@@ -148,6 +150,14 @@
 // assignment if none accepts it.
 func (f *inFlightRequest) assignTest(service uint64) (*part, *pool.Assignment) {
 	now := time.Now()
+	if f.isAlerted() {
+		// Crashing requests are frequent, so that test runs spare the last upstreams as well.
+		if _, reserved := f.canaryParts(now); 2*reserved > len(f.parts) {
+			return nil, nil
+		}
+		p, assignment, _ := f.assignCanary()
+		return p, assignment
+	}
 	parts := slices.Clone(f.parts)
 	if i := slices.IndexFunc(parts, func(p *part) bool { return ServiceKey(p.service) == service }); i > 0 {
 		parts[0], parts[i] = parts[i], parts[0]
@@ -212,7 +222,21 @@
 // holdsBackHedges reports whether a request makes no hedges for now, because no upstream
 // has responded and none is known to work.
 func (f *inFlightRequest) holdsBackHedges() bool {
-	return !f.isUpstreamAlive && f.lacksResponses() && !f.dispatcher.Links.IsPartitioned()
+	return (!f.isUpstreamAlive || f.lostConnectionCount() >= maxUnansweredAttempts) && f.lacksResponses() && !f.dispatcher.Links.IsPartitioned()
+}
+
+// lostConnectionCount returns the number of attempts in flight whose connection is lost. Whether
+// their upstreams have ended is being found out.
+func (f *inFlightRequest) lostConnectionCount() int {
+	count := 0
+	for _, p := range f.parts {
+		for _, a := range p.inFlight {
+			if a.IsConnectionLost() {
+				count++
+			}
+		}
+	}
+	return count
 }
 
 // lacksResponses reports whether several attempts are in flight or have lost their
@@ -265,6 +289,8 @@
 // attempt reports crashes of its upstreams itself.
 func (f *inFlightRequest) recordCrash(p *part, assignment *pool.Assignment) {
 	f.endedUpstreams++
+	p.hasLostUpstream = true
+	f.raiseAlert()
 	if assignment.Upstream.IsDiallingHost() {
 		return
 	}
@@ -282,6 +308,11 @@
 	var candidates []probeResult
 	for _, p := range f.parts {
 		for _, a := range p.inFlight {
+			if a.IsConnectionLost() {
+				// Its upstream is being checked. That it has just responded does not show that it
+				// still works.
+				continue
+			}
 			if p.pool.IsUpstreamResponding(now, a) {
 				f.isUpstreamAlive = true
 				return
@@ -292,7 +323,8 @@
 		}
 	}
 	// Upstreams behind dialling hosts cannot be probed, so that hedges to them do not wait.
-	f.isUpstreamAlive = len(candidates) == 0
+	f.isUpstreamAlive = len(candidates) == 0 && f.lostConnectionCount() == 0
+	f.silenceProbed = len(candidates) > 0 || f.isUpstreamAlive
 	for _, r := range candidates[:min(maxSilenceProbes, len(candidates))] {
 		f.dispatcher.Group.Go(func() {
 			since := now.Add(-now.Sub(r.assignment.StartedAt()) / 2)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -66,6 +66,8 @@
 	Links        Links
 	// Guard keeps requests that crash upstreams from running.
 	Guard CrashGuard
+	// Alerts tell which searches must begin with a canary.
+	Alerts CrashAlerts
 	// OnAttempt is called when an attempt has ended.
 	OnAttempt func(a *upstream.Attempt, fingerprint uint64, o upstream.Outcome)
 	// OnLeaving is called when an upstream has stated that it leaves, before the attempt
@@ -82,6 +84,7 @@
 	callerTimeoutsMu sync.Mutex
 	// callerTimeouts holds the estimates by route name.
 	callerTimeouts map[string]*callerTimeout
+	canarySites    canarySites
 }
 
 // RunAttempt runs one attempt at the upstream of an assignment and reports its outcome
@@ -91,6 +94,9 @@
 	outcome := d.Exchanger.Exchange(ctx, a)
 	if a.Relay == nil {
 		d.Links.RecordOutcome(assignment.Upstream, assignment.StartedAt(), outcome)
+		if outcome.ConnectionLost {
+			assignment.RecordConnectionLoss()
+		}
 		outcome.UpstreamEnded = outcome.ConnectionLost && !outcome.AtConnectionLimit && d.hasEnded(assignment.Upstream)
 	}
 	if a.Relay != nil {
--- a/internal/dispatch/helper_test.go
+++ b/internal/dispatch/helper_test.go
@@ -204,7 +204,7 @@
 	t.Dispatcher = &Dispatcher{
 		Exchanger: t.upstreams, Pool: func(s string) *pool.Pool { return t.pools[s] },
 		LatencyStats: func(*routing.Route) *pool.LatencyStats { return latencyStats },
-		Links:        fakeLinks{upstreams: t.upstreams}, Guard: &fakeGuard{}, OnAttempt: func(*upstream.Attempt, uint64, upstream.Outcome) {},
+		Links:        fakeLinks{upstreams: t.upstreams}, Guard: &fakeGuard{}, Alerts: &fakeAlerts{}, OnAttempt: func(*upstream.Attempt, uint64, upstream.Outcome) {},
 		OnLeaving: func(inventory.Upstream, string) {},
 		OnFinish:  t.recordSummary, CallerAllowance: testCallerAllowance, Group: &work.Group{},
 	}
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -86,6 +86,9 @@
 	}
 	defer func() { f.reportCrashes(ctx) }()
 	f.abandonSlowParts()
+	if answer, ended := f.runCanary(ctx, attemptsCtx); ended {
+		return answer
+	}
 	timer := time.NewTimer(time.Until(f.deadline))
 	defer timer.Stop()
 	linksChanged := f.dispatcher.Links.Changed()
@@ -93,6 +96,7 @@
 		now := time.Now()
 		f.startDueAttempts(attemptsCtx, now)
 		if answer, ok := f.tryAnswer(now); ok {
+			f.recordKnown(answer)
 			return answer
 		}
 		if slices.ContainsFunc(f.parts, (*part).isAssigned) {
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -23,6 +23,7 @@
 	ReasonQuarantined        Reason = "quarantined"
 	ReasonAwaitingTest       Reason = "awaiting-test"
 	ReasonCrashSuspected     Reason = "crash-suspected"
+	ReasonAwaitingCanary     Reason = "awaiting-canary"
 	ReasonAtLimit            Reason = "at-limit"
 	ReasonCallerDisconnected Reason = "caller-gone"
 	ReasonUnanswered         Reason = "unanswered"
--- a/internal/dispatch/part.go
+++ b/internal/dispatch/part.go
@@ -32,6 +32,8 @@
 	// still run, crashes the attempts whose upstream has ended.
 	unanswered []*pool.Assignment
 	crashes    []pool.Crash
+	// hasLostUpstream is set once the upstream of an attempt is known to have ended.
+	hasLostUpstream bool
 	// assignment is set while the first attempt is assigned and has not started.
 	assignment *pool.Assignment
 	// wasPassedOver is set once no upstream accepted the first attempt.
--- /dev/null
+++ b/internal/host/crashalert.go
@@ -0,0 +1,232 @@
+package host
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/dispatch"
+	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
+	"github.com/foxtailshelf/foxtailshelf/internal/roster"
+	"github.com/foxtailshelf/foxtailshelf/internal/wire"
+)
+
+const (
+	// maxAlertsPerMessage bounds the alerts in one message to another host.
+	maxAlertsPerMessage = 16
+	// alertFanOut is how many hosts a host tells of a new alert at once. Each of them tells as
+	// many: 300 hosts know it after two or three messages in a row.
+	alertFanOut = 16
+	// alertCallTimeout bounds the call that tells another host.
+	alertCallTimeout = 250 * time.Millisecond
+)
+
+// crashAlerts are the dispatch.CrashAlerts of a host, which it shares with the other hosts.
+type crashAlerts struct {
+	host *Host
+
+	// alertCount is the number of alerts, so that requests are checked without the lock while
+	// there are none.
+	alertCount atomic.Int64
+
+	mu     sync.Mutex
+	alerts *quarantine.Alerts
+	known  quarantine.KnownRequests
+}
+
+var _ dispatch.CrashAlerts = (*crashAlerts)(nil)
+
+func newCrashAlerts(h *Host) *crashAlerts {
+	return &crashAlerts{host: h, alerts: quarantine.NewAlerts()}
+}
+
+// Hold implements dispatch.CrashAlerts.
+func (a *crashAlerts) Hold(services ...string) bool {
+	if a.alertCount.Load() == 0 || len(services) == 0 {
+		return a.alertCount.Load() > 0
+	}
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range services {
+		if a.alerts.Holds(now, dispatch.ServiceKey(s)) {
+			return true
+		}
+	}
+	return false
+}
+
+// holdsFor reports whether an alert holds for the service with a key.
+func (a *crashAlerts) holdsFor(service uint64) bool {
+	if a.alertCount.Load() == 0 {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.alerts.Holds(time.Now(), service)
+}
+
+// IsKnown implements dispatch.CrashAlerts.
+func (a *crashAlerts) IsKnown(fingerprint uint64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.known.Contains(time.Now(), fingerprint)
+}
+
+// RecordKnown implements dispatch.CrashAlerts.
+func (a *crashAlerts) RecordKnown(fingerprint uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.known.Add(time.Now(), fingerprint)
+}
+
+// Raise implements dispatch.CrashAlerts.
+func (a *crashAlerts) Raise(fingerprint uint64, services []string) {
+	now := time.Now()
+	list := make([]quarantine.Alert, 0, len(services))
+	for _, s := range services {
+		list = append(list, quarantine.Alert{Service: dispatch.ServiceKey(s), At: now})
+	}
+	if a.raise(list, "own", map[string]any{"fingerprint": formatFingerprint(fingerprint)}) {
+		a.send()
+	}
+}
+
+// RecordCanary implements dispatch.CrashAlerts. A canary that has ended its upstream prolongs the
+// alert of the service.
+func (a *crashAlerts) RecordCanary(fingerprint uint64, service string, r dispatch.CanaryResult) {
+	a.host.Metrics.canaries.WithLabelValues(string(r)).Inc()
+	if r != dispatch.CanaryAnswered {
+		if a.host.requestLog.allowLine() {
+			a.host.Log.WithFields(map[string]any{"fingerprint": formatFingerprint(fingerprint), "service": service, "result": string(r)}).Info("canary of a search had no response")
+		} else {
+			a.host.Metrics.unloggedLines.Inc()
+		}
+	}
+	if r == dispatch.CanaryEnded {
+		a.mu.Lock()
+		a.alerts.Raise(time.Now(), dispatch.ServiceKey(service), time.Now())
+		a.alertCount.Store(int64(a.alerts.Len()))
+		a.mu.Unlock()
+	}
+}
+
+// apply handles the alerts in a message of another host. Alerts that were unknown are passed on
+// at once.
+func (a *crashAlerts) apply(source string, list []*wire.CrashAlert) {
+	if len(list) == 0 {
+		return
+	}
+	now := time.Now()
+	var decoded []quarantine.Alert
+	for _, e := range list[:min(maxAlertsPerMessage, len(list))] {
+		age := time.Duration(e.GetAgeMicros()) * time.Microsecond
+		if age < 0 || age >= quarantine.AlertPeriod {
+			continue
+		}
+		decoded = append(decoded, quarantine.Alert{Service: e.GetService(), At: now.Add(-age)})
+	}
+	if a.raise(decoded, source, nil) {
+		a.send()
+	}
+}
+
+// encode returns the alerts for a message to another host.
+func (a *crashAlerts) encode() []*wire.CrashAlert {
+	if a.alertCount.Load() == 0 {
+		return nil
+	}
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var list []*wire.CrashAlert
+	for _, r := range a.alerts.Recent(now, maxAlertsPerMessage) {
+		list = append(list, &wire.CrashAlert{Service: r.Service, AgeMicros: now.Sub(r.At).Microseconds()})
+	}
+	return list
+}
+
+// maintain removes the alerts that have ended.
+func (a *crashAlerts) maintain(now time.Time) {
+	if a.alertCount.Load() == 0 {
+		return
+	}
+	a.mu.Lock()
+	a.alerts.RemoveExpired(now)
+	hasEnded := a.alerts.Len() == 0
+	a.alertCount.Store(int64(a.alerts.Len()))
+	a.mu.Unlock()
+	if hasEnded {
+		a.host.Log.Info("crash alerts ended")
+	}
+}
+
+// permitTestRun permits a test run during an alert and returns zero, or returns how long to
+// wait.
+func (a *crashAlerts) permitTestRun(now time.Time) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.alerts.PermitTestRun(now)
+}
+
+// raise records alerts, and logs and counts them if they are news for other hosts.
+func (a *crashAlerts) raise(list []quarantine.Alert, source string, fields map[string]any) bool {
+	now := time.Now()
+	raised := 0
+	a.mu.Lock()
+	for _, r := range list {
+		if a.alerts.Raise(now, r.Service, r.At) {
+			raised++
+		}
+	}
+	a.alertCount.Store(int64(a.alerts.Len()))
+	a.mu.Unlock()
+	if raised == 0 {
+		return false
+	}
+	a.host.Metrics.crashAlerts.Inc()
+	if a.host.requestLog.allowLine() {
+		a.host.Log.WithFields(fields).WithFields(map[string]any{"source": source, "services": raised, "age-ms": now.Sub(list[0].At).Milliseconds()}).Warn("crash alert: searches begin with a canary")
+	} else {
+		a.host.Metrics.unloggedLines.Inc()
+	}
+	return true
+}
+
+// send sends the alerts to alertFanOut other hosts, drawn at random, at once.
+func (a *crashAlerts) send() {
+	var others []roster.Member
+	for _, m := range a.host.fleet.Members() {
+		if m.State() == roster.Alive && m.Host() != a.host.Self.Host() {
+			others = append(others, m)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, m := range others[:min(alertFanOut, len(others))] {
+		a.host.group.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), alertCallTimeout)
+			defer cancel()
+			// A host that is not reached learns of the alert from another one.
+			_, _ = a.host.exchangeGossip(ctx, m.GateAddress(), nil)
+		})
+	}
+}
+
+// recordReportedEnds has the pools avoid upstreams that have ended, as this or another host has
+// found out, while an alert holds for their service.
+func (h *Host) recordReportedEnds(crashes []quarantine.Crash) {
+	for _, c := range crashes {
+		if !h.alerts.holdsFor(c.Service) {
+			continue
+		}
+		h.mu.RLock()
+		for service, p := range h.pools {
+			if dispatch.ServiceKey(service) == c.Service {
+				p.RecordReportedEnd(time.Now(), c.Upstream, c.At)
+			}
+		}
+		h.mu.RUnlock()
+	}
+}
--- a/internal/host/crashguard.go
+++ b/internal/host/crashguard.go
@@ -26,8 +26,9 @@
 	maxRecentNotices = 8
 	maxOtherNotices  = 2
 	maxAllNotices    = 256
-	// maxCrashesPerNotice bounds the crashes in one notice. More change no decision.
-	maxCrashesPerNotice = 4
+	// maxCrashesPerNotice bounds the crashes in one notice. Four change every decision; more tell
+	// other hosts which replicas a search has taken.
+	maxCrashesPerNotice = 16
 	// maxEvidenceAge bounds the age of crashes that other hosts report. No evidence counts
 	// for longer.
 	maxEvidenceAge = 20 * time.Minute
@@ -44,6 +45,8 @@
 	maxExaminers       = 2
 	// testRunSource is the source of evidence that came with a call about a test run.
 	testRunSource = "test-run call"
+	// alertExaminerKey stands for all requests of services with an alert.
+	alertExaminerKey = 0
 )
 
 // A crashGuard is the dispatch.CrashGuard of a host. It shares evidence with the other
@@ -80,7 +83,7 @@
 // BeginTestRun implements dispatch.CrashGuard.
 func (g *crashGuard) BeginTestRun(ctx context.Context, fingerprint uint64) (quarantine.Verdict, func(quarantine.TestResult)) {
 	request := &wire.TestRunRequest{Notice: g.notice(fingerprint), Event: wire.TestRunEvent_TEST_RUN_EVENT_BEGIN}
-	for _, m := range g.examiners(fingerprint) {
+	for _, m := range g.examiners(g.examinerKey(fingerprint)) {
 		if m.Host() == g.host.Self.Host() {
 			break
 		}
@@ -199,9 +202,18 @@
 	})
 }
 
-// examiners returns the hosts that may permit test runs of a request, the first choice
-// first.
-func (g *crashGuard) examiners(fingerprint uint64) []roster.Member {
+// examinerKey returns what determines the examiner of a request. While an alert holds, one host
+// examines all requests of its services, so that it can bound all their test runs.
+func (g *crashGuard) examinerKey(fingerprint uint64) uint64 {
+	if g.host.alerts.holdsFor(g.Check(fingerprint).Service) {
+		return alertExaminerKey
+	}
+	return fingerprint
+}
+
+// examiners returns the hosts that may permit test runs of the requests with a key, the first
+// choice first.
+func (g *crashGuard) examiners(key uint64) []roster.Member {
 	var alive []roster.Member
 	for _, m := range g.host.fleet.Members() {
 		if m.State() == roster.Alive {
@@ -209,7 +221,7 @@
 		}
 	}
 	weight := func(m roster.Member) uint64 {
-		return xxhash.Sum64String(fmt.Sprint(fingerprint, " ", m.Host()))
+		return xxhash.Sum64String(fmt.Sprint(key, " ", m.Host()))
 	}
 	slices.SortFunc(alive, func(a, b roster.Member) int { return cmp.Compare(weight(b), weight(a)) })
 	return alive[:min(maxExaminers, len(alive))]
@@ -313,6 +325,12 @@
 	if v.Decision != quarantine.Suspect {
 		return v
 	}
+	if g.host.alerts.holdsFor(v.Service) {
+		if wait := g.host.alerts.permitTestRun(now); wait > 0 {
+			v.Decision, v.Wait = quarantine.AwaitingTest, wait
+			return v
+		}
+	}
 	if wait := g.testRuns.Begin(now, fingerprint); wait > 0 {
 		v.Decision, v.Wait = quarantine.AwaitingTest, wait
 	}
@@ -332,7 +350,12 @@
 		fields["fingerprint"] = formatFingerprint(report.Fingerprint)
 		g.host.Log.WithFields(fields).Warn("request quarantined")
 	}
-	if isStrong {
+	isAlert := after.Crashes > before.Crashes && g.host.alerts.holdsFor(after.Service)
+	if isAlert {
+		// The caller may hold the lock of the host.
+		g.host.group.Go(func() { g.host.recordReportedEnds(report.Crashes) })
+	}
+	if isStrong || isAlert {
 		g.push()
 	}
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -129,6 +129,7 @@
 	addressCache map[string][]string
 
 	guard     *crashGuard
+	alerts    *crashAlerts
 	links     *links
 	newsBoard newsBoard
 }
@@ -144,6 +145,7 @@
 	h.cachedRecords = make(map[string]cachedRecord)
 	h.addressCache = make(map[string][]string)
 	h.guard = newCrashGuard(h)
+	h.alerts = newCrashAlerts(h)
 	h.links = newLinks(h)
 	h.Upstreams.NotifySlowDials(h.links.recordSlowDial)
 	h.requestLog = &requestLog{log: h.Log, metrics: h.Metrics, links: h.links.Tracker, mirrorAge: func() time.Duration { return h.follower.Age() }}
@@ -158,6 +160,7 @@
 		Pool:             h.pool,
 		LatencyStats:     h.routeLatencyStats,
 		Guard:            h.guard,
+		Alerts:           h.alerts,
 		OnAttempt:        h.requestLog.recordAttempt,
 		OnLeaving:        h.recordLeaving,
 		Links:            h.links,
@@ -292,6 +295,7 @@
 			h.Upstreams.CloseExpired(now)
 			h.updateInventory(now)
 			h.guard.maintain(now)
+			h.alerts.maintain(now)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -37,6 +37,7 @@
 func (h *Host) Exchange(ctx context.Context, request *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
 	sender := peer.DecodeMember(request.GetSender())
 	h.fleet.HandleUpdates(sender, peer.DecodeMembers(request.GetRumours()))
+	h.alerts.apply(sender.Host(), request.GetCrashAlerts())
 	h.guard.applyNotices(sender.Host(), request.GetNotices())
 	h.applyNews(sender.Host(), request.GetNews())
 	h.follower.HandlePeerRevision(sender.GateAddress(), keyvalue.NewRevision(request.GetEra(), request.GetRevision()), time.Duration(request.GetAgeMicros())*time.Microsecond)
@@ -52,7 +53,7 @@
 	revision := h.follower.Revision()
 	reply.Revision, reply.Era, reply.AgeMicros = revision.Number(), revision.Era(), h.follower.Age().Microseconds()
 	reply.Notices = h.guard.notices(request.GetAllNotices())
-	reply.News = h.news()
+	reply.News, reply.CrashAlerts = h.news(), h.alerts.encode()
 	return reply, nil
 }
 
@@ -63,7 +64,7 @@
 	self, updates := h.fleet.NextUpdates(address)
 	revision := h.follower.Revision()
 	request := &wire.ExchangeRequest{
-		Sender: peer.EncodeMember(self), Rumours: peer.EncodeMembers(updates), Notices: h.guard.notices(false), AllNotices: h.guard.lacksNotices(), News: h.news(),
+		Sender: peer.EncodeMember(self), Rumours: peer.EncodeMembers(updates), Notices: h.guard.notices(false), AllNotices: h.guard.lacksNotices(), News: h.news(), CrashAlerts: h.alerts.encode(),
 		Revision: revision.Number(), Era: revision.Era(), AgeMicros: h.follower.Age().Microseconds(),
 	}
 	if probe != nil {
@@ -76,6 +77,7 @@
 	sender := peer.DecodeMember(reply.GetSender())
 	h.fleet.HandleUpdates(sender, peer.DecodeMembers(reply.GetRumours()))
 	h.guard.recordContact()
+	h.alerts.apply(sender.Host(), reply.GetCrashAlerts())
 	h.guard.applyNotices(sender.Host(), reply.GetNotices())
 	h.applyNews(sender.Host(), reply.GetNews())
 	h.follower.HandlePeerRevision(sender.GateAddress(), keyvalue.NewRevision(reply.GetEra(), reply.GetRevision()), time.Duration(reply.GetAgeMicros())*time.Microsecond)
--- a/internal/host/requestlog.go
+++ b/internal/host/requestlog.go
@@ -35,6 +35,8 @@
 	suspectRequests      *prometheus.GaugeVec
 	testRuns             *prometheus.CounterVec
 	upstreamCrashes      prometheus.Counter
+	crashAlerts          prometheus.Counter
+	canaries             *prometheus.CounterVec
 	storeEras            prometheus.Counter
 	leavingUpstreams     prometheus.Counter
 	rests                prometheus.Counter
@@ -73,6 +75,12 @@
 		upstreamCrashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "foxtailshelf_upstream_crashes_total", Help: "Upstreams that ended while they ran a request, counted for each request.",
 		}),
+		crashAlerts: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "foxtailshelf_crash_alerts_total", Help: "Crash alerts that this host has raised or learned of.",
+		}),
+		canaries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "foxtailshelf_canaries_total", Help: "Canaries of searches by result: answered, ended, overdue, not-run.",
+		}, []string{"result"}),
 		storeEras: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "foxtailshelf_store_eras_total", Help: "Returns of the store from a copy that this host has seen.",
 		}),
@@ -107,7 +115,7 @@
 			Name: "foxtailshelf_upstream_probes_total", Help: "Connections opened to find out whether an upstream runs, by result.",
 		}, []string{"result"}),
 	}
-	registry.MustRegister(m.answers, m.answerSeconds, m.attempts, m.attemptResults, m.suspectRequests, m.testRuns, m.upstreamCrashes, m.storeEras, m.leavingUpstreams, m.rests, m.limitChanges, m.missingParts, m.unloggedLines, m.badRecords, m.relayedAttempts, m.configurationVersion, m.partitioned, m.probes)
+	registry.MustRegister(m.answers, m.answerSeconds, m.attempts, m.attemptResults, m.suspectRequests, m.testRuns, m.upstreamCrashes, m.crashAlerts, m.canaries, m.storeEras, m.leavingUpstreams, m.rests, m.limitChanges, m.missingParts, m.unloggedLines, m.badRecords, m.relayedAttempts, m.configurationVersion, m.partitioned, m.probes)
 	return m
 }
 
--- a/internal/host/upstreams_test.go
+++ b/internal/host/upstreams_test.go
@@ -83,8 +83,8 @@
 // An upstreamEnd is the end of an upstream; target is that of the request that crashed it,
 // if any.
 type upstreamEnd struct {
-	at     time.Time
-	target string
+	at              time.Time
+	target, service string
 }
 
 // simulatedUpstreams are the upstreams of all services of a testFleet.
@@ -94,6 +94,8 @@
 	mode endMode
 	// keepsID is set if an upstream has the same ID in its next lifetime.
 	keepsID bool
+	// downTime returns how long after its end an upstream is back; nil for upstreamDownTime.
+	downTime func() time.Duration
 
 	mu        sync.Mutex
 	byAddress map[string]*simulatedUpstream
@@ -187,9 +189,13 @@
 		u.hangsUntil = time.Now().Add(hangDuration)
 	}
 	close(u.ended)
-	s.ends = append(s.ends, upstreamEnd{at: time.Now(), target: target})
+	s.ends = append(s.ends, upstreamEnd{at: time.Now(), target: target, service: u.spec.Service})
+	downTime := upstreamDownTime
+	if s.downTime != nil {
+		downTime = s.downTime()
+	}
 	time.AfterFunc(entryLifetime, func() { s.fleet.remove(upstreamKeyPrefix + u.spec.ID) })
-	time.AfterFunc(upstreamDownTime, func() { s.start(u.spec.Service, u.spec.Address) })
+	time.AfterFunc(downTime, func() { s.start(u.spec.Service, u.spec.Address) })
 }
 
 // endSome ends each upstream with a probability.
--- a/internal/pool/assignment.go
+++ b/internal/pool/assignment.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
@@ -51,8 +52,17 @@
 	startedAt      time.Time
 	// fingerprint identifies the request, to find requests that crash upstreams.
 	fingerprint uint64
+	// isConnectionLost is set once the connection of the attempt is lost.
+	isConnectionLost atomic.Bool
 }
 
+// IsConnectionLost reports whether the connection of the attempt is lost, also while it is being
+// found out whether its upstream has ended.
+func (a *Assignment) IsConnectionLost() bool { return a.isConnectionLost.Load() }
+
+// RecordConnectionLoss records that the connection of the attempt is lost.
+func (a *Assignment) RecordConnectionLoss() { a.isConnectionLost.Store(true) }
+
 // Fingerprint identifies the request of the attempt.
 func (a *Assignment) Fingerprint() uint64 { return a.fingerprint }
 
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -238,7 +238,10 @@
 // recordUnreachable records that no connection could be made.
 func (m *member) recordUnreachable(now time.Time) {
 	m.downPeriod = min(max(2*m.downPeriod, minDownPeriod), maxDownPeriod)
-	m.downUntil = now.Add(m.downPeriod)
+	// An upstream that is known to have ended is down for longer.
+	if until := now.Add(m.downPeriod); until.After(m.downUntil) {
+		m.downUntil = until
+	}
 }
 
 // queuedPerSlot returns how many attempts of this and other hosts, including a new
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -108,6 +108,9 @@
 	// connectDuration is a moving average of the duration of connecting.
 	connectDuration time.Duration
 	unanswered      unansweredAttempts
+	// reportedEnds holds when upstreams have ended, by lifetime, as this or another host has found
+	// out.
+	reportedEnds map[uint64]time.Time
 	// restUntil holds until when upstreams want no requests, by lifetime, so that an
 	// upstream whose entry was away rests on.
 	restUntil map[uint64]time.Time
@@ -366,6 +369,7 @@
 	}
 	switch o.Result {
 	case upstream.Answered:
+		p.unanswered.answer(assignment)
 		m.recordReachable(now)
 		failed := o.Response.Status >= http.StatusInternalServerError
 		if !failed {
--- a/internal/pool/unanswered.go
+++ b/internal/pool/unanswered.go
@@ -57,6 +57,15 @@
 	return nil
 }
 
+// answer discards an attempt that has been answered after its request was over.
+func (u *unansweredAttempts) answer(a *Assignment) {
+	if l, ok := u.byLifetime[a.Upstream.LifetimeKey()]; ok {
+		l.attempts = slices.DeleteFunc(l.attempts, func(o unansweredAttempt) bool {
+			return o.fingerprint == a.fingerprint && o.startedAt.Equal(a.startedAt)
+		})
+	}
+}
+
 // end records the end of an upstream and returns the recent attempts there.
 func (u *unansweredAttempts) end(now time.Time, ended inventory.Upstream) []Crash {
 	l := u.lifetime(ended)
--- a/internal/quarantine/crashrecords.go
+++ b/internal/quarantine/crashrecords.go
@@ -14,10 +14,14 @@
 	// firstQuarantinePeriod is how long a request stays quarantined after one crash in a
 	// test run. It is short because another failure may have ended that upstream.
 	firstQuarantinePeriod = time.Minute
-	// maxCrashes bounds the crashes in one record. More do not change any verdict.
-	maxCrashes = 8
+	// maxCrashes bounds the crashes in one record. Four decide every verdict; the others tell
+	// other hosts which replicas a search has taken.
+	maxCrashes = 16
 	// recentPeriod is how long a changed record counts as news for other hosts.
 	recentPeriod = 5 * time.Second
+	// newsPeriod is how long a changed record is sent before all others: it takes hundreds of
+	// milliseconds until it has reached all hosts.
+	newsPeriod = 500 * time.Millisecond
 	// evictionSample is the number of records among which the weakest is evicted when
 	// there are maxSuspects.
 	evictionSample = 32
@@ -199,7 +203,18 @@
 	}
 	// The iteration order is random, so that records of the same strength take turns.
 	strongestFirst := func(a, b uint64) int { return cmp.Compare(r.records[b].strength(), r.records[a].strength()) }
-	slices.SortStableFunc(changed, strongestFirst)
+	// Evidence that has just changed goes first: many requests may lose upstreams at once.
+	newestFirst := func(a, b uint64) int {
+		isNews := func(f uint64) bool { return now.Sub(r.records[f].changedAt) <= newsPeriod }
+		if isNews(a) != isNews(b) {
+			if isNews(a) {
+				return -1
+			}
+			return 1
+		}
+		return strongestFirst(a, b)
+	}
+	slices.SortStableFunc(changed, newestFirst)
 	slices.SortStableFunc(rest, strongestFirst)
 	var reports []Report
 	for _, f := range slices.Concat(changed[:min(recent, len(changed))], rest[:min(other, len(rest))]) {
