--- a/internal/host/crashalert.go
+++ b/internal/host/crashalert.go
@@ -122,11 +122,12 @@
 	now := time.Now()
 	var decoded []quarantine.Alert
 	for _, e := range list[:min(maxAlertsPerMessage, len(list))] {
-		age := time.Duration(e.GetAgeMicros()) * time.Microsecond
-		if age < 0 || age >= quarantine.AlertPeriod {
+		// Huge numbers would overflow a duration.
+		micros := e.GetAgeMicros()
+		if e == nil || micros < 0 || micros >= quarantine.AlertPeriod.Microseconds() {
 			continue
 		}
-		decoded = append(decoded, quarantine.Alert{Service: e.GetService(), At: now.Add(-age)})
+		decoded = append(decoded, quarantine.Alert{Service: e.GetService(), At: now.Add(-time.Duration(micros) * time.Microsecond)})
 	}
 	if a.raise(decoded, source, nil) {
 		a.send()
--- a/internal/host/crashalert_test.go
+++ b/internal/host/crashalert_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/dispatch"
+	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
+	"github.com/foxtailshelf/foxtailshelf/internal/wire"
 	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
 
@@ -190,11 +194,13 @@
 				l := &crashLoad{fleet: f, addresses: addresses, random: rand.New(rand.NewPCG(uint64(size), *crashTestSeed+1))}
 				var group work.Group
 				next := l.run(&group, 0, crashLoadWarmUp, false)
+				c.Check(f.hostsWithAlert(), qt.HasLen, 0)
 				from := time.Now()
 				next = l.run(&group, next, crashLoadPeriod, true)
 				to := time.Now()
 				l.run(&group, next, crashLoadCooldown, false)
 				group.Wait()
+				c.Check(f.hostsWithAlert(), qt.HasLen, 0)
 				r := l.result(from, to)
 				t.Logf("%+v, served %.3f, attainable %.3f", r, float64(r.served)/float64(r.sent), l.attainable())
 				c.Check(r.wide <= 1, qt.IsTrue)
@@ -204,3 +210,57 @@
 		})
 	}
 }
+
+// hostsWithAlert returns the hosts on which an alert holds for a shard.
+func (f *testFleet) hostsWithAlert() (list []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for a, r := range f.hosts {
+		for i := range crashTestShards {
+			if r.host.alerts.Hold(fmt.Sprint("shard-", i)) {
+				list = append(list, a)
+				break
+			}
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// TestCrashAlertReachesHosts guards against hosts that go on sending searches to all shards: hosts
+// that the first messages do not reach must learn of an alert when they are reached, and malformed
+// messages must raise none. The alert must end on all hosts at about the same time, also on one
+// that learned of it late.
+func TestCrashAlertReachesHosts(t *testing.T) {
+	const (
+		spreadTime = 40 * time.Millisecond
+		lateTime   = 3 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f, addresses := startSearchFleet(7, closesConnections, false)
+		isolated := addresses[6]
+		setIsolated := func(value bool) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.hosts[isolated].isolated = value
+		}
+		f.hosts[addresses[0]].host.alerts.apply("peer", []*wire.CrashAlert{
+			{Service: dispatch.ServiceKey("shard-1"), AgeMicros: -1}, {Service: dispatch.ServiceKey("shard-1"), AgeMicros: 1 << 62}, nil,
+		})
+		c.Check(f.hostsWithAlert(), qt.HasLen, 0)
+		setIsolated(true)
+		raisedAt := time.Now()
+		a := f.ask(addresses[0], crashingTarget, "first")
+		c.Check(a.Status, qt.Equals, 502)
+		time.Sleep(spreadTime - time.Since(raisedAt))
+		c.Check(f.hostsWithAlert(), qt.DeepEquals, addresses[:6])
+		time.Sleep(lateTime)
+		setIsolated(false)
+		time.Sleep(lateTime)
+		c.Check(f.hostsWithAlert(), qt.DeepEquals, addresses)
+		time.Sleep(quarantine.AlertPeriod + 500*time.Millisecond - time.Since(raisedAt))
+		c.Check(f.hostsWithAlert(), qt.HasLen, 0)
+		f.stopAll()
+	})
+}
--- a/internal/host/crashguard.go
+++ b/internal/host/crashguard.go
@@ -162,10 +162,11 @@
 	now := time.Now()
 	report := quarantine.Report{Fingerprint: n.GetFingerprint()}
 	for _, c := range n.GetCrashes()[:min(maxCrashesPerNotice, len(n.GetCrashes()))] {
-		age := time.Duration(c.GetAgeMicros()) * time.Microsecond
-		if age < 0 || age > maxEvidenceAge {
+		// Huge numbers would overflow a duration.
+		if c.GetAgeMicros() < 0 || c.GetAgeMicros() > maxEvidenceAge.Microseconds() {
 			continue
 		}
+		age := time.Duration(c.GetAgeMicros()) * time.Microsecond
 		crash := quarantine.Crash{Upstream: c.GetUpstream(), Service: c.GetService(), At: now.Add(-age), TestRun: c.GetTestRun()}
 		if !g.isRefuted(crash) {
 			report.Crashes = append(report.Crashes, crash)
