--- a/internal/dispatch/canary.go
+++ b/internal/dispatch/canary.go
@@ -142,6 +142,13 @@
 	return f.attempts == 0 && f.isAlerted() && !f.dispatcher.Alerts.IsKnown(f.fingerprint)
 }
 
+// awaitsFirstResponse reports whether the request makes no further attempts while one is in
+// flight: an alert has been raised since it went to all shards, and no upstream has responded. Its
+// attempts at upstreams that have just ended would otherwise be replaced by others that run it.
+func (f *inFlightRequest) awaitsFirstResponse() bool {
+	return !f.hasPassedCanary && !f.hasResponse && f.inFlightCount() > 0 && f.isAlerted() && !f.dispatcher.Alerts.IsKnown(f.fingerprint)
+}
+
 // runCanary runs the request at one upstream before it goes to all shards. It returns the answer
 // and true if the request ends with that: the upstream has ended.
 func (f *inFlightRequest) runCanary(ctx, attemptsCtx context.Context) (Answer, bool) {
@@ -207,6 +214,7 @@
 		// Where no upstream takes one attempt, none takes all that an answer needs.
 		return f.failureAnswer(ReasonBusy), true
 	}
+	f.hasPassedCanary = true
 	return Answer{}, false
 }
 
--- a/internal/dispatch/canary_test.go
+++ b/internal/dispatch/canary_test.go
@@ -148,3 +148,35 @@
 		})
 	}
 }
+
+// TestAlertDuringSearch has an alert raised while a search is under way, some of whose upstreams
+// have just ended and refuse connections. It must not send their parts to others that it may
+// crash as well, before any upstream has responded.
+func TestAlertDuringSearch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		alerts := &fakeAlerts{}
+		d := newTestDispatcher(gatherRoute(0.75), func(id string, _ int, _ *upstream.Attempt) reaction {
+			if id == "s0a" {
+				return losesConnection()
+			}
+			if id[2] == 'a' {
+				alerts.holds = true
+				return reaction{delay: time.Millisecond, outcome: upstream.Outcome{Result: upstream.Unreachable, ConnectionRefused: true}}
+			}
+			return losesConnection()
+		})
+		d.upstreams.probe = func() upstream.Reachability { return upstream.NotListening }
+		d.Alerts = alerts
+		a, _ := d.runRequest(context.Background())
+		d.Group.Wait()
+		c.Check(a.Status, qt.Equals, 502)
+		ran := 0
+		for _, id := range d.upstreams.attemptOrder {
+			if id == "s0a" || id[2] != 'a' {
+				ran++
+			}
+		}
+		c.Check(ran <= 2, qt.IsTrue, qt.Commentf("%v", d.upstreams.attemptOrder))
+	})
+}
--- a/internal/dispatch/crashing.go
+++ b/internal/dispatch/crashing.go
@@ -68,7 +68,9 @@
 	silenceProbed, isUpstreamAlive bool
 	// hasRaisedAlert is set once the request has raised a crash alert.
 	hasRaisedAlert bool
-	probeResults   chan probeResult
+	// hasPassedCanary is set once the request may go to all shards after its canary.
+	hasPassedCanary bool
+	probeResults    chan probeResult
 }
 
 // A probeResult says whether the upstream of an attempt in flight has ended.
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -58,6 +58,9 @@
 		}
 		return
 	}
+	if f.awaitsFirstResponse() && !p.isAssigned() {
+		return
+	}
 	isExtra := p.arrived > 0
 	started := (!isExtra || p.pool.SpendRetry(now)) && f.startOrRefund(ctx, now, p, isExtra, 0)
 	switch {
