--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -65,6 +65,9 @@
 		}
 		return
 	}
+	if f.awaitsFirstResponse() && !p.isAssigned() {
+		return
+	}
 	isExtra := p.arrived > 0
 	started := (!isExtra || f.spendRetry(now, p)) && f.startOrRefund(ctx, now, p, isExtra, 0)
 	switch {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -143,6 +143,7 @@
 	addressCache map[string][]string
 
 	guard     *crashGuard
+	alerts    *crashAlerts
 	links     *links
 	newsBoard newsBoard
 	// allowances admits requests by the limits of their accounts.
@@ -163,6 +164,7 @@
 	h.cachedRecords = make(map[string]cachedRecord)
 	h.addressCache = make(map[string][]string)
 	h.guard = newCrashGuard(h)
+	h.alerts = newCrashAlerts(h)
 	h.links = newLinks(h)
 	h.allowances = newAllowances(h)
 	h.Upstreams.NotifySlowDials(h.links.recordSlowDial)
@@ -179,6 +181,7 @@
 		Pool:             h.pool,
 		LatencyStats:     h.routeLatencyStats,
 		Guard:            h.guard,
+		Alerts:           h.alerts,
 		OnAttempt:        h.requestLog.recordAttempt,
 		OnLeaving:        h.recordLeaving,
 		Links:            h.links,
@@ -331,6 +334,7 @@
 			h.settle(now)
 			h.guard.maintain(now)
 			h.allowances.maintain(now)
+			h.alerts.maintain(now)
 		case <-ctx.Done():
 			return
 		}
