--- a/internal/allowance/holder.go
+++ b/internal/allowance/holder.go
@@ -29,6 +29,9 @@
 	rateMemory = time.Second
 	// MaxWanted bounds the tokens of one call.
 	MaxWanted = 64
+	// shortPeriod is how long an account counts as above its limit after no issuer has had a
+	// token. Callers that were refused come back within about that time.
+	shortPeriod = time.Second
 	// undecidedWait is the wait of requests that no issuer has answered.
 	undecidedWait = time.Second
 )
@@ -54,6 +57,9 @@
 	Account string
 	Limit   account.Limit
 	Version uint64
+	// IsOverdue is set if the answer will be late in any case, because the caller was refused
+	// before or has come by a long way.
+	IsOverdue bool
 }
 
 // A Decision is what to do with a request.
@@ -98,6 +104,8 @@
 	arrivedAt time.Time
 	// ownUses are the times of requests out of the own allowance within the window.
 	ownUses []time.Time
+	// shortUntil is until when the account counts as above its limit.
+	shortUntil time.Time
 	// older bounds the tokens of issuers with an older version of the configuration.
 	older *store
 	// missing holds this host's part of the tokens of the issuers to which calls have failed.
@@ -123,13 +131,18 @@
 	failed bool
 }
 
-// Take decides on a request.
+// Take decides on a request. While the account is above its limit, overdue requests are refused:
+// each token that they use is missing to a request whose answer can be on time. The load is an
+// account that sends several times its limit, whose refused callers come back.
 func (h *Holder) Take(now time.Time, r Request, v *View, arrived bool) Decision {
 	k := h.holding(now, r, v)
 	if arrived {
 		k.arrivals = k.rate(now)*rateMemory.Seconds() + 1
 		k.arrivedAt = now
 	}
+	if r.IsOverdue && now.Before(k.shortUntil) {
+		return Decision{Kind: Refused, Wait: k.shortUntil.Sub(now)}
+	}
 	if g := k.firstGrant(now); g != nil {
 		g.count--
 		return Decision{Kind: Admitted, Ticket: Ticket{Account: r.Account, Issuer: g.issuer, expires: g.expires, at: now}}
@@ -227,6 +240,9 @@
 	case reply.Issued == 0:
 		s.emptyUntil = now.Add(reply.Wait)
 		s.askAgainAt = now.Add(min(reply.Wait, maxEmptyPeriod))
+		if k.isShort(now) {
+			k.shortUntil = now.Add(shortPeriod)
+		}
 	}
 }
 
@@ -347,6 +363,16 @@
 	k.missing.fill(now)
 }
 
+// isShort reports whether no issuer has a token.
+func (k *holding) isShort(now time.Time) bool {
+	for _, s := range k.issuers {
+		if s.failed || !now.Before(s.emptyUntil) {
+			return false
+		}
+	}
+	return true
+}
+
 func (k *holding) issuer(host string) *issuerState {
 	for n := range k.issuers {
 		if k.issuers[n].Host == host {
--- a/internal/dispatch/callertime.go
+++ b/internal/dispatch/callertime.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/routing"
 )
 
 const (
@@ -42,6 +44,18 @@
 	}
 	t.current.count++
 	t.current.longest = max(t.current.longest, remaining)
+	return t.estimate(remaining, routeTimeout)
+}
+
+// spent returns how much time a caller has spent, without counting its request.
+func (t *callerTimeout) spent(remaining, routeTimeout time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(0, t.estimate(remaining, routeTimeout))
+}
+
+// estimate returns how much time a caller has spent. The caller holds t.mu.
+func (t *callerTimeout) estimate(remaining, routeTimeout time.Duration) time.Duration {
 	observed := max(t.current.longest, t.previous.longest) - remaining
 	configured := routeTimeout - remaining
 	switch {
@@ -70,6 +84,16 @@
 	return spent
 }
 
+// IsOverdue reports whether the answer to a request will be late even if it is dispatched now:
+// its caller has spent too much of the target before.
+func (d *Dispatcher) IsOverdue(r *Request, route *routing.Route) bool {
+	if r.Remaining <= 0 {
+		return false
+	}
+	spent := d.callerTimeout(route.Name()).spent(r.Remaining, route.Timeout())
+	return spent+d.LatencyStats(route).TypicalLatency() > route.LatencyTarget()
+}
+
 // callerTimeout returns the estimate of a route.
 func (d *Dispatcher) callerTimeout(routeName string) *callerTimeout {
 	d.callerTimeoutsMu.Lock()
--- a/internal/host/admission_test.go
+++ b/internal/host/admission_test.go
@@ -57,7 +57,7 @@
 		var refusal *dispatch.Answer
 		for n := range 200 {
 			h := f.hosts[addresses[n%3]].host
-			_, r := h.allowances.Admit(t.Context(), &dispatch.Request{Account: h.Table().Accounts().ByName("limited")}, 1)
+			_, r := h.allowances.Admit(t.Context(), &dispatch.Request{Account: h.Table().Accounts().ByName("limited")}, 1, false)
 			if r == nil {
 				admitted++
 			} else {
@@ -92,7 +92,7 @@
 			h := f.hosts[addresses[n%7]].host
 			h.HostTransport = tokenNetwork{simulatedNetwork{fleet: f, self: addresses[n%7]}}
 			at := time.Now()
-			_, refusal := h.allowances.Admit(t.Context(), &dispatch.Request{Account: h.Table().Accounts().ByName("a")}, 1)
+			_, refusal := h.allowances.Admit(t.Context(), &dispatch.Request{Account: h.Table().Accounts().ByName("a")}, 1, false)
 			c.Assert(time.Since(at) <= maxAdmissionTime, qt.IsTrue)
 			if refusal == nil {
 				admitted++
--- a/internal/host/allowance.go
+++ b/internal/host/allowance.go
@@ -65,7 +65,7 @@
 // answerAdmitted dispatches a request if the limit of its account admits it, and refuses it
 // otherwise.
 func (h *Host) answerAdmitted(ctx context.Context, request *dispatch.Request, route *routing.Route, version uint64) dispatch.Answer {
-	ticket, refusal := h.allowances.Admit(ctx, request, version)
+	ticket, refusal := h.allowances.Admit(ctx, request, version, h.dispatcher.IsOverdue(request, route))
 	if refusal != nil {
 		h.Metrics.answers.WithLabelValues(route.Name(), fmt.Sprint(refusal.Status), string(refusal.Reason)).Inc()
 		return *refusal
@@ -79,11 +79,11 @@
 
 // Admit decides whether a request may run under the limit of its account. It returns what the
 // request has used, or the answer that refuses it.
-func (a *allowances) Admit(ctx context.Context, request *dispatch.Request, version uint64) (allowance.Ticket, *dispatch.Answer) {
+func (a *allowances) Admit(ctx context.Context, request *dispatch.Request, version uint64, isOverdue bool) (allowance.Ticket, *dispatch.Answer) {
 	if request.Account == nil || request.Account.Limit().IsUnlimited() {
 		return allowance.Ticket{}, nil
 	}
-	r := allowance.Request{Account: request.Account.Name(), Limit: request.Account.Limit(), Version: version}
+	r := allowance.Request{Account: request.Account.Name(), Limit: request.Account.Limit(), Version: version, IsOverdue: isOverdue}
 	d := a.decide(ctx, r)
 	switch {
 	case d.Kind == allowance.Refused:
--- a/internal/host/allowance_test.go
+++ b/internal/host/allowance_test.go
@@ -307,7 +307,7 @@
 		return dispatch.Answer{Status: 503}, false
 	}
 	request := &dispatch.Request{ID: "r", Account: table.Accounts().ByName(name)}
-	_, refusal := p.host.allowances.Admit(context.Background(), request, table.Version())
+	_, refusal := p.host.allowances.Admit(context.Background(), request, table.Version(), false)
 	if refusal != nil {
 		return *refusal, false
 	}
