--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -48,7 +48,10 @@
 }
 
 func newInFlightRequest(d *Dispatcher, request *Request, route *routing.Route) *inFlightRequest {
-	now := time.Now()
+	now := request.ArrivedAt
+	if now.IsZero() {
+		now = time.Now()
+	}
 	remaining := route.Timeout()
 	if request.Remaining > 0 && (remaining <= 0 || request.Remaining < remaining) {
 		remaining = request.Remaining
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -57,6 +57,9 @@
 	// Remaining is how much of the caller's timeout remains; zero if the caller sent no
 	// timeout.
 	Remaining time.Duration
+	// ArrivedAt is when this host received the request; zero for the time of Dispatcher.Run. What
+	// precedes Run, such as a call for tokens, is part of the time within which the answer is due.
+	ArrivedAt time.Time
 	// NewConnection is set if the caller opened a connection for this request; the
 	// target then includes the time to connect.
 	NewConnection bool
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -227,6 +227,7 @@
 	if table == nil {
 		return dispatch.Answer{Status: http.StatusServiceUnavailable, RetryAfter: noConfigurationRetryDelay}
 	}
+	request.ArrivedAt = time.Now()
 	path, _, _ := strings.Cut(request.Target, "?")
 	route := table.Match(request.Host, path)
 	if route == nil {
