--- a/internal/pool/cold.go
+++ b/internal/pool/cold.go
@@ -11,6 +11,11 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 )
 
+// silentSenderPeriod is how long a host may take to refuse or run an attempt before others are
+// asked instead. A refusal takes one round trip, a run usually less than this. A host that is cut off
+// is known as dead only after more than a second.
+const silentSenderPeriod = 60 * time.Millisecond
+
 // A ColdLimit is this host's part of the requests that a cold upstream of a service takes from
 // all hosts together. The zero value allows none.
 type ColdLimit struct {
@@ -111,7 +116,7 @@
 		return nil
 	}
 	for _, m := range p.members[len(p.members)-p.senderCount:] {
-		if m.isUsable(now) && !r.excludes(m) && !now.Before(m.refusedUntil) && len(m.running) < m.upstream.Slots() {
+		if m.isUsable(now) && !r.excludes(m) && !now.Before(m.refusedUntil) && !m.isSilent(now) && len(m.running) < m.upstream.Slots() {
 			return []*member{m}
 		}
 	}
@@ -126,9 +131,21 @@
 	return len(p.usableSenders(now, r, p.members[:len(p.members)-p.senderCount-p.detourCount])) > 0
 }
 
-// recordColdRefusal records that another host has not forwarded an attempt to a cold upstream.
-func (p *Pool) recordColdRefusal(now time.Time, m *member, o upstream.Outcome) {
-	if m.upstream.IsColdSender() && o.NotForwarded && p.policy.ColdLimit != nil {
+// isSilent reports whether a host has not responded for silentSenderPeriod since an attempt was
+// forwarded to it.
+func (m *member) isSilent(now time.Time) bool {
+	return slices.ContainsFunc(m.running, func(a *Assignment) bool {
+		return now.Sub(a.startedAt) > silentSenderPeriod && m.respondedAt.Before(a.startedAt)
+	})
+}
+
+// recordColdRefusal records that another host has not forwarded an attempt to a cold upstream, or
+// has not responded to it.
+func (p *Pool) recordColdRefusal(now time.Time, m *member, startedAt time.Time, o upstream.Outcome) {
+	if !m.upstream.IsColdSender() || p.policy.ColdLimit == nil {
+		return
+	}
+	if o.NotForwarded || (o.Result != upstream.Answered && m.respondedAt.Before(startedAt)) {
 		m.refusedUntil = now.Add(p.policy.ColdLimit.RefusalPeriod)
 	}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -361,6 +361,7 @@
 	if stats := assignment.latencyStats; stats.isGather && (o.Result == upstream.Answered || o.Result == upstream.Aborted) {
 		m.lateness.record(now, assignment.startedAt.Add(o.ConnectDuration), stats.target, len(m.running), p.slotShare(m), p.connectionLimit(now, m))
 	}
+	p.recordColdRefusal(now, m, assignment.startedAt, o)
 	switch o.Result {
 	case upstream.Answered:
 		m.recordReachable(now)
@@ -375,7 +376,6 @@
 			break
 		}
 		m.recordReachable(now)
-		p.recordColdRefusal(now, m, o)
 		m.addSample(now, m.currentSlowness(now), true)
 	case upstream.Misdirected:
 		// Another upstream has the address now, and the entry of this upstream will be
