--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -376,6 +376,7 @@
 	if assignment.waitsInOrder && (o.Result == upstream.Aborted || (o.Result == upstream.Answered && !isIdle)) {
 		m.pace.record(now, assignment.startedAt.Add(o.ConnectDuration), assignment.latencyStats.target, len(m.running), p.policy.LoadShare*float64(m.upstream.Slots()), p.connectionLimit(now, m))
 	}
+	p.recordColdRefusal(now, m, assignment.startedAt, o)
 	switch o.Result {
 	case upstream.Answered:
 		p.unanswered.answer(assignment)
@@ -391,7 +392,6 @@
 			break
 		}
 		m.recordReachable(now)
-		p.recordColdRefusal(now, m, o)
 		m.addSample(now, m.currentSlowness(now), true)
 	case upstream.Misdirected:
 		// Another upstream has the address now, and the entry of this upstream will be
