--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -230,3 +230,27 @@
 		}
 	})
 }
+
+// BenchmarkQueue measures one request from its arrival to its start while 400 requests of 200
+// flows wait and 5,000 more flows have sent lately: joining, three polls with the expected
+// wait, and the start of the first one.
+func BenchmarkQueue(b *testing.B) {
+	q := NewQueue[int, int]()
+	now := start
+	for i := range 5000 {
+		q.Charge(now, 0, i, 1)
+	}
+	for i := range 400 {
+		q.Join(now, 0, i%200, 1, 0)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		t := q.Join(now, 0, i%5000, 1, 0)
+		for range 3 {
+			q.MayTry(now, t, nil)
+			q.ExpectedWait(now, t)
+		}
+		q.Start(now, q.First())
+	}
+}
