--- a/internal/pool/pacing.go
+++ b/internal/pool/pacing.go
@@ -6,7 +6,11 @@
 // came, and every answer is late, whoever sent it. They have to wait at the hosts instead,
 // where the order is that of priorities and shares.
 
-import "time"
+import (
+	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
+)
 
 const (
 	// paceRatio is the part of the target from which on an attempt shows that it has waited
@@ -151,3 +155,29 @@
 	}
 	return limit
 }
+
+// attemptLimit returns how many concurrent attempts a member may get before this one.
+func (p *Pool) attemptLimit(now time.Time, m *member, r Requirements) int {
+	if r.WaitsInOrder {
+		return m.pace.apply(now, r.LeavesRoom, p.concurrencyLimit(now, m, r.LatencyStats))
+	}
+	return p.concurrencyLimit(now, m, r.LatencyStats)
+}
+
+// recordPace adapts the pace of a member to an attempt that has ended. One does not count if
+// the upstream states that no request waits there.
+func (p *Pool) recordPace(now time.Time, m *member, assignment *Assignment, o upstream.Outcome) {
+	isIdle := o.Load != nil && o.Load.Waiting == 0
+	if !assignment.waitsInOrder || (o.Result != upstream.Aborted && (o.Result != upstream.Answered || isIdle)) {
+		return
+	}
+	slotShare := p.policy.LoadShare * float64(m.upstream.Slots())
+	m.pace.record(now, assignment.startedAt.Add(o.ConnectDuration), assignment.latencyStats.target, len(m.running), slotShare, p.connectionLimit(now, m))
+}
+
+// ExtraRatio returns how many extra attempts each request earns.
+func (p *Pool) ExtraRatio() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.policy.ExtraRatio
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -177,13 +177,6 @@
 	return p.extra.RemainingRatio(now)
 }
 
-// ExtraRatio returns how many extra attempts each request earns.
-func (p *Pool) ExtraRatio() float64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.policy.ExtraRatio
-}
-
 // RestingUntil returns when the first of the upstreams that rest may be used again; zero if
 // none rests.
 func (p *Pool) RestingUntil(now time.Time) time.Time {
@@ -372,10 +365,7 @@
 	if stats := assignment.latencyStats; stats.isGather && (o.Result == upstream.Answered || o.Result == upstream.Aborted) {
 		m.lateness.record(now, assignment.startedAt.Add(o.ConnectDuration), stats.target, len(m.running), p.slotShare(m), p.connectionLimit(now, m))
 	}
-	isIdle := o.Load != nil && o.Load.Waiting == 0
-	if assignment.waitsInOrder && (o.Result == upstream.Aborted || (o.Result == upstream.Answered && !isIdle)) {
-		m.pace.record(now, assignment.startedAt.Add(o.ConnectDuration), assignment.latencyStats.target, len(m.running), p.policy.LoadShare*float64(m.upstream.Slots()), p.connectionLimit(now, m))
-	}
+	p.recordPace(now, m, assignment, o)
 	switch o.Result {
 	case upstream.Answered:
 		m.recordReachable(now)
@@ -452,14 +442,6 @@
 	}
 }
 
-// attemptLimit returns how many concurrent attempts a member may get before this one.
-func (p *Pool) attemptLimit(now time.Time, m *member, r Requirements) int {
-	if r.WaitsInOrder {
-		return m.pace.apply(now, r.LeavesRoom, p.concurrencyLimit(now, m, r.LatencyStats))
-	}
-	return p.concurrencyLimit(now, m, r.LatencyStats)
-}
-
 // concurrencyLimit returns how many concurrent attempts a member may get before another
 // attempt of a class of requests.
 func (p *Pool) concurrencyLimit(now time.Time, m *member, s *LatencyStats) int {
