Canaries: silent ones wait for their probe, and none runs where no answer is possible

- A canary at an upstream that ended in silence was given up at the time of the answer, before its probe (250 ms) could tell, and the search went to all shards.
- A search that has raised an alert has all its upstreams probed, not three.
- A search whose services lack the upstreams for an answer ran a canary before it was refused; it is refused at once again, as not run.

--- a/internal/dispatch/canary.go
+++ b/internal/dispatch/canary.go
@@ -28,6 +28,9 @@
 	maxCanaries = 2
 	// maxCanaryTries is how many upstreams are tried until one can be reached.
 	maxCanaryTries = 6
+	// silenceCheckTimeout is how long a search waits for the probe of a silent canary, as long as
+	// such a probe may take. All that is known then is that no upstream has responded.
+	silenceCheckTimeout = 450 * time.Millisecond
 	// canaryRetryDelay is the RetryAfter of searches that found only the last upstreams of
 	// services. Upstreams that have ended come back one after the other.
 	canaryRetryDelay = 250 * time.Millisecond
@@ -137,9 +140,19 @@
 	return f.route.Gathers() && len(f.parts) > 1 && alerts.Hold() && alerts.Hold(f.services()...)
 }
 
-// needsCanary reports whether the request is a search that may crash upstreams.
+// needsCanary reports whether the request is a search that may crash upstreams. One that lacks the
+// upstreams for an answer needs none: it is refused at once.
 func (f *inFlightRequest) needsCanary() bool {
-	return f.attempts == 0 && f.isAlerted() && !f.dispatcher.Alerts.IsKnown(f.fingerprint)
+	if f.attempts > 0 || !f.isAlerted() || f.dispatcher.Alerts.IsKnown(f.fingerprint) {
+		return false
+	}
+	now, available := time.Now(), 0
+	for _, p := range f.parts {
+		if p.pool.HasUpstream(now) {
+			available++
+		}
+	}
+	return available >= f.route.MinParts()
 }
 
 // awaitsFirstResponse reports whether the request makes no further attempts while one is in
@@ -193,8 +206,9 @@
 			}
 		}
 	}
-	// The probe of a silent upstream tells whether it has ended.
-	f.awaitCanary(ctx, f.startBy(), func() bool { return f.silenceProbed && !f.isUpstreamAlive && f.inFlightCount() > 0 })
+	// The probe of a silent upstream tells whether it has ended. One that works has answered it
+	// within a round trip.
+	f.awaitCanary(ctx, time.Now().Add(silenceCheckTimeout), func() bool { return f.silenceProbed && !f.isUpstreamAlive && f.inFlightCount() > 0 })
 	result := CanaryOverdue
 	switch {
 	case f.hasResponse:
--- a/internal/dispatch/canary_test.go
+++ b/internal/dispatch/canary_test.go
@@ -117,6 +117,7 @@
 		{"all services have one", 2, 0, 1, 503, ReasonAwaitingCanary},
 		{"an answer can do without one service", 2, 0, 0.75, 200, ReasonNone},
 		{"all services have one, others rest", 0, 2, 1, 200, ReasonNone},
+		{"no service has any", 0, 3, 1, 503, ReasonNoUpstream},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -141,7 +142,8 @@
 				c.Check(a.Status, qt.Equals, test.want)
 				c.Check(a.Reason, qt.Equals, test.wantReason)
 				c.Check(a.NotRun, qt.Equals, test.want == 503)
-				if a.NotRun {
+				c.Check(d.upstreams.attemptOrder, qt.HasLen, map[int]int{200: 4}[test.want])
+				if a.Reason == ReasonAwaitingCanary {
 					c.Check(a.RetryAfter, qt.Equals, canaryRetryDelay)
 				}
 			})
--- a/internal/dispatch/crashing.go
+++ b/internal/dispatch/crashing.go
@@ -29,6 +29,9 @@
 	endCheckTimeout = 80 * time.Millisecond
 	// maxSilenceProbes is how many upstreams are probed for one request.
 	maxSilenceProbes = 3
+	// maxAlertProbes is how many are probed for one that has raised a crash alert. It has probably
+	// ended them all, and other hosts must not use them.
+	maxAlertProbes = 64
 	// testRunTimeout bounds the test run of an idempotent request.
 	testRunTimeout = 2 * time.Second
 	// maxTestRunTries is how many upstreams are tried until one can be reached.
@@ -391,7 +394,11 @@
 	if f.hasResponse {
 		return
 	}
-	for _, u := range unresolved[:min(maxSilenceProbes, len(unresolved))] {
+	limit := maxSilenceProbes
+	if f.hasRaisedAlert {
+		limit = maxAlertProbes
+	}
+	for _, u := range unresolved[:min(limit, len(unresolved))] {
 		f.dispatcher.checkUnanswered(u.pool, u.assignment.Upstream, now)
 	}
 }
