Hedges begin one at a time until an upstream has responded

Now one hedge begins in 50 ms until an upstream has responded. Tests of dispatch, host and platform pass but for the known red halves/3.

--- a/internal/dispatch/crashing.go
+++ b/internal/dispatch/crashing.go
@@ -24,6 +24,9 @@
 	// upstream, while no upstream has responded to the request, before further attempts
 	// wait for a response.
 	maxUnansweredAttempts = 2
+	// lonelyHedgeInterval is the time between two hedges of a request to which no upstream has
+	// responded. It is longer than it takes to find out that an upstream has ended.
+	lonelyHedgeInterval = 50 * time.Millisecond
 	// endCheckTimeout bounds the check of an upstream after a lost connection, which delays
 	// the next attempt. An upstream that has ended refuses connections in a round trip.
 	endCheckTimeout = 80 * time.Millisecond
@@ -225,9 +228,11 @@
 }
 
 // holdsBackHedges reports whether a request makes no hedges for now, because no upstream
-// has responded and none is known to work.
+// has responded, and none is known to work or another hedge has just begun. A search that crashes
+// upstreams would otherwise take a second replica of every shard before the first end is known.
 func (f *inFlightRequest) holdsBackHedges() bool {
-	return (!f.isUpstreamAlive || f.lostConnectionCount() >= maxUnansweredAttempts) && f.lacksResponses() && !f.dispatcher.Links.IsPartitioned()
+	isDoubtful := !f.isUpstreamAlive || f.lostConnectionCount() >= maxUnansweredAttempts || time.Since(f.hedgedAt) < lonelyHedgeInterval
+	return isDoubtful && f.lacksResponses() && !f.dispatcher.Links.IsPartitioned()
 }
 
 // lostConnectionCount returns the number of attempts in flight whose connection is lost. Whether
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -31,6 +31,8 @@
 	allowance                        time.Duration
 	// attempts counts all attempts, including hedges and retries.
 	attempts, hedges, retries int
+	// hedgedAt is when the last hedge began; zero if there was none.
+	hedgedAt time.Time
 	// coldRefusals is the sum of those of the parts.
 	coldRefusals int
 	lastFailure  string
@@ -273,6 +275,7 @@
 	}
 	consider(f.answerDueAt)
 	consider(f.startBy())
+	consider(f.hedgedAt.Add(lonelyHedgeInterval))
 	for _, p := range f.parts {
 		switch {
 		case p.isDone():
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -100,6 +100,7 @@
 	maxDuration := max(0, f.answerDueAt.Sub(now))
 	if f.spendHedge(now, p) && f.startOrRefund(ctx, now, p, true, maxDuration) {
 		f.hedges++
+		f.hedgedAt = now
 	}
 }
 
