--- a/internal/dispatch/crashing.go
+++ b/internal/dispatch/crashing.go
@@ -24,9 +24,9 @@
 	// upstream, while no upstream has responded to the request, before further attempts
 	// wait for a response.
 	maxUnansweredAttempts = 2
-	// lonelyHedgeInterval is the time between two hedges of a request to which no upstream has
+	// unansweredHedgeInterval is the time between two hedges of a request to which no upstream has
 	// responded. It is longer than it takes to find out that an upstream has ended.
-	lonelyHedgeInterval = 50 * time.Millisecond
+	unansweredHedgeInterval = 50 * time.Millisecond
 	// endCheckTimeout bounds the check of an upstream after a lost connection, which delays
 	// the next attempt. An upstream that has ended refuses connections in a round trip.
 	endCheckTimeout = 80 * time.Millisecond
@@ -231,7 +231,7 @@
 // has responded, and none is known to work or another hedge has just begun. A search that crashes
 // upstreams would otherwise take a second replica of every shard before the first end is known.
 func (f *inFlightRequest) holdsBackHedges() bool {
-	isDoubtful := !f.isUpstreamAlive || f.lostConnectionCount() >= maxUnansweredAttempts || time.Since(f.hedgedAt) < lonelyHedgeInterval
+	isDoubtful := !f.isUpstreamAlive || f.lostConnectionCount() >= maxUnansweredAttempts || time.Since(f.hedgedAt) < unansweredHedgeInterval
 	return isDoubtful && f.lacksResponses() && !f.dispatcher.Links.IsPartitioned()
 }
 
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -275,7 +275,7 @@
 	}
 	consider(f.answerDueAt)
 	consider(f.startBy())
-	consider(f.hedgedAt.Add(lonelyHedgeInterval))
+	consider(f.hedgedAt.Add(unansweredHedgeInterval))
 	for _, p := range f.parts {
 		switch {
 		case p.isDone():
