--- a/internal/allowance/issuer.go
+++ b/internal/allowance/issuer.go
@@ -13,8 +13,8 @@
 	// the time after which other hosts replace it.
 	maxPause = 1500 * time.Millisecond
 	// maxPromise bounds how far ahead tokens are promised to hosts that were refused. A host
-	// does not ask again before its time. The accounts of callers that stop sending too much
-	// must not be refused for longer.
+	// does not ask again before that time, so an account that stops exceeding its limit may be
+	// refused for that long.
 	maxPromise = 2 * time.Second
 	// minWait bounds the calls of a host that was refused.
 	minWait = 5 * time.Millisecond
@@ -45,8 +45,8 @@
 	view     *View
 	// viewChangedAt is when the members that may issue tokens last changed.
 	viewChangedAt time.Time
-	// steppedAt is when the issuer last did something. settledAt is since when it has been
-	// connected to the others; zero if it is not.
+	// steppedAt is when the issuer last ran, which shows pauses of the process. settledAt is since
+	// when the host has been connected to the others; zero if it is not.
 	steppedAt, settledAt time.Time
 	buckets              map[string]*bucket
 }
--- a/internal/allowance/margin.go
+++ b/internal/allowance/margin.go
@@ -19,8 +19,9 @@
 	Validity = 500 * time.Millisecond
 	// reserveRatioFew and reserveRatioMany are the parts of Margin.Slack that each issuer adds to
 	// the capacity of a bucket. Accounts with a burst of one or two requests need it: callers
-	// that send at random times often send several requests within a second. Where up to
-	// fewHosts carry the load, the own allowance of each is of more use, see OwnAllowance.
+	// that send at random times often send several requests within a second. The rest of the
+	// slack is the own allowance of the hosts. It is of more use where at most fewHosts carry
+	// the load, since each then has a larger share of it: the reserve is smaller there.
 	reserveRatioFew  = 0.075
 	reserveRatioMany = 0.14
 	fewHosts         = 20
--- a/internal/allowance/view.go
+++ b/internal/allowance/view.go
@@ -24,7 +24,7 @@
 	candidates []candidate
 	dataCenter []string
 	// known is how many members are known, dead ones included. running is the part of the
-	// load that those of them carry that are believed to run.
+	// load, 0 to 1, that is carried by the members believed to run.
 	known   int
 	running float64
 	// shareFrom and shareTo bound the host's part of the load; the parts of the hosts are
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// refusalMargin is how many times the remaining time the expected wait must be for a
-	// refusal at once. The expectation is the mean of a second, and a request that is
-	// refused in error is worth more than one that learns of its refusal later.
+	// A request is refused at once if its expected wait exceeds refusalMargin times the time
+	// that it may wait. The expectation is a mean over one second, and refusing a request that
+	// could have been served costs more than refusing one late.
 	refusalMargin = 1.5
 	// maxQueueRetryDelay bounds the RetryAfter of refusals because of the waiting requests.
 	// The load of a later time is not known.
--- a/internal/host/crashalert_test.go
+++ b/internal/host/crashalert_test.go
@@ -56,8 +56,8 @@
 
 // A crashLoadResult is what a crashLoad has seen from the first crashing search on.
 type crashLoadResult struct {
-	// crashed counts the upstreams that ended, wide the searches that went to all their shards and
-	// ended them, and lost the replicas of one shard that were lost at once, at most.
+	// crashed counts the upstreams that ended, and wide the crashing searches that went to all
+	// their shards. lost is the greatest number of replicas of one shard that were down at once.
 	crashed, wide, lost int
 	// sent counts the innocent searches, served those served by their first attempt within the
 	// target.
--- a/internal/inventory/evacuation_test.go
+++ b/internal/inventory/evacuation_test.go
@@ -43,8 +43,8 @@
 	c.Check(changedServices(i, later, specs), qt.HasLen, 0)
 }
 
-// TestEvacuationSurvivesCopyOfStore checks that a key that a copy of the store lacks does not
-// end an evacuation until it is certain that it is gone.
+// TestEvacuationSurvivesCopyOfStore guards against evacuations that end because the store has
+// come back from a copy which lacks their key. The operator writes the key again soon after.
 func TestEvacuationSurvivesCopyOfStore(t *testing.T) {
 	c := qt.New(t)
 	i := New()
--- a/internal/pool/pacing.go
+++ b/internal/pool/pacing.go
@@ -50,9 +50,9 @@
 // the hosts are more than the slots of an upstream: the host then lets time pass between its
 // attempts.
 type pace struct {
-	// limit bounds all attempts, yieldingLimit those of requests that leave room to others.
-	// limit falls only once yieldingLimit cannot fall any more, and yieldingLimit rises only
-	// once limit does not bind. Zero is no bound.
+	// limit bounds all attempts, yieldingLimit those of requests that leave room to others; zero
+	// for no bound. Requests that leave room are limited first and released last: limit falls
+	// only when yieldingLimit is at its minimum, and yieldingLimit rises only when limit is zero.
 	limit, yieldingLimit float64
 	// lateSince is when the first attempt ended in the current series of late ones; zero
 	// if the last attempt was on time.
--- a/internal/quarantine/alerts.go
+++ b/internal/quarantine/alerts.go
@@ -89,8 +89,8 @@
 	maps.DeleteFunc(a.raisedAt, func(_ uint64, at time.Time) bool { return now.Sub(at) >= AlertPeriod })
 }
 
-// PermitTestRun permits a test run during an alert and returns zero, or returns how long to wait
-// until one may be permitted.
+// PermitTestRun returns zero if it permits a test run during an alert. Otherwise it returns the
+// time until the next one can be permitted.
 func (a *Alerts) PermitTestRun(now time.Time) time.Duration {
 	if wait := a.testRunAt.Sub(now); wait > 0 {
 		return wait
