--- a/internal/dispatch/conclude.go
+++ b/internal/dispatch/conclude.go
@@ -89,14 +89,24 @@
 // maxMissingDetails bounds the missing parts that a Summary describes.
 const maxMissingDetails = 4
 
-// missingDetails describes the first parts without a response: service, reason and
-// upstreams tried.
+// missingDetails describes parts without a response: service, reason, upstreams tried, and for
+// parts that are not waiting for a response, the upstreams that there are. Parts that were
+// abandoned come first, because the others may be missing only because of them.
 func (f *inFlightRequest) missingDetails() []string {
-	var details []string
+	var missing, pending []*part
 	for _, p := range f.parts {
-		if p.response != nil || len(details) == maxMissingDetails {
-			continue
+		switch {
+		case p.response != nil:
+		case p.reason != ReasonNone:
+			missing = append(missing, p)
+		default:
+			pending = append(pending, p)
 		}
+	}
+	missing = append(missing, pending...)
+	now := time.Now()
+	var details []string
+	for _, p := range missing[:min(len(missing), maxMissingDetails)] {
 		reason := p.reason
 		switch {
 		case reason != ReasonNone:
@@ -105,7 +115,11 @@
 		default:
 			reason = ReasonNotStarted
 		}
-		details = append(details, fmt.Sprintf("%s: %s, tried %v", p.service, reason, p.tried))
+		detail := fmt.Sprintf("%s: %s, tried %v", p.service, reason, p.tried)
+		if p.running == 0 {
+			detail += fmt.Sprintf(", upstreams: %s", p.pool.Census(now, f.requirements(p, 0)))
+		}
+		details = append(details, detail)
 	}
 	return details
 }
