Parts are no longer left out on estimates of latency; slots go to requests that need them

Change: every part is tried as long as its upstreams accept an attempt; the limits by lateness protect them. At a shard where a request waits that cannot be answered without it, requests that can be answered leave a slot. ExpectedLatency and its reason are gone.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -1,11 +1,12 @@
 package dispatch
 
-// This file decides what a request does when some of its shards get more load than they
-// can run in time: which parts it leaves out, and when it is refused.
+// This file decides when a request starts, which parts it leaves out and when it is refused. It
+// answers a load that exceeds what some shards can run in time. Limits on concurrent attempts
+// (package pool) keep their upstreams from queueing. A part that finds no room waits until its
+// response would be late, while the other parts run; where a request waits that cannot be
+// answered without the shard, requests that can leave their slots to it.
 
 import (
-	"math"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,22 +14,9 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
 )
 
-const (
-	// abandonExponent is the exponent in the ratio of requests that do not abandon a slow
-	// part: (time for an answer on time / expected latency)^abandonExponent. With this
-	// exponent, the ratio falls steeply enough as the expected latency rises that the
-	// responses to these requests are on time again.
-	abandonExponent = 6
-	// A part whose expected latency exceeds hopelessFactor times the time for an answer on
-	// time counts as one that no upstream can serve.
-	hopelessFactor = 4
-)
-
 // assignFirst assigns the first attempts to upstreams and reports whether these are
 // enough parts for an answer. Otherwise it keeps no assignment, because the work of the
-// parts that can start would be wasted. As far as the answer requires them, it resumes
-// parts that were abandoned as ReasonExpectedLate: a late answer is better than a
-// failure. If there are still too few, it abandons the parts for the result of
+// parts that can start would be wasted, and abandons the parts for the result of
 // abandonReason; the request then fails unless enough parts remain.
 func (f *inFlightRequest) assignFirst(now time.Time) bool {
 	assigned, waiting := f.assignParts(now, pool.Never)
@@ -38,49 +26,69 @@
 		assigned, waiting = f.assignParts(now, pool.Always)
 	}
 	if len(assigned) >= f.route.MinParts() {
-		for _, p := range assigned {
-			p.resume()
-		}
 		return true
 	}
 	unassign(assigned)
 	for _, p := range waiting {
-		if reason := f.abandonReason(now, p); reason != ReasonNone {
+		reason := f.abandonReason(now, p)
+		if reason != ReasonNone {
 			p.abandon(reason)
+			continue
 		}
+		p.pool.RecordLack(now)
 	}
 	return false
 }
 
-// assignParts assigns the first attempts of all parts that are not abandoned to upstreams, and of
-// parts that were abandoned as ReasonExpectedLate as far as the answer requires them. It returns
-// the parts with an assignment, and those that wait for one.
+// assignParts assigns the first attempts of all parts that are not abandoned to upstreams. It
+// returns the parts with an assignment, and those that wait for one.
 func (f *inFlightRequest) assignParts(now time.Time, relay pool.ColdRelay) (assigned, waiting []*part) {
-	var resumable []*part
-	assign := func(p *part) bool {
+	for _, p := range f.partsByRoom(now) {
 		r := f.requirements(p, 0)
 		r.ColdRelay = relay
-		p.assignment = p.pool.Assign(now, r)
-		return p.assignment != nil
+		r.IsSpare = len(assigned) >= f.route.MinParts() && p.pool.IsScarce(now)
+		if p.assignment = p.pool.Assign(now, r); p.assignment != nil {
+			assigned = append(assigned, p)
+			continue
+		}
+		p.wasPassedOver = true
+		waiting = append(waiting, p)
 	}
+	return assigned, waiting
+}
+
+// partsByRoom returns the parts that are not abandoned, those of scarce services last. The first
+// one of these differs between requests, so that requests that can do without some of them
+// leave out different ones.
+func (f *inFlightRequest) partsByRoom(now time.Time) []*part {
+	var parts, scarce []*part
 	for _, p := range f.parts {
 		switch {
-		case p.reason == ReasonExpectedLate:
-			resumable = append(resumable, p)
 		case p.isDone():
-		case assign(p):
-			assigned = append(assigned, p)
+		case f.route.Gathers() && p.pool.IsScarce(now):
+			scarce = append(scarce, p)
 		default:
-			p.wasPassedOver = true
-			waiting = append(waiting, p)
+			parts = append(parts, p)
 		}
 	}
-	for _, p := range resumable[:max(0, min(len(resumable), f.route.MinParts()-len(assigned)))] {
-		if assign(p) {
-			assigned = append(assigned, p)
+	first := int(f.requestFraction() * float64(len(scarce)))
+	parts = append(parts, scarce[first:]...)
+	return append(parts, scarce[:first]...)
+}
+
+// isSpare reports whether an attempt of a part has to leave room to other requests: its service is
+// scarce, and enough other parts for an answer have a response or an attempt.
+func (f *inFlightRequest) isSpare(now time.Time, p *part) bool {
+	if !f.route.Gathers() || !p.pool.IsScarce(now) {
+		return false
+	}
+	others := 0
+	for _, o := range f.parts {
+		if o != p && (o.response != nil || o.running > 0 || o.isAssigned()) {
+			others++
 		}
 	}
-	return assigned, waiting
+	return others >= f.route.MinParts()
 }
 
 // unassign cancels the assignments of parts.
@@ -91,54 +99,15 @@
 	}
 }
 
-// abandonSlowParts abandons parts as ReasonExpectedLate if their upstreams are so busy
-// that responses would come too late for the target, as far as the route allows missing
-// parts.
-// Attempts whose responses come too late would only delay the attempts after them. The
-// higher the expected latency of a part, the more requests abandon it. This handles a
-// load that exceeds the capacity of some shards. Parts that no upstream can serve come
-// first: if another part were abandoned instead, too few would remain.
-func (f *inFlightRequest) abandonSlowParts() {
-	abandonableCount := len(f.parts) - f.route.MinParts()
-	if !f.route.Gathers() || abandonableCount <= 0 {
-		return
-	}
-	// The time that this caller has spent before is no sign of load.
-	maxDuration := f.route.LatencyTarget() - f.dispatcher.CallerAllowance
-	fraction := f.requestFraction()
-	var hopeless, slow []*part
-	for i := range f.parts {
-		// The first part examined differs between requests. Otherwise the same parts
-		// would always use up abandonableCount.
-		p := f.parts[(i+int(fraction*float64(len(f.parts))))%len(f.parts)]
-		expected, reachable := p.pool.ExpectedLatency(f.startedAt, f.requirements(p, 0))
-		switch {
-		case !reachable:
-			hopeless = append(hopeless, p)
-		case expected <= maxDuration || fraction < math.Pow(float64(maxDuration)/float64(expected), abandonExponent):
-		case expected > hopelessFactor*maxDuration:
-			hopeless = append(hopeless, p)
-		case f.hasRoom():
-		default:
-			slow = append(slow, p)
-		}
-	}
-	candidates := slices.Concat(hopeless, slow)
-	for _, p := range candidates[:min(len(candidates), abandonableCount)] {
-		p.abandon(ReasonExpectedLate)
-	}
-}
-
-// resumeExpectedLate resumes count parts that were abandoned as ReasonExpectedLate, to
-// replace others that have failed. It reports false, and resumes none, if upstreams
-// accept fewer than count of them.
-func (f *inFlightRequest) resumeExpectedLate(now time.Time, count int) bool {
+// resumeLeftOut resumes count parts that were left out, to replace others that have failed. It
+// reports false, and resumes none, if upstreams accept fewer than count of them.
+func (f *inFlightRequest) resumeLeftOut(now time.Time, count int) bool {
 	var resumed []*part
 	if f.holdsBackAttempts() {
 		return false
 	}
 	for _, p := range f.parts {
-		if p.reason != ReasonExpectedLate || len(resumed) == count {
+		if !p.wasLeftOut() || len(resumed) == count {
 			continue
 		}
 		if p.assignment = p.pool.Assign(now, f.requirements(p, 0)); p.assignment != nil {
--- a/internal/dispatch/conclude.go
+++ b/internal/dispatch/conclude.go
@@ -35,10 +35,10 @@
 
 // tryGatherAnswer returns the merged answer once each part has a response or was
 // abandoned, and from answerDueAt on as soon as MinParts of them have a response. If
-// fewer than MinParts can still have one, it resumes parts that were abandoned as
-// ReasonExpectedLate, if others have started, or returns a failure. It also resumes such
-// parts if fewer than MinParts have a response at answerDueAt: those that are pending then
-// may never respond. At the deadline it returns a failure.
+// fewer than MinParts can still have one, it resumes parts that were left out, if others have
+// started, or returns a failure. It also resumes such parts if fewer than MinParts have a
+// response at answerDueAt: those that are pending then may never respond. At the deadline it
+// returns a failure.
 func (f *inFlightRequest) tryGatherAnswer(now time.Time) (Answer, bool) {
 	answered, pending := 0, 0
 	reason := ReasonDeadline
@@ -58,9 +58,9 @@
 	switch {
 	case answered >= required && (pending == 0 || !now.Before(f.answerDueAt)):
 		return f.mergedAnswer(), true
-	case answered+pending < required && f.attempts > 0 && f.resumeExpectedLate(now, required-answered-pending):
+	case answered+pending < required && f.attempts > 0 && f.resumeLeftOut(now, required-answered-pending):
 		return Answer{}, false
-	case answered < required && !now.Before(f.answerDueAt) && f.resumeExpectedLate(now, 1):
+	case answered < required && !now.Before(f.answerDueAt) && f.resumeLeftOut(now, 1):
 		return Answer{}, false
 	case answered+pending < required:
 		return f.failureAnswer(reason), true
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -281,10 +281,30 @@
 	})
 }
 
-// TestPartExpectedLateResumesAfterFailure makes the part s1 of four slow, so that it is
-// abandoned as ReasonExpectedLate, while both attempts of s0 break. As the answer
-// requires three parts, s1 is resumed, and only s0 is missing.
-func TestPartExpectedLateResumesAfterFailure(t *testing.T) {
+// TestPartWithRoomIsTried keeps two attempts at each upstream of s1 of four without a response,
+// so that s1 seems slow, while it accepts attempts and responds at once. No answer may lack the
+// part.
+func TestPartWithRoomIsTried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newTestDispatcher(gatherRoute(0.75), func(id string, _ int, _ *upstream.Attempt) reaction { return responds(id) })
+		latencyStats := pool.NewLatencyStats(target, true)
+		for range 6 {
+			c.Assert(d.pools["s1"].Assign(time.Now(), pool.Requirements{LatencyStats: latencyStats}), qt.IsNotNil)
+		}
+		time.Sleep(10 * target)
+		for i := range 20 {
+			a := d.Run(context.Background(), &Request{ID: fmt.Sprint(i), Method: http.MethodGet, Target: fmt.Sprint("/", i), Host: "h"}, d.route, 1)
+			c.Check(a.Status, qt.Equals, http.StatusOK, qt.Commentf("request %d", i))
+			c.Check(a.MissingParts, qt.Equals, 0, qt.Commentf("request %d", i))
+		}
+		d.Group.Wait()
+	})
+}
+
+// TestSlowPartIsUsedAfterFailure makes the part s1 of four slow, while both attempts of s0
+// break. As the answer requires three parts, only s0 is missing.
+func TestSlowPartIsUsedAfterFailure(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		d := newTestDispatcher(gatherRoute(0.75), func(id string, _ int, _ *upstream.Attempt) reaction {
@@ -308,8 +328,8 @@
 }
 
 // TestOverloadedShardIsAbandoned sends 100 requests a second where the upstreams of the
-// shard s1 of four run at most 60 a second, each upstream one at a time. If no request
-// abandoned s1, its queue would grow until all answers are late. 95% of the answers
+// shard s1 of four run at most 60 a second, each upstream one at a time. If all requests
+// were sent to s1, its queue would grow until all answers are late. 95% of the answers
 // must be on time, and 10% must be complete as well.
 func TestOverloadedShardIsAbandoned(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -96,7 +96,6 @@
 		return answer
 	}
 	defer func() { f.reportCrashes(ctx) }()
-	f.abandonSlowParts()
 	if answer, ended := f.runCanary(ctx, attemptsCtx); ended {
 		return answer
 	}
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -19,7 +19,6 @@
 	ReasonNoUpstream         Reason = "no-upstream"
 	ReasonBusy               Reason = "busy"
 	ReasonFailed             Reason = "failed"
-	ReasonExpectedLate       Reason = "late"
 	ReasonQuarantined        Reason = "quarantined"
 	ReasonAwaitingTest       Reason = "awaiting-test"
 	ReasonCrashSuspected     Reason = "crash-suspected"
--- a/internal/dispatch/part.go
+++ b/internal/dispatch/part.go
@@ -59,12 +59,15 @@
 	p.needsAttempt = false
 }
 
-// resume makes a part without any attempt need its first one, also if it was abandoned as
-// ReasonExpectedLate.
+// resume makes a part without any attempt need its first one, also if it was left out.
 func (p *part) resume() {
 	p.reason, p.needsAttempt = ReasonNone, true
 }
 
+// wasLeftOut reports whether the part was abandoned before any attempt because its service had
+// no room.
+func (p *part) wasLeftOut() bool { return p.reason == ReasonBusy && p.sent == 0 }
+
 // writeOff gives up an attempt in flight over a link that is lost. It does not count as
 // arrived. It still counts towards the attempts that the route allows: it may have run.
 func (p *part) writeOff(a *pool.Assignment) {
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -215,6 +215,7 @@
 	assignment := p.assignment
 	p.assignment = nil
 	if assignment == nil {
+		requirements.IsSpare = f.isSpare(now, p)
 		assignment = p.pool.Assign(now, requirements)
 	}
 	if assignment == nil {
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -272,10 +272,6 @@
 	return f.isOutrankedByAccount || f.route.IsOutranked(f.request.Account)
 }
 
-// hasRoom reports whether other requests leave room to this one at upstreams, so that their
-// load is no reason to leave out parts.
-func (f *inFlightRequest) hasRoom() bool { return f.request.Account != nil && !f.leavesRoom }
-
 // retryDelayInOrder returns when a caller may come back who was refused because other
 // requests come first.
 func (f *inFlightRequest) retryDelayInOrder() time.Duration {
--- a/internal/pool/assignment.go
+++ b/internal/pool/assignment.go
@@ -32,6 +32,9 @@
 	// IsOptional is set for hedges and for requests that are less urgent than others of the
 	// service. At upstreams with a limit on requests they leave some turns to the others.
 	IsOptional bool
+	// IsSpare is set if the answer can do without the attempt and others lack room at the
+	// service: it leaves a slot to them.
+	IsSpare bool
 	// WaitsInOrder is set for requests that wait at this host in the order of priorities and
 	// shares. They must not wait at upstreams, which know neither.
 	WaitsInOrder bool
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -51,9 +51,6 @@
 	// flight exceeds maxHealthyFactor.
 	maxHealthyFailureRatio = 0.15
 	maxHealthyTargetRatio  = 0.4
-	// At an upstream at its concurrency limit, an attempt is expected to take
-	// fullFactor times the expected latency or the target, whichever is longer.
-	fullFactor = 2
 )
 
 // A Policy bounds how one host uses the upstreams of a service.
@@ -122,6 +119,8 @@
 	// limits holds the limits that upstreams have stated, by lifetime, so that an upstream
 	// whose entry was away keeps its limit.
 	limits map[uint64]*requestLimit
+	// lackedAt is when a request that required the service last found no room; zero if none has.
+	lackedAt time.Time
 	// promisedAt is the next turn that was not promised to a refused caller.
 	promisedAt time.Time
 }
@@ -274,30 +273,6 @@
 	assignment.member.giveBackTurn()
 }
 
-// ExpectedLatency returns the expected duration of an attempt at the fastest upstream;
-// reachable is false if all upstreams are retired, down or resting. For an upstream at its
-// concurrency limit, the expected duration includes an estimated wait until a running
-// attempt ends.
-func (p *Pool) ExpectedLatency(now time.Time, r Requirements) (expected time.Duration, reachable bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := r.LatencyStats
-	typical := s.TypicalLatency()
-	for _, m := range p.usableMembers(now, Requirements{}) {
-		if !m.isUsable(now) {
-			continue
-		}
-		latency := m.expectedLatency(now, typical) + m.turnDelay(now, false)
-		if len(m.running) >= p.attemptLimit(now, m, r) {
-			latency = fullFactor * max(latency, s.target)
-		}
-		if !reachable || latency < expected {
-			expected, reachable = latency, true
-		}
-	}
-	return expected, reachable
-}
-
 // RecordEnd records that an upstream has ended without notice. It returns the recent
 // attempts there that were reported to RecordUnanswered.
 func (p *Pool) RecordEnd(now time.Time, u inventory.Upstream) []Crash {
@@ -437,7 +412,7 @@
 		return false
 	case m.turnDelay(now, r.IsOptional) > 0:
 		return false
-	case len(m.running) >= p.attemptLimit(now, m, r):
+	case len(m.running) >= p.attemptLimit(now, m, r) || !p.leavesSlot(now, m, r):
 		return false
 	default:
 		return p.hasLink(now, m) && (!now.Before(m.noDialUntil) || p.hasConnection(m))
