A vanished entry is no proof that its upstream has ended

The store is away for 4.4 s, and the entries of all upstreams lapse. Three shards had no upstream from 6 to 8.5 s, and all searches were refused.

Change: the attempts at an upstream whose entry vanishes count as crashes only if a check with other hosts shows that it has ended. An entry of another lifetime proves it as before.

Test: TestLapsedEntryIsNoEnd/runs failed before.

--- a/internal/dispatch/crashing.go
+++ b/internal/dispatch/crashing.go
@@ -404,7 +404,7 @@
 		limit = maxAlertProbes
 	}
 	for _, u := range unresolved[:min(limit, len(unresolved))] {
-		f.dispatcher.checkUnanswered(u.pool, u.assignment.Upstream, now)
+		f.dispatcher.CheckUnanswered(u.pool, u.assignment.Upstream, now)
 	}
 }
 
@@ -427,8 +427,8 @@
 	return d.Links.CheckUpstream(ctx, u, time.Now()) == reachability.Ended
 }
 
-// checkUnanswered reports the attempts without a response at an upstream if it has ended.
-func (d *Dispatcher) checkUnanswered(p *pool.Pool, u inventory.Upstream, since time.Time) {
+// CheckUnanswered reports the attempts without a response at an upstream if it has ended.
+func (d *Dispatcher) CheckUnanswered(p *pool.Pool, u inventory.Upstream, since time.Time) {
 	d.Group.Go(func() {
 		if d.Links.CheckUpstream(context.Background(), u, since) != reachability.Ended {
 			return
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -116,7 +116,7 @@
 		d.Guard.RecordCrashes(crashes)
 	}
 	if outcome.ConnectionRefused && p.HasUnanswered(assignment.Upstream) {
-		d.checkUnanswered(p, assignment.Upstream, time.Now())
+		d.CheckUnanswered(p, assignment.Upstream, time.Now())
 	}
 	if outcome.Leaving || outcome.Result == upstream.Broken || outcome.Result == upstream.Misdirected || outcome.ConnectionRefused {
 		d.Exchanger.CloseIdleConnections(a.UpstreamID)
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -213,8 +213,17 @@
 	var crashes []pool.Crash
 	for _, u := range ended {
 		h.Log.WithFields(map[string]any{"upstream": u.ID(), "service": u.Service(), "address": u.Address()}).Info("entry of upstream vanished")
-		if p, ok := h.pools[u.Service()]; ok {
+		p, ok := h.pools[u.Service()]
+		if !ok {
+			continue
+		}
+		if current, isKnown := h.inventory.Upstream(u.ID()); isKnown && !current.HasSameLifetime(u) {
 			crashes = append(crashes, p.RecordEnd(now, u)...)
+			continue
+		}
+		// The store may have lost the entry of an upstream that runs.
+		if p.HasUnanswered(u) {
+			h.dispatcher.CheckUnanswered(p, u, now)
 		}
 	}
 	h.configurePools(changed)
