--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -8,7 +8,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"math"
 	"slices"
 	"time"
@@ -48,54 +47,9 @@
 	rate     startRate
 }
 
-// A level holds the flows of one priority. They share capacity by start-time fair queueing:
-// each flow has a virtual time at which its next request starts, which grows by the work of
-// each started request. The flow with the lowest one is next.
-type level[K comparable, V any] struct {
-	queue    *Queue[K, V]
-	priority int
-	// now is the highest virtual start of the requests that have started. A flow that was idle
-	// starts one request before it, so that it saves no more than that.
-	now    float64
-	flows  map[K]*flow[K, V]
-	active activeFlows[K, V]
-	// work is the sum of the work of the waiting requests.
-	work float64
-}
-
-// A flow holds the waiting requests of one key at one priority.
-type flow[K comparable, V any] struct {
-	level *level[K, V]
-	key   K
-	// finish is the virtual time at which the last started request ends, start the one at
-	// which the next request starts: not before finish, and not more than the work of the
-	// first waiting one before level.now as of its arrival. So it comes before requests of
-	// flows that have used their share, whatever upstreams these are kept from.
-	finish, start float64
-	tickets       []*Ticket[K, V]
-	// work is the sum of the work of tickets.
-	work   float64
-	usedAt time.Time
-	// index is the position in level.active; -1 without tickets.
-	index int
-}
-
-// A Ticket is the place of a waiting request in a Queue.
-type Ticket[K comparable, V any] struct {
-	Value     V
-	flow      *flow[K, V]
-	work      float64
-	sequence  uint64
-	arrivedAt time.Time
-	triedAt   time.Time
-}
-
 // NewQueue returns an empty Queue.
 func NewQueue[K comparable, V any]() *Queue[K, V] { return &Queue[K, V]{} }
 
-// ArrivedAt returns when the request began to wait.
-func (t *Ticket[K, V]) ArrivedAt() time.Time { return t.arrivedAt }
-
 // Len returns the number of waiting requests.
 func (q *Queue[K, V]) Len() int { return q.waiting }
 
@@ -318,130 +272,3 @@
 	}
 	q.levels = slices.DeleteFunc(q.levels, func(l *level[K, V]) bool { return len(l.flows) == 0 })
 }
-
-// removeFlows removes the flows without waiting requests for which isRemovable is true.
-func (l *level[K, V]) removeFlows(isRemovable func(*flow[K, V]) bool) {
-	for k, f := range l.flows {
-		if len(f.tickets) == 0 && isRemovable(f) {
-			delete(l.flows, k)
-		}
-	}
-}
-
-// fix moves a flow to its place among the active ones.
-func (l *level[K, V]) fix(f *flow[K, V]) {
-	if f.index >= 0 {
-		heap.Fix(&l.active, f.index)
-	}
-}
-
-func (f *flow[K, V]) add(t *Ticket[K, V]) {
-	t.flow = f
-	f.tickets = append(f.tickets, t)
-	f.work += t.work
-	f.level.work += t.work
-	if len(f.tickets) == 1 {
-		heap.Push(&f.level.active, f)
-	}
-}
-
-func (f *flow[K, V]) remove(t *Ticket[K, V]) {
-	i := slices.Index(f.tickets, t)
-	f.tickets = slices.Delete(f.tickets, i, i+1)
-	f.work -= t.work
-	f.level.work -= t.work
-	if len(f.tickets) == 0 {
-		f.work = 0
-		heap.Remove(&f.level.active, f.index)
-		return
-	}
-	f.level.fix(f)
-}
-
-// virtualStart returns the virtual time at which the request starts if all of its flow that
-// wait before it do.
-func (t *Ticket[K, V]) virtualStart() float64 {
-	start := t.flow.start
-	for _, other := range t.flow.tickets {
-		if other == t {
-			break
-		}
-		start += other.work
-	}
-	return start
-}
-
-// ranksBefore reports whether a request of the same Queue is tried before another one.
-func (t *Ticket[K, V]) ranksBefore(other *Ticket[K, V]) bool {
-	return cmp.Or(
-		cmp.Compare(t.flow.level.priority, other.flow.level.priority), cmp.Compare(t.virtualStart(), other.virtualStart()), cmp.Compare(t.sequence, other.sequence),
-	) < 0
-}
-
-// activeFlows is a heap of the flows of a level that have waiting requests.
-type activeFlows[K comparable, V any] []*flow[K, V]
-
-var _ heap.Interface = (*activeFlows[int, int])(nil)
-
-// Len implements heap.Interface.
-func (a activeFlows[K, V]) Len() int { return len(a) }
-
-// Less implements heap.Interface.
-func (a activeFlows[K, V]) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(a[i].start, a[j].start), cmp.Compare(a[i].tickets[0].sequence, a[j].tickets[0].sequence)) < 0
-}
-
-// Swap implements heap.Interface.
-func (a activeFlows[K, V]) Swap(i, j int) {
-	a[i], a[j] = a[j], a[i]
-	a[i].index, a[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (a *activeFlows[K, V]) Push(x any) {
-	f := x.(*flow[K, V])
-	f.index = len(*a)
-	*a = append(*a, f)
-}
-
-// Pop implements heap.Interface.
-func (a *activeFlows[K, V]) Pop() any {
-	last := len(*a) - 1
-	f := (*a)[last]
-	f.index = -1
-	(*a)[last] = nil
-	*a = (*a)[:last]
-	return f
-}
-
-// A startRate is a moving average of the work started per second while requests waited.
-type startRate struct {
-	at time.Time
-	// work is the work started in elapsed seconds of waiting; both lose weight with age.
-	work, elapsed float64
-}
-
-// advance counts the time since the last event if requests waited in it.
-func (r *startRate) advance(now time.Time, waited bool) {
-	seconds := now.Sub(r.at).Seconds()
-	if seconds <= 0 {
-		return
-	}
-	r.at = now
-	weight := math.Exp(-seconds / rateWindow.Seconds())
-	r.work *= weight
-	r.elapsed *= weight
-	if waited {
-		r.elapsed += seconds
-	}
-}
-
-func (r *startRate) add(work float64) { r.work += work }
-
-// duration returns how long it takes until an amount of work has started.
-func (r *startRate) duration(work float64) (d time.Duration, isKnown bool) {
-	if r.elapsed < minRateTime.Seconds() || r.work <= 0 {
-		return 0, false
-	}
-	return time.Duration(min(work/r.work*r.elapsed, 60) * float64(time.Second)), true
-}
--- /dev/null
+++ b/internal/host/testruns.go
@@ -0,0 +1,178 @@
+package host
+
+// This file has suspect requests run once, at the request of any host, by the host that examines them.
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
+	"github.com/foxtailshelf/foxtailshelf/internal/roster"
+	"github.com/foxtailshelf/foxtailshelf/internal/wire"
+)
+
+// BeginTestRun implements dispatch.CrashGuard.
+func (g *crashGuard) BeginTestRun(ctx context.Context, fingerprint uint64) (quarantine.Verdict, func(quarantine.TestResult)) {
+	request := &wire.TestRunRequest{Notice: g.notice(fingerprint), Event: wire.TestRunEvent_TEST_RUN_EVENT_BEGIN}
+	for _, m := range g.examiners(g.examinerKey(fingerprint)) {
+		if m.Host() == g.host.Self.Host() {
+			break
+		}
+		callCtx, cancel := context.WithTimeout(ctx, testRunCallTimeout)
+		reply, err := g.host.HostTransport.TestRun(callCtx, m.GateAddress(), request)
+		cancel()
+		if err != nil {
+			g.host.Log.WithError(err).WithField("examiner", m.Host()).Info("test run not permitted: no answer")
+			continue
+		}
+		g.applyNotice(m.Host(), reply.GetNotice())
+		v := g.verdictOf(fingerprint, reply)
+		return v, func(result quarantine.TestResult) { g.endTestRun(m, fingerprint, result) }
+	}
+	v := g.permit(fingerprint)
+	return v, func(result quarantine.TestResult) { g.endTestRun(g.host.Self, fingerprint, result) }
+}
+
+// endTestRun clears the evidence after an answer, and reports the end of a test run to
+// the examiner that permitted it.
+func (g *crashGuard) endTestRun(examiner roster.Member, fingerprint uint64, result quarantine.TestResult) {
+	g.host.Metrics.testRuns.WithLabelValues(result.String()).Inc()
+	g.host.Log.WithFields(map[string]any{"fingerprint": formatFingerprint(fingerprint), "result": result.String()}).Info("test run of suspect request ended")
+	event := wire.TestRunEvent_TEST_RUN_EVENT_UNANSWERED
+	switch result {
+	case quarantine.TestAnswered:
+		event = wire.TestRunEvent_TEST_RUN_EVENT_ANSWERED
+	case quarantine.TestNotRun:
+		event = wire.TestRunEvent_TEST_RUN_EVENT_NOT_RUN
+	}
+	g.applyTestResult(fingerprint, result)
+	if examiner.Host() == g.host.Self.Host() {
+		return
+	}
+	request := &wire.TestRunRequest{Notice: g.notice(fingerprint), Event: event}
+	g.host.group.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), testRunCallTimeout)
+		defer cancel()
+		if _, err := g.host.HostTransport.TestRun(ctx, examiner.GateAddress(), request); err != nil {
+			g.host.Log.WithError(err).WithField("examiner", examiner.Host()).Info("end of test run not reported")
+		}
+	})
+}
+
+// examinerKey returns what determines the examiner of a request. While an alert holds, one host
+// examines all requests of its services, so that it can bound all their test runs.
+func (g *crashGuard) examinerKey(fingerprint uint64) uint64 {
+	if g.host.alerts.holdsFor(g.Check(fingerprint).Service) {
+		return alertExaminerKey
+	}
+	return fingerprint
+}
+
+// examiners returns the hosts that may permit test runs of the requests with a key, the first
+// choice first.
+func (g *crashGuard) examiners(key uint64) []roster.Member {
+	var alive []roster.Member
+	for _, m := range g.host.fleet.Members() {
+		if m.State() == roster.Alive {
+			alive = append(alive, m)
+		}
+	}
+	weight := func(m roster.Member) uint64 {
+		return xxhash.Sum64String(fmt.Sprint(key, " ", m.Host()))
+	}
+	slices.SortFunc(alive, func(a, b roster.Member) int { return cmp.Compare(weight(b), weight(a)) })
+	return alive[:min(maxExaminers, len(alive))]
+}
+
+// handleTestRun handles the call of another host about a test run.
+func (g *crashGuard) handleTestRun(request *wire.TestRunRequest) *wire.TestRunReply {
+	fingerprint := request.GetNotice().GetFingerprint()
+	g.applyNotice(testRunSource, request.GetNotice())
+	reply := &wire.TestRunReply{}
+	switch request.GetEvent() {
+	case wire.TestRunEvent_TEST_RUN_EVENT_BEGIN:
+		v := g.permit(fingerprint)
+		reply.WaitMicros = v.Wait.Microseconds()
+		switch v.Decision {
+		case quarantine.Allowed:
+			reply.Decision = wire.TestRunDecision_TEST_RUN_DECISION_CLEARED
+		case quarantine.Suspect:
+			reply.Decision = wire.TestRunDecision_TEST_RUN_DECISION_PERMITTED
+		case quarantine.AwaitingTest:
+			reply.Decision = wire.TestRunDecision_TEST_RUN_DECISION_WAIT
+		case quarantine.Quarantined:
+			reply.Decision = wire.TestRunDecision_TEST_RUN_DECISION_QUARANTINED
+		}
+	case wire.TestRunEvent_TEST_RUN_EVENT_ANSWERED:
+		g.applyTestResult(fingerprint, quarantine.TestAnswered)
+	case wire.TestRunEvent_TEST_RUN_EVENT_NOT_RUN:
+		g.applyTestResult(fingerprint, quarantine.TestNotRun)
+	default:
+		g.applyTestResult(fingerprint, quarantine.TestUnanswered)
+	}
+	reply.Notice = g.notice(fingerprint)
+	return reply
+}
+
+func (g *crashGuard) applyTestResult(fingerprint uint64, result quarantine.TestResult) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.testRuns.End(now, fingerprint, result)
+	if result == quarantine.TestAnswered {
+		g.records.Clear(now, fingerprint)
+	}
+}
+
+// permit returns the verdict on a test run as the examiner. It permits the test run if the
+// decision is Suspect.
+func (g *crashGuard) permit(fingerprint uint64) quarantine.Verdict {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	v := g.records.Check(now, fingerprint)
+	if v.Decision != quarantine.Suspect {
+		return v
+	}
+	if g.host.alerts.holdsFor(v.Service) {
+		if wait := g.host.alerts.permitTestRun(now); wait > 0 {
+			v.Decision, v.Wait = quarantine.AwaitingTest, wait
+			return v
+		}
+	}
+	if wait := g.testRuns.Begin(now, fingerprint); wait > 0 {
+		v.Decision, v.Wait = quarantine.AwaitingTest, wait
+	}
+	return v
+}
+
+// verdictOf returns the examiner's verdict on a test run.
+func (g *crashGuard) verdictOf(fingerprint uint64, reply *wire.TestRunReply) quarantine.Verdict {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	v := g.records.Check(now, fingerprint)
+	v.Wait = max(0, time.Duration(reply.GetWaitMicros())*time.Microsecond)
+	switch reply.GetDecision() {
+	case wire.TestRunDecision_TEST_RUN_DECISION_CLEARED:
+		g.records.Clear(now, fingerprint)
+		return quarantine.Verdict{}
+	case wire.TestRunDecision_TEST_RUN_DECISION_PERMITTED:
+		v.Decision = quarantine.Suspect
+	case wire.TestRunDecision_TEST_RUN_DECISION_QUARANTINED:
+		v.Decision = quarantine.Quarantined
+	default:
+		v.Decision = quarantine.AwaitingTest
+	}
+	return v
+}
+
+// TestRun implements peer.HostHandler.
+func (h *Host) TestRun(_ context.Context, request *wire.TestRunRequest) (*wire.TestRunReply, error) {
+	return h.guard.handleTestRun(request), nil
+}
--- a/internal/pool/census.go
+++ b/internal/pool/census.go
@@ -55,8 +55,13 @@
 		count     int
 		condition string
 	}{
-		{c.free, "free"}, {c.full, "full"}, {c.limited, "limited"}, {c.unlinked, "unlinked"},
-		{c.resting, "resting"}, {c.down, "down"}, {c.retired, "retired"},
+		{c.free, "free"},
+		{c.full, "full"},
+		{c.limited, "limited"},
+		{c.unlinked, "unlinked"},
+		{c.resting, "resting"},
+		{c.down, "down"},
+		{c.retired, "retired"},
 	} {
 		if n.count > 0 {
 			texts = append(texts, fmt.Sprintf("%d %s", n.count, n.condition))
--- /dev/null
+++ b/internal/pool/selection.go
@@ -0,0 +1,102 @@
+package pool
+
+// This file decides which member of a pool gets an attempt: the one with the lowest expected cost
+// among those that accept it.
+
+import (
+	"slices"
+	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
+)
+
+// bestMember returns one of the members with the lowest expected cost that has this
+// eligibility and accepts the attempt, or nil.
+func (p *Pool) bestMember(now time.Time, members []*member, r Requirements, eligibility inventory.Eligibility) *member {
+	var best *member
+	lowest := 0.0
+	crossFactor := unhealthyCrossFactor
+	if slices.ContainsFunc(members, func(m *member) bool {
+		return m.upstream.DataCenter() == p.DataCenter && p.acceptsAttempt(now, m, r, eligibility) && m.isHealthy(now, r.LatencyStats)
+	}) {
+		crossFactor = crossDataCenterFactor
+	}
+	for _, m := range members {
+		if !p.acceptsAttempt(now, m, r, eligibility) {
+			continue
+		}
+		if cost := p.expectedCost(now, m, r, crossFactor); best == nil || cost < lowest {
+			best, lowest = m, cost
+		}
+	}
+	return best
+}
+
+// acceptsAttempt reports whether a member has this eligibility and can take the
+// attempt now.
+func (p *Pool) acceptsAttempt(now time.Time, m *member, r Requirements, eligibility inventory.Eligibility) bool {
+	switch {
+	case m.upstream.Eligibility(now) != eligibility || !m.isUsable(now) || r.excludes(m):
+		return false
+	case m.turnDelay(now, r.IsOptional) > 0:
+		return false
+	case len(m.running) >= p.attemptLimit(now, m, r) || !p.leavesSlot(now, m, r):
+		return false
+	default:
+		return p.hasLink(now, m) && (!now.Before(m.noDialUntil) || p.hasConnection(m))
+	}
+}
+
+// concurrencyLimit returns how many concurrent attempts a member may get before another
+// attempt of a class of requests.
+func (p *Pool) concurrencyLimit(now time.Time, m *member, s *LatencyStats) int {
+	if s.isGather {
+		return m.lateness.apply(now, p.slotShare(m), p.connectionLimit(now, m))
+	}
+	return p.connectionLimit(now, m)
+}
+
+// slotShare returns how many of a member's slots are this host's, at least minPace.
+func (p *Pool) slotShare(m *member) float64 {
+	return max(minPace, p.policy.LoadShare*float64(m.upstream.Slots()))
+}
+
+// connectionLimit returns how many concurrent attempts the connections to a member
+// suffice for.
+func (p *Pool) connectionLimit(now time.Time, m *member) int {
+	if m.upstream.IsDiallingHost() {
+		return m.upstream.Slots()
+	}
+	return m.concurrencyLimit(now, p.policy.MaxConcurrent)
+}
+
+// hasConnection reports whether an attempt can use an idle connection. For a dialling
+// host it is always true, because a new connection between hosts costs little.
+func (p *Pool) hasConnection(m *member) bool {
+	return m.upstream.IsDiallingHost() || p.IdleCount(m.upstream.ID()) > 0
+}
+
+// expectedCost returns the expected duration of an attempt in nanoseconds, weighted
+// and increased by the cost of traffic between data centres, of direct dialling, of
+// failures and of a new connection.
+func (p *Pool) expectedCost(now time.Time, m *member, r Requirements, crossFactor float64) float64 {
+	cost := float64(m.expectedLatency(now, r.LatencyStats.TypicalLatency()))
+	if m.upstream.DataCenter() != p.DataCenter {
+		cost = cost*crossFactor + float64(crossDataCenterDelay)
+	}
+	if p.hasDiallingHosts && !m.upstream.IsDiallingHost() {
+		cost = cost*directDialFactor + float64(p.connectDuration)
+	}
+	if m.upstream.IsDetour() && p.Links != nil && !p.Links.IsReaching(m.upstream.Address()) {
+		cost *= unprovedDetourFactor
+	}
+	scarcity := 1 - p.extra.RemainingRatio(now)
+	if r.IsLastAttempt {
+		scarcity = 1
+	}
+	cost += (failureCostRatio + scarceCostRatio*scarcity) * m.expectedFailureRatio(now) * float64(r.LatencyStats.target)
+	if !p.hasConnection(m) {
+		cost += float64(p.connectDuration)
+	}
+	return cost
+}
