--- a/internal/host/dialling_test.go
+++ b/internal/host/dialling_test.go
@@ -6,9 +6,14 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/chart"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 )
 
+func member(name, dataCenter string, capacity int, state chart.State) roster.Member {
+	return roster.NewMember(name, dataCenter, name, name, 1, state).WithCapacity(capacity)
+}
+
 // TestNewDialPlan checks that all advertised hosts dial if the connection limit of an
 // upstream suffices for them, that every host that does not dial has dialling hosts
 // to relay to, that the expected number of hosts dial, and that the dialling hosts
--- a/internal/host/fleetview.go
+++ b/internal/host/fleetview.go
@@ -5,6 +5,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/membership"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 )
 
@@ -174,7 +175,7 @@
 			continue
 		}
 		dataCenters[m.DataCenter()] = true
-		for _, a := range selectAdvertisedHosts(members, m.DataCenter()) {
+		for _, a := range membership.AdvertisedHosts(members, m.DataCenter()) {
 			advertised[a.Host()] = true
 		}
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -210,7 +210,7 @@
 		if len(h.addressCache) >= maxAddressLists {
 			clear(h.addressCache)
 		}
-		list = advertisedAddresses(h.fleet.Members(), dataCenter)
+		list = membership.AdvertisedAddresses(h.fleet.Members(), dataCenter)
 		h.addressCache[dataCenter] = list
 	}
 	return list
--- a/internal/host/links_test.go
+++ b/internal/host/links_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
+	"github.com/foxtailshelf/foxtailshelf/internal/membership"
 	"github.com/foxtailshelf/foxtailshelf/internal/reachability"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
@@ -80,7 +81,7 @@
 		members := newMembersWithoutUpstreams(12, func(i int) bool { return i < test.cut })
 		told := make(map[string]bool)
 		for _, dc := range []string{"z0", "z1", "z2"} {
-			for _, a := range advertisedAddresses(members, dc) {
+			for _, a := range membership.AdvertisedAddresses(members, dc) {
 				told[a] = true
 			}
 		}
--- a/internal/host/addresses.go
+++ b/internal/membership/addresses.go
@@ -1,4 +1,4 @@
-package host
+package membership
 
 import (
 	"slices"
@@ -25,10 +25,10 @@
 	minReachingCapacityRatio = 0.5
 )
 
-// advertisedAddresses returns the entry addresses of the hosts advertised to callers of
+// AdvertisedAddresses returns the entry addresses of the hosts advertised to callers of
 // a data centre. Only hosts that are alive and have an entry address are advertised, and only
 // those that reach upstreams if they can carry the load.
-func advertisedAddresses(members []roster.Member, dataCenter string) []string {
+func AdvertisedAddresses(members []roster.Member, dataCenter string) []string {
 	var available, reaching []roster.Member
 	for _, m := range members {
 		if m.State() != roster.Alive || m.EntryAddress() == "" {
@@ -43,13 +43,13 @@
 		available = reaching
 	}
 	var addresses []string
-	for _, m := range selectAdvertisedHosts(available, dataCenter) {
+	for _, m := range AdvertisedHosts(available, dataCenter) {
 		addresses = append(addresses, m.EntryAddress())
 	}
 	return addresses
 }
 
-// selectAdvertisedHosts selects, among members, the hosts for callers of a data
+// AdvertisedHosts selects, among members, the hosts for callers of a data
 // centre. It returns the first of these sets that meets its condition:
 //
 //  1. the large hosts of the data centre, if canReplaceAll holds for them,
@@ -61,7 +61,7 @@
 // hosts take longer for a search over many shards than a caller waits. Besides, a few
 // hosts with much traffic have better statistics of the upstreams than many hosts
 // with little traffic.
-func selectAdvertisedHosts(members []roster.Member, dataCenter string) []roster.Member {
+func AdvertisedHosts(members []roster.Member, dataCenter string) []roster.Member {
 	var local []roster.Member
 	largestCapacity := 0
 	for _, m := range members {
--- a/internal/host/addresses_test.go
+++ b/internal/membership/addresses_test.go
@@ -1,4 +1,4 @@
-package host
+package membership
 
 import (
 	"strings"
@@ -60,7 +60,7 @@
 		{"unknown capacities", []roster.Member{member("a", "x", 0, roster.Alive), member("b", "x", 0, roster.Alive)}, "a b"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			qt.New(t).Check(strings.Join(advertisedAddresses(test.members, "x"), " "), qt.Equals, test.want)
+			qt.New(t).Check(strings.Join(AdvertisedAddresses(test.members, "x"), " "), qt.Equals, test.want)
 		})
 	}
 }
