--- a/internal/pool/lateness_test.go
+++ b/internal/pool/lateness_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 )
 
 const latenessTarget = 80 * time.Millisecond
@@ -78,3 +79,27 @@
 	}
 	return list
 }
+
+// TestLatenessLimitIsBounded plays attempts of any duration, targets of zero and hours, and shares
+// of a slot. A limit stays within its bounds, and after the longest pause at least one attempt
+// may run: otherwise a host would never learn that an upstream has room again.
+func TestLatenessLimitIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		minimum := rapid.Float64Range(minPace, 4).Draw(t, "minimum")
+		maximum := rapid.IntRange(1, 8).Draw(t, "maximum")
+		target := time.Duration(rapid.Int64Range(0, int64(2*time.Hour)).Draw(t, "target"))
+		now := time.Unix(1000, 0)
+		var l latenessLimit
+		for range rapid.IntRange(1, 30).Draw(t, "attempts") {
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(2*time.Second)).Draw(t, "pause")))
+			elapsed := time.Duration(rapid.Int64Range(0, int64(3*time.Second)).Draw(t, "elapsed"))
+			l.record(now, now.Add(-elapsed), target, rapid.IntRange(0, maximum).Draw(t, "running"), minimum, maximum)
+			if n := l.apply(now, minimum, maximum); n < 0 || n > maximum {
+				t.Fatalf("limit %d of at most %d", n, maximum)
+			}
+			if n := l.apply(now.Add(maxPacePause), minimum, maximum); n < 1 {
+				t.Fatalf("no attempt after %s at a limit of %v", maxPacePause, l.limit)
+			}
+		}
+	})
+}
