--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -28,11 +28,12 @@
 type flow[K comparable, V any] struct {
 	level *level[K, V]
 	key   K
-	// finish is the virtual time at which the last started request ends, start the one at
-	// which the next request starts: not before finish, and not more than the work of the
-	// first waiting one before level.now as of its arrival. So it comes before requests of
-	// flows that have used their share, whatever upstreams these are kept from.
-	finish, start float64
+	// finish is the virtual time at which the last started request ends.
+	finish float64
+	// start is the virtual time at which the next request starts. It is not before finish. It is
+	// at most the work of the first waiting request before level.now at the time of its arrival,
+	// so that an idle flow saves up one request.
+	start float64
 	tickets       []*Ticket[K, V]
 	// work is the sum of the work of tickets.
 	work   float64
--- a/internal/allowance/holding.go
+++ b/internal/allowance/holding.go
@@ -42,9 +42,11 @@
 	*Member
 	// calledAt is when the outstanding call was made; zero if there is none.
 	calledAt time.Time
-	// emptyUntil is when it expects to have a token again. askAgainAt is when it is asked
-	// again after that or after a failure.
-	emptyUntil, askAgainAt time.Time
+	// emptyUntil is when the issuer expects to have a token again; zero if it did not say.
+	emptyUntil time.Time
+	// askAgainAt is when this host may call the issuer again, after it had no token or the call
+	// failed.
+	askAgainAt time.Time
 	// failed is set if the last call has failed or takes longer than a request waits.
 	failed bool
 }
--- a/internal/dispatch/conclude.go
+++ b/internal/dispatch/conclude.go
@@ -33,12 +33,15 @@
 	}
 }
 
-// tryGatherAnswer returns the merged answer once each part has a response or was
-// abandoned, and from answerDueAt on as soon as MinParts of them have a response. If
-// fewer than MinParts can still have one, it resumes parts that were left out, if others have
-// started, or returns a failure. It also resumes such parts if fewer than MinParts have a
-// response at answerDueAt: those that are pending then may never respond. At the deadline it
-// returns a failure.
+// tryGatherAnswer returns the answer and true if the request can be answered now:
+//
+//   - with the merged answer, if at least MinParts parts have a response, and no part is pending or
+//     answerDueAt has passed;
+//   - with a failure, if fewer than MinParts parts can still have a response, or the deadline has
+//     passed.
+//
+// Before it fails a request that has started, it resumes parts that were left out. From answerDueAt
+// on it also does so while parts are pending, because these may never respond.
 func (f *inFlightRequest) tryGatherAnswer(now time.Time) (Answer, bool) {
 	answered, pending := 0, 0
 	reason := ReasonDeadline
--- a/internal/dispatch/testrun.go
+++ b/internal/dispatch/testrun.go
@@ -1,6 +1,7 @@
 package dispatch
 
-// This file runs a suspect request at one upstream first, so that it ends no others.
+// This file makes the test run of a suspect request: it runs at a single upstream first, so that
+// it can crash only that one.
 
 import (
 	"context"
@@ -42,9 +43,9 @@
 	return answer
 }
 
-// runTest makes a test run: one attempt at one upstream, over a new connection, so that
-// the upstream is known to work when the attempt begins. If the upstream responds, the
-// request goes on and the response is used. Otherwise runTest returns the answer and true.
+// runTest makes the test run: one attempt at one upstream. A new connection shows that the
+// upstream works when the attempt begins. If the upstream responds, its response is used, the
+// request goes on, and runTest returns false. Otherwise it returns the answer and true.
 func (f *inFlightRequest) runTest(ctx, attemptsCtx context.Context, v quarantine.Verdict, end func(quarantine.TestResult)) (Answer, bool) {
 	f.isTesting = true
 	hasRun := false
--- a/internal/inventory/upstream.go
+++ b/internal/inventory/upstream.go
@@ -87,8 +87,8 @@
 // IsDraining reports whether the upstream has announced that it leaves.
 func (u Upstream) IsDraining() bool { return !u.drainingSince.IsZero() }
 
-// IsDiallingHost reports whether the record is of a host that runs attempts at the
-// upstreams of the service for other hosts.
+// IsDiallingHost reports whether this is a host instead of an upstream: other hosts relay their
+// attempts to it, and it runs them at the upstreams of the service.
 func (u Upstream) IsDiallingHost() bool { return u.isDiallingHost }
 
 // IsDetour reports whether the record is of a dialling host that is used only while this
@@ -101,7 +101,7 @@
 // Service returns the service that the upstream belongs to.
 func (u Upstream) Service() string { return u.spec.Service }
 
-// LifetimeKey identifies this lifetime of the upstream on all hosts.
+// LifetimeKey returns a hash of the lifetime that is the same on all hosts.
 func (u Upstream) LifetimeKey() uint64 { return u.lifetimeKey }
 
 // Slots returns how many requests the upstream runs concurrently.
--- a/internal/pool/assignment.go
+++ b/internal/pool/assignment.go
@@ -32,14 +32,14 @@
 	// IsOptional is set for hedges and for requests that are less urgent than others of the
 	// service. At upstreams with a limit on requests they leave some turns to the others.
 	IsOptional bool
-	// IsSpare is set if the answer can do without the attempt and others lack room at the
-	// service: it leaves a slot to them.
+	// IsSpare is set if the answer does not require the attempt while other requests wait for
+	// room at the service. The attempt is then accepted only where one more slot is free.
 	IsSpare bool
 	// WaitsInOrder is set for requests that wait at this host in the order of priorities and
 	// shares. They must not wait at upstreams, which know neither.
 	WaitsInOrder bool
-	// LeavesRoom is set for those of them whose client account has used its share, and for
-	// less urgent ones: the others find upstreams with room, as if these were not there.
+	// LeavesRoom is set for requests with WaitsInOrder whose client account has used its share or
+	// that are less urgent than others. They get fewer concurrent attempts at each upstream.
 	LeavesRoom bool
 	// ColdRelay says whether another host may send the attempt, if all upstreams that this
 	// host reaches are cold.
--- a/internal/pool/census.go
+++ b/internal/pool/census.go
@@ -11,11 +11,19 @@
 // A Census counts the upstreams of a service by what keeps attempts from them. An upstream
 // counts under the first condition that applies, in the order of the fields.
 type Census struct {
-	// retired upstreams get no attempts any more, down ones could not be reached, resting ones
-	// have asked for rest, unlinked ones are not reached by this host, and limited ones have no
-	// turn. full ones have as many attempts in flight as this host may have there.
-	retired, down, resting, unlinked, limited, full int
-	// free ones accept an attempt.
+	// retired counts the upstreams that have left or are evacuated.
+	retired int
+	// down counts those to which no connection could be made lately.
+	down int
+	// resting counts those that have asked for no requests for a time.
+	resting int
+	// unlinked counts those to which this host has no connection and may open none now.
+	unlinked int
+	// limited counts those whose limit on requests leaves this host no turn now.
+	limited int
+	// full counts those that have as many attempts in flight as this host may have there.
+	full int
+	// free counts those that accept an attempt.
 	free int
 }
 
@@ -47,8 +55,8 @@
 	return c
 }
 
-// String returns the counts that are not zero, for the log: "1 down, 2 full"; "none known" if
-// there are no upstreams.
+// String returns the counts that are not zero, for example "2 full, 1 down", or "none known" if all
+// are zero.
 func (c Census) String() string {
 	var texts []string
 	for _, n := range []struct {
--- a/internal/pool/scarcity.go
+++ b/internal/pool/scarcity.go
@@ -26,8 +26,8 @@
 	return !p.lackedAt.IsZero() && now.Sub(p.lackedAt) < scarcityMemory
 }
 
-// leavesSlot reports whether an attempt that its answer can do without leaves room at a member
-// for one of another request.
+// leavesSlot reports whether a member has one more free slot besides the one for an attempt with
+// IsSpare. It is true for all other attempts.
 func (p *Pool) leavesSlot(now time.Time, m *member, r Requirements) bool {
 	return !r.IsSpare || len(m.running)+1 < p.attemptLimit(now, m, r)
 }
--- a/internal/pool/selection.go
+++ b/internal/pool/selection.go
@@ -1,7 +1,7 @@
 package pool
 
-// This file decides which member of a pool gets an attempt: the one with the lowest expected cost
-// among those that accept it.
+// This file decides which upstream gets an attempt. Of the members that accept the attempt, it is
+// the one with the lowest expected cost.
 
 import (
 	"slices"
@@ -47,8 +47,8 @@
 	}
 }
 
-// concurrencyLimit returns how many concurrent attempts a member may get before another
-// attempt of a class of requests.
+// concurrencyLimit returns how many attempts of a class of requests this host may have in flight at
+// a member: the connection limit and, for gathered answers, the limit by lateness.
 func (p *Pool) concurrencyLimit(now time.Time, m *member, s *LatencyStats) int {
 	if s.isGather {
 		return m.lateness.apply(now, p.slotShare(m), p.connectionLimit(now, m))
@@ -56,13 +56,13 @@
 	return p.connectionLimit(now, m)
 }
 
-// slotShare returns how many of a member's slots are this host's, at least minPace.
+// slotShare returns this host's share of a member's slots, a fraction of at least minPace.
 func (p *Pool) slotShare(m *member) float64 {
 	return max(minPace, p.policy.LoadShare*float64(m.upstream.Slots()))
 }
 
-// connectionLimit returns how many concurrent attempts the connections to a member
-// suffice for.
+// connectionLimit returns how many attempts this host may have in flight at a member because each
+// needs a connection.
 func (p *Pool) connectionLimit(now time.Time, m *member) int {
 	if m.upstream.IsDiallingHost() {
 		return m.upstream.Slots()
--- a/internal/roster/events.go
+++ b/internal/roster/events.go
@@ -43,13 +43,13 @@
 func (EntryAddressChanged) isEvent() {}
 func (LinksChanged) isEvent()        {}
 
-// An Action is an operation that the driver must perform.
+// An Action is what Roster.Step asks its caller to do: the Roster itself does no I/O.
 type Action interface{ isAction() }
 
-// Probe requests one direct exchange with a member.
+// Probe asks for one exchange of messages with a member, to find out whether it is alive.
 type Probe struct{ Target Member }
 
-// IndirectProbe requests that other members probe a member.
+// IndirectProbe asks for a probe of Target by the members Via, because a direct one failed.
 type IndirectProbe struct {
 	Target Member
 	Via    []Member
--- a/internal/shard/job.go
+++ b/internal/shard/job.go
@@ -4,8 +4,8 @@
 	"time"
 )
 
-// job is the state of a submitted Job. Queue items and attempts may refer to it
-// after it was completed.
+// A job is the state of a submitted Job. It outlives the Job's completion while queue items or
+// attempts refer to it.
 type job struct {
 	Job
 	// triedUpstreams holds the upstreams of all attempts so far.
@@ -29,6 +29,7 @@
 	lastReason Reason
 }
 
+// An attempt is the state of one attempt of a job.
 type attempt struct {
 	id        AttemptID
 	job       *job
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -8,6 +8,7 @@
 	"time"
 )
 
+// A connection is one connection to an upstream, used for one request at a time.
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
@@ -42,8 +43,8 @@
 		return false
 	}
 	quiet := false
-	// The deadline of the previous request is still set on the connection. Unlike a
-	// read, Control also works after that deadline has passed.
+	// A read would fail if the deadline of the previous request, which is still set, has passed.
+	// Control does not depend on the deadline.
 	err = rawConn.Control(func(descriptor uintptr) {
 		var peeked [1]byte
 		_, _, receiveErr := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
