--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -33,8 +33,8 @@
 	// start is the virtual time at which the next request starts. It is not before finish. It is
 	// at most the work of the first waiting request before level.now at the time of its arrival,
 	// so that an idle flow saves up one request.
-	start float64
-	tickets       []*Ticket[K, V]
+	start   float64
+	tickets []*Ticket[K, V]
 	// work is the sum of the work of tickets.
 	work   float64
 	usedAt time.Time
--- a/internal/allowance/holding.go
+++ b/internal/allowance/holding.go
@@ -42,7 +42,7 @@
 	*Member
 	// calledAt is when the outstanding call was made; zero if there is none.
 	calledAt time.Time
-	// emptyUntil is when the issuer expects to have a token again; zero if it did not say.
+	// emptyUntil is when the issuer expects to have a token again.
 	emptyUntil time.Time
 	// askAgainAt is when this host may call the issuer again, after it had no token or the call
 	// failed.
