Listed hosts that did not answer during an isolation are probed after it

Traced with the roster's changes printed: a host had not heard of another one since its start when it was cut off; its probe in the cut failed, the next one was due a whole round (31 s) later, and nobody spreads the state of a host that has long been alive. Ruled out: the capacity of messages (the update had been sent on for 11 s), the store's list (unchanged).

Such hosts are now probed as soon as the isolation ends, like those that the isolated host took for dead. TestListedHostIsProbedAfterIsolation fails without it.

--- a/internal/roster/probing.go
+++ b/internal/roster/probing.go
@@ -58,6 +58,9 @@
 		r.fire(now, e.Host, "heard")
 	case e.Answered:
 	case !e.Indirect:
+		if m.state == Listed {
+			r.unansweredSinceContact[e.Host] = true
+		}
 		r.probeIndirectly(now, m)
 	case m.state == Alive:
 		r.suspect(now, e.Host)
@@ -75,13 +78,21 @@
 
 // recordContact records that another host was heard from. If this host was isolated,
 // the hosts that its probes made suspect meanwhile are probably alive: they are listed
-// again and probed at once.
+// again. Both these and the listed hosts that did not answer are probed at once.
 func (r *Roster) recordContact(now time.Time) {
 	wasIsolated := now.Sub(r.lastContactAt) >= isolationPeriod
 	r.lastContactAt, r.isIsolated = now, false
+	if wasIsolated {
+		r.probeAfterIsolation(now)
+	}
+	clear(r.suspectedSinceContact)
+	clear(r.unansweredSinceContact)
+}
+
+func (r *Roster) probeAfterIsolation(now time.Time) {
 	for _, h := range slices.Sorted(maps.Keys(r.suspectedSinceContact)) {
 		m, ok := r.members[h]
-		if !wasIsolated || !ok || (m.state != Suspect && m.state != Dead) {
+		if !ok || (m.state != Suspect && m.state != Dead) {
 			continue
 		}
 		listed := m.WithState(Listed, m.incarnation)
@@ -89,7 +100,11 @@
 		delete(r.remainingSends, h)
 		r.actions = append(r.actions, Probe{Target: listed})
 	}
-	clear(r.suspectedSinceContact)
+	for _, h := range slices.Sorted(maps.Keys(r.unansweredSinceContact)) {
+		if m, ok := r.members[h]; ok && m.state == Listed {
+			r.actions = append(r.actions, Probe{Target: m})
+		}
+	}
 }
 
 // probeIndirectly requests that up to indirectProbeCount alive members probe a member
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -65,8 +65,10 @@
 	lastContactAt time.Time
 	isIsolated    bool
 	// suspectedSinceContact holds the hosts that this host's probes made suspect since
-	// lastContactAt.
-	suspectedSinceContact map[string]bool
+	// lastContactAt, and unansweredSinceContact the listed ones that have not answered
+	// a probe since.
+	suspectedSinceContact  map[string]bool
+	unansweredSinceContact map[string]bool
 	// probeOrder holds the hosts that remain to be probed in this round, in random
 	// order. Each round probes every other member once.
 	probeOrder []string
@@ -86,7 +88,8 @@
 		departedAt:     make(map[string]time.Time),
 		suspectProbeAt: make(map[string]time.Time),
 
-		suspectedSinceContact: make(map[string]bool),
+		suspectedSinceContact:  make(map[string]bool),
+		unansweredSinceContact: make(map[string]bool),
 	}
 	r.members[self.host] = r.self
 	r.remainingSends[self.host] = r.sendLimit()
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -183,6 +183,27 @@
 	}
 }
 
+// TestListedHostIsProbedAfterIsolation cuts off a host that has not heard from a listed host
+// yet. Its probe of that host fails for this reason, so that it must probe it again at once
+// when the cut has ended, and not only in the next round.
+func TestListedHostIsProbedAfterIsolation(t *testing.T) {
+	c := qt.New(t)
+	now := start
+	r := New(member("self", 1), 1)
+	r.Step(now, GossipReceived{Sender: member("a", 1)})
+	r.Step(now, HostListReceived{Hosts: []Member{member("b", 0)}})
+	r.Step(now, ProbeEnded{Host: "b"})
+	now = now.Add(isolationPeriod)
+	r.Step(now, Tick{})
+	var probed []string
+	for _, action := range r.Step(now, GossipReceived{Sender: member("a", 1)}) {
+		if p, ok := action.(Probe); ok {
+			probed = append(probed, p.Target.Host())
+		}
+	}
+	c.Check(probed, qt.DeepEquals, []string{"b"})
+}
+
 // TestLostLinksAreTold checks that a host's statement about its links reaches the others.
 func TestLostLinksAreTold(t *testing.T) {
 	c := qt.New(t)
