The return of a dead member is sent on at once

Returns travelled with random probes only, two a second and host, and a host that is missed by them stays behind for a whole round. A member that turns from dead to alive now has its host send updates, as after a change of the store: to two random members and the next one by name, so that no host is left out. Members that return together share one round of messages, after 100 ms.

--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,9 @@
 	// fanOut is how many members receive updates directly from SendUpdates. These
 	// members forward the updates.
 	fanOut = 3
+	// returnDelay is how long a host collects the returns of dead members before it
+	// sends them on.
+	returnDelay = 100 * time.Millisecond
 	// maxRingAttempts bounds the hosts to which SendUpdates sends updates until the next
 	// reachable one is found.
 	maxRingAttempts = 8
@@ -57,6 +61,9 @@
 	mu     sync.Mutex
 	roster *roster.Roster
 	random *rand.Rand
+	// spreading is set while a task is about to send updates about a member that has
+	// returned. Further returns until then need no task of their own.
+	spreading atomic.Bool
 }
 
 // Init must be called before all other methods.
@@ -269,10 +276,26 @@
 			f.Tasks.Go(func() { f.probeIndirectly(a) })
 		case roster.MemberChanged:
 			f.OnChange(a)
+			if a.Old.State() == roster.Dead && a.New.State() == roster.Alive {
+				f.spreadReturns()
+			}
 		}
 	}
 }
 
+// spreadReturns sends updates after returnDelay. Probes alone carry the return of a dead
+// member to each host only by chance, and dead members get no changes.
+func (f *Fleet) spreadReturns() {
+	if !f.spreading.CompareAndSwap(false, true) {
+		return
+	}
+	f.Tasks.Go(func() {
+		time.Sleep(returnDelay)
+		f.spreading.Store(false)
+		f.SendUpdates(context.Background())
+	})
+}
+
 func (f *Fleet) probe(target roster.Member) {
 	ctx, cancel := context.WithTimeout(context.Background(), roster.ProbeTimeout)
 	defer cancel()
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -72,6 +72,29 @@
 	})
 }
 
+// TestReturnsOfDeadMembersAreSent checks that a host sends the return of members that were
+// dead to the next host by name, in one round for members that return together, and that
+// other changes cause no messages.
+func TestReturnsOfDeadMembersAreSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		network := newTestNetwork(nil)
+		f := network.newFleet(20, 40)
+		for i := range 3 {
+			f.HandleUpdates(roster.Member{}, []roster.Member{newTestMember(i).WithState(roster.Dead, 1)})
+		}
+		time.Sleep(2 * returnDelay)
+		c.Check(network.calls, qt.Equals, 0)
+		for i := range 3 {
+			f.HandleUpdates(roster.Member{}, []roster.Member{newTestMember(i).WithState(roster.Alive, 2)})
+		}
+		time.Sleep(2 * returnDelay)
+		c.Check(network.calls, qt.Equals, fanOut)
+		c.Check(network.hasReceived(newTestMember(21).Host()), qt.IsTrue)
+		f.Tasks.Wait()
+	})
+}
+
 // callTimeout is the timeout of calls between hosts, as in peer.HostClient.
 const callTimeout = time.Second
 
