Who dials, and each host's part of limits, is decided in package dialling (moves only)

From internal/host: the view that a host derives from the members, dial plans, shares of limits and of cold upstreams, with their tests. The host keeps the wiring. TestAdvertisedHostsCanCarryTheLoad goes to package membership, whose decision it checks.

--- a/internal/host/dialling.go
+++ b/internal/dialling/plan.go
@@ -1,4 +1,4 @@
-package host
+package dialling
 
 import (
 	"cmp"
@@ -10,6 +10,12 @@
 )
 
 const (
+	// usableConnectionRatio is the part of an upstream's connection limit that the
+	// hosts use. The rest is for hosts that join and for connections that are being
+	// closed.
+	usableConnectionRatio = 0.8
+	// planBucketCount is the number of plans for services with the same connection limit.
+	planBucketCount = 1024
 	// advertisedHostConnections is how many connections to one upstream an advertised
 	// host needs. While a slow attempt occupies one connection, the next attempt uses
 	// the other.
@@ -27,9 +33,9 @@
 	diallingLimitRatio = 0.9
 )
 
-// A dialPlan determines how a host reaches the upstreams of one service: over its own
+// A Plan determines how a host reaches the upstreams of one service: over its own
 // connections or through dialling hosts.
-type dialPlan struct {
+type Plan struct {
 	// dialsUpstreams is set if this host is a dialling host of the service.
 	dialsUpstreams bool
 	// maxConnections is how many connections to one upstream this host may have. It is
@@ -44,26 +50,32 @@
 	limitShares map[string]float64
 }
 
-// A planKey identifies the services that share a plan: the services in the same hash
+// A Key identifies the services that share a plan: the services in the same hash
 // bucket with the same connection limit. With a fixed number of buckets, the cost of
 // a change of the fleet does not depend on the number of services.
-type planKey struct {
+type Key struct {
 	bucket int
 	// connectionLimit is how many connections one upstream accepts from all hosts
 	// together; zero if unknown.
 	connectionLimit int
 }
 
-// newDialPlan returns the plan for the services of a key. All hosts dial if the
+// NewKey returns the key of a service whose upstreams accept connectionLimit connections each
+// from all hosts together; zero if unknown.
+func NewKey(service string, connectionLimit int) Key {
+	return Key{bucket: int(xxhash.Sum64String(service) % planBucketCount), connectionLimit: connectionLimit}
+}
+
+// NewPlan returns the plan for the services of a key. All hosts dial if the
 // connection limit is unknown or its usable part suffices for the connections of all
 // hosts. A fleet may have more hosts than an upstream accepts connections: then as
 // many hosts dial as the usable part suffices for, but at least one, advertised hosts
 // first, and the other hosts relay their attempts. Hosts with the same view of the
 // members compute the same set of dialling hosts.
-func newDialPlan(k planKey, v fleetView) dialPlan {
+func NewPlan(k Key, v View) Plan {
 	usable := usableConnectionRatio * float64(k.connectionLimit)
 	if k.connectionLimit == 0 || v.totalConnections <= usable {
-		return dialPlan{dialsUpstreams: true, maxConnections: max(1, int(usable*v.connectionShare)), limitShares: v.limitShares, detours: v.detours}
+		return Plan{dialsUpstreams: true, maxConnections: max(1, int(usable*v.connectionShare)), limitShares: v.limitShares, detours: v.detours}
 	}
 	// maxCount bounds the candidates that are ranked: usable suffices for fewer
 	// advertised hosts or, if it suffices for all advertised hosts, for fewer hosts
@@ -81,17 +93,30 @@
 	}
 	dialling = dialling[:min(len(dialling), max(1, count))]
 	if slices.ContainsFunc(dialling, func(m roster.Member) bool { return m.Host() == v.host }) {
-		return dialPlan{
+		return Plan{
 			dialsUpstreams: true, maxConnections: max(1, int(usable*loadShare(v.host, dialling, v.advertised))),
 			limitShares: scaleShares(limitShares(v.host, dialling, v.advertised), diallingLimitRatio),
 			detours:     selectDiallingHosts(k.bucket, v, slices.DeleteFunc(dialling, func(m roster.Member) bool { return m.Host() == v.host })),
 		}
 	}
-	return dialPlan{
+	return Plan{
 		maxConnections: 1, diallingHosts: selectDiallingHosts(k.bucket, v, dialling), limitShares: scaleShares(v.limitShares, 1-diallingLimitRatio),
 	}
 }
 
+// Detours returns the hosts that run this host's attempts while it dials but reaches no upstream.
+func (p Plan) Detours() []roster.Member { return p.detours }
+
+// DiallingHosts returns the hosts that run this host's attempts if it does not dial.
+func (p Plan) DiallingHosts() []roster.Member { return p.diallingHosts }
+
+// LimitShares returns the part, 0 to 1, of the limits on requests that upstreams of a data centre
+// state which this host may use.
+func (p Plan) LimitShares() map[string]float64 { return p.limitShares }
+
+// MaxConnections returns how many connections to one upstream this host may have, at least one.
+func (p Plan) MaxConnections() int { return p.maxConnections }
+
 func scaleShares(shares map[string]float64, factor float64) map[string]float64 {
 	scaled := make(map[string]float64, len(shares))
 	for dc, s := range shares {
@@ -104,7 +129,7 @@
 // attempts for this host, which does not dial; hosts of its own data centre come
 // first. The hash includes the name of this host, so that different hosts select
 // different dialling hosts and the load is spread over all of them.
-func selectDiallingHosts(bucket int, v fleetView, dialling []roster.Member) []roster.Member {
+func selectDiallingHosts(bucket int, v View, dialling []roster.Member) []roster.Member {
 	dataCenter := v.dataCenter()
 	var candidates []candidate
 	for _, m := range dialling {
@@ -118,7 +143,7 @@
 
 // selectDetours returns up to maxDetours alive hosts that reach upstreams, in the order of
 // rendezvous hashing, so that different hosts select different ones.
-func selectDetours(v fleetView) []roster.Member {
+func selectDetours(v View) []roster.Member {
 	dataCenter := v.dataCenter()
 	var near, far []candidate
 	for _, m := range v.members {
--- a/internal/host/dialling_test.go
+++ b/internal/dialling/plan_test.go
@@ -1,4 +1,4 @@
-package host
+package dialling
 
 import (
 	"fmt"
@@ -45,8 +45,8 @@
 			diallingCount, connections := 0, 0.0
 			relayTargets := make(map[string]int)
 			for _, m := range test.members {
-				v := newFleetView(m.Host(), test.members)
-				p := newDialPlan(planKey{bucket: 7, connectionLimit: test.connectionLimit}, v)
+				v := NewView(m.Host(), test.members)
+				p := NewPlan(Key{bucket: 7, connectionLimit: test.connectionLimit}, v)
 				if p.dialsUpstreams {
 					diallingCount++
 					if v.advertised[m.Host()] {
@@ -65,8 +65,8 @@
 			c.Check(diallingCount, qt.Equals, test.diallingCount)
 			c.Check(test.connectionLimit == 0 || connections <= float64(test.connectionLimit), qt.IsTrue, qt.Commentf("%f connections", connections))
 			for host := range relayTargets {
-				v := newFleetView(host, test.members)
-				c.Check(newDialPlan(planKey{bucket: 7, connectionLimit: test.connectionLimit}, v).dialsUpstreams, qt.IsTrue, qt.Commentf("%s is listed as a dialling host but does not dial", host))
+				v := NewView(host, test.members)
+				c.Check(NewPlan(Key{bucket: 7, connectionLimit: test.connectionLimit}, v).dialsUpstreams, qt.IsTrue, qt.Commentf("%s is listed as a dialling host but does not dial", host))
 			}
 		})
 	}
@@ -80,9 +80,9 @@
 	c := qt.New(t)
 	members := newMixedCapacityFleet(60)
 	var self string
-	var plan dialPlan
+	var plan Plan
 	for _, m := range members {
-		if p := newDialPlan(planKey{bucket: 7, connectionLimit: 64}, newFleetView(m.Host(), members)); !p.dialsUpstreams && m.DataCenter() == "x" {
+		if p := NewPlan(Key{bucket: 7, connectionLimit: 64}, NewView(m.Host(), members)); !p.dialsUpstreams && m.DataCenter() == "x" {
 			self, plan = m.Host(), p
 		}
 	}
@@ -94,7 +94,7 @@
 			members[i] = m.WithState(roster.Suspect, m.Incarnation())
 		}
 	}
-	for _, r := range newDialPlan(planKey{bucket: 7, connectionLimit: 64}, newFleetView(self, members)).diallingHosts {
+	for _, r := range NewPlan(Key{bucket: 7, connectionLimit: 64}, NewView(self, members)).diallingHosts {
 		c.Check(r.Host(), qt.Not(qt.Equals), lost)
 	}
 }
@@ -112,10 +112,10 @@
 }
 
 func BenchmarkNewDialPlan(b *testing.B) {
-	v := newFleetView("host-7", newTargetSizeFleet())
+	v := NewView("host-7", newTargetSizeFleet())
 	b.ReportAllocs()
 	for b.Loop() {
-		newDialPlan(planKey{bucket: 7, connectionLimit: 64}, v)
+		NewPlan(Key{bucket: 7, connectionLimit: 64}, v)
 	}
 }
 
@@ -123,6 +123,6 @@
 	members := newTargetSizeFleet()
 	b.ReportAllocs()
 	for b.Loop() {
-		newFleetView("host-7", members)
+		NewView("host-7", members)
 	}
 }
--- a/internal/host/fleetview.go
+++ b/internal/dialling/view.go
@@ -1,4 +1,7 @@
-package host
+// Package dialling decides, from the members of the fleet, which hosts open connections to the
+// upstreams of a service and which part of each limit on all hosts together is for one of them. It
+// does no I/O and reads no clock.
+package dialling
 
 import (
 	"slices"
@@ -10,20 +13,24 @@
 )
 
 const (
-	// minFleetSize limits the load share of a host to 1/minFleetSize: a host assumes
+	// MinFleetSize limits the load share of a host to 1/MinFleetSize: a host assumes
 	// that the fleet has at least this many hosts of its own weight.
-	minFleetSize = 3
+	MinFleetSize = 3
 	// unadvertisedHostWeight is the weight of a host that is not advertised, relative
 	// to an advertised host of the same capacity. Only callers with outdated
 	// addresses use a host that is not advertised.
 	unadvertisedHostWeight = 0.2
+	// usableExtraSlack is the part of the limit on extra attempts that the hosts use. The rest
+	// is a margin: each host has its own windows, and all hosts together must stay within the
+	// limit.
+	usableExtraSlack = 0.75
 	// remoteLimitWeight is the weight of hosts of other data centres than the upstream in
 	// limits on requests. They prefer upstreams of their own data centre.
 	remoteLimitWeight = 0.3
 )
 
-// A fleetView holds what one host derives from the list of members. It is immutable.
-type fleetView struct {
+// A View holds what one host derives from the list of members. It is immutable.
+type View struct {
 	host    string
 	members []roster.Member
 	// dialCandidates are the members that may dial; advertised hosts are preferred. Hosts that
@@ -36,7 +43,7 @@
 	// centre while all members are available.
 	advertised map[string]bool
 	// loadShare is the part of the fleet's load that the host is expected to carry, 0
-	// to 1/minFleetSize.
+	// to 1/MinFleetSize.
 	loadShare float64
 	// connectionShare is the part of the connections of upstreams that this host may use if
 	// all hosts dial: its load share among the hosts that reach upstreams.
@@ -48,9 +55,10 @@
 	totalConnections float64
 }
 
-func newFleetView(host string, members []roster.Member) fleetView {
+// NewView returns the view of a host that knows these members.
+func NewView(host string, members []roster.Member) View {
 	advertised := allAdvertisedHosts(members)
-	v := fleetView{host: host, members: members, advertised: advertised, loadShare: loadShare(host, members, advertised)}
+	v := View{host: host, members: members, advertised: advertised, loadShare: loadShare(host, members, advertised)}
 	v.limitShares = limitShares(host, members, advertised)
 	v.connectionShare = weightShare(host, members, reachingWeights(host, members, loadWeights(members, advertised)))
 	v.detours = selectDetours(v)
@@ -63,8 +71,21 @@
 	return v
 }
 
+// ConnectionShare returns the part, 0 to 1/MinFleetSize, of the connections of upstreams that the
+// host may use if all hosts dial.
+func (v View) ConnectionShare() float64 { return v.connectionShare }
+
+// Detours returns the hosts that run the host's attempts while it reaches no upstream itself.
+func (v View) Detours() []roster.Member { return v.detours }
+
+// ExtraSlack returns the host's part of a number of extra attempts that all hosts together may make.
+func (v View) ExtraSlack(total float64) float64 { return total * usableExtraSlack * v.loadShare }
+
+// MemberCount returns the number of members, with this host.
+func (v View) MemberCount() int { return len(v.members) }
+
 // dataCenter returns the data centre of the host; "" if it is not a member.
-func (v fleetView) dataCenter() string {
+func (v View) dataCenter() string {
 	if i := slices.IndexFunc(v.members, func(m roster.Member) bool { return m.Host() == v.host }); i >= 0 {
 		return v.members[i].DataCenter()
 	}
@@ -73,7 +94,7 @@
 
 // connectionsFor returns how many connections to one upstream a dialling host needs;
 // for a host that is not advertised, this is a fraction of advertisedHostConnections.
-func (v fleetView) connectionsFor(m roster.Member) float64 {
+func (v View) connectionsFor(m roster.Member) float64 {
 	if v.advertised[m.Host()] {
 		return advertisedHostConnections
 	}
@@ -81,7 +102,7 @@
 }
 
 // loadShare returns the part of the fleet's load that a host is expected to carry, 0
-// to 1/minFleetSize. The host gets the same part of each limit that applies to the
+// to 1/MinFleetSize. The host gets the same part of each limit that applies to the
 // fleet as a whole. Members of unknown capacity weigh as much as the largest host.
 // Members count in any state, since a host that is cut off cannot find out which of
 // the other hosts still run. The share is zero if the host is not a member.
@@ -89,6 +110,11 @@
 	return weightShare(host, members, loadWeights(members, advertised))
 }
 
+// LoadWeights returns the load that each member is expected to carry, relative to the others.
+func LoadWeights(members []roster.Member) []float64 {
+	return loadWeights(members, allAdvertisedHosts(members))
+}
+
 // loadWeights returns the load that each member is expected to carry, relative to the
 // others.
 func loadWeights(members []roster.Member, advertised map[string]bool) []float64 {
@@ -120,7 +146,7 @@
 	return reaching
 }
 
-// weightShare returns the part of the total weight that a host has, 0 to 1/minFleetSize.
+// weightShare returns the part of the total weight that a host has, 0 to 1/MinFleetSize.
 func weightShare(host string, members []roster.Member, weights []float64) float64 {
 	own, total := 0.0, 0.0
 	for i, m := range members {
@@ -132,7 +158,7 @@
 	if own == 0 {
 		return 0
 	}
-	return own / max(total, minFleetSize*own)
+	return own / max(total, MinFleetSize*own)
 }
 
 // limitShares returns the part of the limits on requests that a host may use, by data
--- a/internal/host/fleetview_test.go
+++ b/internal/dialling/view_test.go
@@ -1,4 +1,4 @@
-package host
+package dialling
 
 import (
 	"fmt"
@@ -38,7 +38,7 @@
 		maxShare float64
 	}{
 		{"equal capacity, any state", "a", equal, 0.2, 0.2},
-		{"alone", "a", equal[:1], 1.0 / minFleetSize, 1.0 / minFleetSize},
+		{"alone", "a", equal[:1], 1.0 / MinFleetSize, 1.0 / MinFleetSize},
 		{"not a member", "z", equal, 0, 0},
 		{"unknown capacity counts as the largest", "a", append(equal[:4:4], member("f", "", 0, roster.Listed)), 0.2, 0.2},
 		{"advertised large hosts", "x-large-0", newMixedCapacityFleet(19), 0.1, 0.17},
@@ -47,7 +47,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			share := newFleetView(test.host, test.members).loadShare
+			share := NewView(test.host, test.members).loadShare
 			c.Check(share >= test.minShare-1e-9 && share <= test.maxShare+1e-9, qt.IsTrue, qt.Commentf("%f", share))
 		})
 	}
@@ -72,7 +72,7 @@
 					view[j] = m.WithState(roster.Dead, m.Incarnation())
 				}
 			}
-			sum += newFleetView(self.Host(), view).loadShare
+			sum += NewView(self.Host(), view).loadShare
 		}
 		c.Assert(sum*usableExtraSlack <= 1, qt.IsTrue, qt.Commentf("round %d: %f", round, sum))
 	}
@@ -87,7 +87,7 @@
 		total := 0.0
 		for _, m := range members {
 			if m.State() != roster.Dead {
-				total += newFleetView(m.Host(), members).limitShares[dataCenter]
+				total += NewView(m.Host(), members).limitShares[dataCenter]
 			}
 		}
 		return total
@@ -96,7 +96,7 @@
 		total := sum(members, dc)
 		c.Check(total > 0.99 && total < 1.01, qt.IsTrue, qt.Commentf("%v", total))
 	}
-	local, remote := newFleetView("x-large-0", members).limitShares["x"], newFleetView("x-large-0", members).limitShares["y"]
+	local, remote := NewView("x-large-0", members).limitShares["x"], NewView("x-large-0", members).limitShares["y"]
 	c.Check(local > 2*remote, qt.IsTrue, qt.Commentf("%v of the same data centre, %v of another", local, remote))
 
 	dead := func(count int) []roster.Member {
--- a/internal/host/allowance.go
+++ b/internal/host/allowance.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/allowance"
+	"github.com/foxtailshelf/foxtailshelf/internal/dialling"
 	"github.com/foxtailshelf/foxtailshelf/internal/dispatch"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/routing"
@@ -331,7 +332,7 @@
 	var self allowance.Member
 	var candidates []allowance.Member
 	known := 0
-	weights := loadWeights(members, allAdvertisedHosts(members))
+	weights := dialling.LoadWeights(members)
 	total, squares, running, before, own := 0.0, 0.0, 0.0, 0.0, 0.0
 	for i, m := range members {
 		c := allowance.Member{Host: m.Host(), Address: m.GateAddress(), DataCenter: m.DataCenter()}
@@ -362,7 +363,7 @@
 	if total == 0 {
 		return allowance.NewView(self, candidates, known, 1, allowance.Share{Hosts: 1})
 	}
-	shared := max(total, minFleetSize*own)
+	shared := max(total, dialling.MinFleetSize*own)
 	share := allowance.Share{From: before / shared, To: (before + own) / shared, Hosts: total * total / squares}
 	return allowance.NewView(self, candidates, known, running/total, share)
 }
--- a/internal/host/authentication.go
+++ b/internal/host/authentication.go
@@ -63,7 +63,7 @@
 func (h *Host) usualCopyAge() time.Duration {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
-	return membership.UsualCopyAge(len(h.view.members))
+	return membership.UsualCopyAge(h.view.MemberCount())
 }
 
 // logAccountProblems logs what could not be used of the accounts of a version.
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/dialling"
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
@@ -17,16 +18,10 @@
 )
 
 const (
-	// usableExtraRatio and usableExtraSlack are the parts of the limits on extra
-	// attempts (Settings.ExtraRatio and ExtraSlack) that the hosts use. The rest is a
-	// margin: each host has its own windows, and all hosts together must stay within
-	// the limits.
+	// usableExtraRatio is the part of Settings.ExtraRatio, a limit on extra attempts, that
+	// the hosts use. The rest is a margin: each host has its own windows, and all hosts
+	// together must stay within the limit.
 	usableExtraRatio = 0.85
-	usableExtraSlack = 0.75
-	// usableConnectionRatio is the part of an upstream's connection limit that the
-	// hosts use. The rest is for hosts that join and for connections that are being
-	// closed.
-	usableConnectionRatio = 0.8
 	// fleetChangeDelay is the delay after each update of the fleet view. The changes that
 	// arrive during the delay, dozens after a start, are applied together.
 	fleetChangeDelay = 200 * time.Millisecond
@@ -158,14 +153,14 @@
 // ExtraSlack and the connections are this host's share of limits for all hosts
 // together; ExtraRatio applies to each request and is the same on all hosts. The
 // caller holds h.mu.
-func (h *Host) poolPolicy(plan dialPlan) pool.Policy {
+func (h *Host) poolPolicy(plan dialling.Plan) pool.Policy {
 	return pool.Policy{
 		ExtraRatio:    h.Settings.ExtraRatio * usableExtraRatio,
-		ExtraSlack:    h.Settings.ExtraSlack * usableExtraSlack * h.view.loadShare,
+		ExtraSlack:    h.view.ExtraSlack(h.Settings.ExtraSlack),
 		Window:        time.Duration(h.Settings.ExtraWindowSeconds * float64(time.Second)),
-		LoadShare:     h.view.connectionShare,
-		LimitShares:   plan.limitShares,
-		MaxConcurrent: plan.maxConnections,
+		LoadShare:     h.view.ConnectionShare(),
+		LimitShares:   plan.LimitShares(),
+		MaxConcurrent: plan.MaxConnections(),
 	}
 }
 
@@ -271,7 +266,7 @@
 // updateFleetView derives the view from the current members and discards the dial
 // plans, which were computed from the previous view.
 func (h *Host) updateFleetView() {
-	view := newFleetView(h.Self.Host(), h.fleet.Members())
+	view := dialling.NewView(h.Self.Host(), h.fleet.Members())
 	h.allowances.invalidateView()
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/account"
+	"github.com/foxtailshelf/foxtailshelf/internal/dialling"
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
 	"github.com/foxtailshelf/foxtailshelf/internal/peer"
@@ -386,7 +387,7 @@
 }
 
 // checkInvariants asserts that the version of no host's active configuration has
-// decreased in the lifetime of the host and, in fleets of at least minFleetSize
+// decreased in the lifetime of the host and, in fleets of at least dialling.MinFleetSize
 // hosts, that the fleet keeps to the limit on extra attempts.
 func (f *testFleet) checkInvariants(c *qt.C) {
 	f.mu.Lock()
@@ -398,10 +399,10 @@
 			r.highestVersion = t.Version()
 		}
 		r.host.mu.Lock()
-		totalSlack += r.host.poolPolicy(dialPlan{}).ExtraSlack
+		totalSlack += r.host.poolPolicy(dialling.Plan{}).ExtraSlack
 		r.host.mu.Unlock()
 	}
-	if len(f.hosts) >= minFleetSize {
+	if len(f.hosts) >= dialling.MinFleetSize {
 		f.checkExtraSlack(c, totalSlack)
 	}
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/dialling"
 	"github.com/foxtailshelf/foxtailshelf/internal/dispatch"
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
@@ -129,9 +130,9 @@
 	// decoded again. Only handleRecords uses it.
 	cachedRecords map[string]cachedRecord
 	// view is derived from the current members.
-	view fleetView
+	view dialling.View
 	// dialPlans caches the plans that were computed from view.
-	dialPlans map[planKey]dialPlan
+	dialPlans map[dialling.Key]dialling.Plan
 	stopping  bool
 	// startedAt is when Init was called; settled is set once memberSettlePeriod has passed.
 	startedAt time.Time
@@ -158,7 +159,7 @@
 	h.inventory.Seed = xxhash.Sum64String(h.Self.Host())
 	h.pools = make(map[string]*pool.Pool)
 	h.latencyStats = make(map[string]*pool.LatencyStats)
-	h.dialPlans = make(map[planKey]dialPlan)
+	h.dialPlans = make(map[dialling.Key]dialling.Plan)
 	h.fleetChanges = make(chan struct{}, 1)
 	h.eraChanges = make(chan struct{}, 1)
 	h.cachedRecords = make(map[string]cachedRecord)
--- a/internal/host/linkprobes.go
+++ b/internal/host/linkprobes.go
@@ -113,7 +113,7 @@
 		return first
 	}
 	l.host.mu.RLock()
-	detours := l.host.view.detours
+	detours := l.host.view.Detours()
 	l.host.mu.RUnlock()
 	startedAt := time.Now()
 	for i, m := range detours {
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -5,8 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/foxtailshelf/foxtailshelf/internal/dialling"
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 	"github.com/foxtailshelf/foxtailshelf/internal/peer"
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
@@ -16,24 +15,20 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
 )
 
-const (
-	// planBucketCount is the number of dial plans for services with the same connection
-	// limit.
-	planBucketCount = 1024
-	// maxRelayedAttempts is how many concurrent attempts a host relays to one dialling host
-	// for one service.
-	maxRelayedAttempts = 32
-)
+// maxRelayedAttempts is how many concurrent attempts a host relays to one dialling host
+// for one service.
+const maxRelayedAttempts = 32
 
 // dialPlanFor returns the dial plan of a service. The caller holds h.mu.
-func (h *Host) dialPlanFor(service string) dialPlan {
-	key := planKey{bucket: int(xxhash.Sum64String(service) % planBucketCount)}
+func (h *Host) dialPlanFor(service string) dialling.Plan {
+	connectionLimit := 0
 	if h.table != nil {
-		key.connectionLimit = h.table.Service(service).MaxConnections
+		connectionLimit = h.table.Service(service).MaxConnections
 	}
+	key := dialling.NewKey(service, connectionLimit)
 	plan, cached := h.dialPlans[key]
 	if !cached {
-		plan = newDialPlan(key, h.view)
+		plan = dialling.NewPlan(key, h.view)
 		h.dialPlans[key] = plan
 	}
 	return plan
@@ -41,15 +36,15 @@
 
 // upstreamsFor returns the upstreams of a service, followed by the dialling hosts that run
 // attempts for this host and the detours. It returns nil if the service has no upstreams.
-func (h *Host) upstreamsFor(service string, p dialPlan) []inventory.Upstream {
+func (h *Host) upstreamsFor(service string, p dialling.Plan) []inventory.Upstream {
 	upstreams := h.inventory.ForService(service)
 	if len(upstreams) == 0 {
 		return nil
 	}
-	for _, m := range p.diallingHosts {
+	for _, m := range p.DiallingHosts() {
 		upstreams = append(upstreams, inventory.NewDiallingHost(service, m.GateAddress(), m.DataCenter(), maxRelayedAttempts))
 	}
-	for _, m := range p.detours {
+	for _, m := range p.Detours() {
 		upstreams = append(upstreams, inventory.NewDetour(service, m.GateAddress(), m.DataCenter(), maxRelayedAttempts))
 	}
 	return upstreams
--- a/internal/membership/addresses_test.go
+++ b/internal/membership/addresses_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -64,3 +65,28 @@
 		})
 	}
 }
+
+// newMembersWithoutUpstreams returns hosts of three data centres, of which some reach no upstream.
+func newMembersWithoutUpstreams(count int, isPartitioned func(i int) bool) []roster.Member {
+	var members []roster.Member
+	for i := range count {
+		address := fmt.Sprintf("host-%d", i)
+		members = append(members, roster.NewMember(address, fmt.Sprint("z", i%3), address, address, 1, roster.Alive).WithCapacity(400).WithPartitioned(isPartitioned(i)))
+	}
+	return members
+}
+
+// TestAdvertisedHostsCanCarryTheLoad checks which hosts callers are told of.
+func TestAdvertisedHostsCanCarryTheLoad(t *testing.T) {
+	for _, test := range []struct{ cut, want int }{{0, 12}, {3, 9}, {6, 6}, {7, 12}, {12, 12}} {
+		c := qt.New(t)
+		members := newMembersWithoutUpstreams(12, func(i int) bool { return i < test.cut })
+		told := make(map[string]bool)
+		for _, dc := range []string{"z0", "z1", "z2"} {
+			for _, a := range AdvertisedAddresses(members, dc) {
+				told[a] = true
+			}
+		}
+		c.Check(told, qt.HasLen, test.want, qt.Commentf("%d of 12 cut", test.cut))
+	}
+}
