Checks of the links to upstreams get a package of their own, linkcheck (moves only)

The Checker opens connections and asks other hosts; what follows is still decided in package reachability. internal/host only wires it.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -17,6 +17,7 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/dispatch"
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
+	"github.com/foxtailshelf/foxtailshelf/internal/linkcheck"
 	"github.com/foxtailshelf/foxtailshelf/internal/membership"
 	"github.com/foxtailshelf/foxtailshelf/internal/mirror"
 	"github.com/foxtailshelf/foxtailshelf/internal/peer"
@@ -145,7 +146,7 @@
 
 	guard     *crashGuard
 	alerts    *crashAlerts
-	links     *links
+	links     *linkcheck.Checker
 	newsBoard newsBoard
 	// allowances admits requests by the limits of their accounts.
 	allowances *allowances
@@ -166,9 +167,9 @@
 	h.addressCache = make(map[string][]string)
 	h.guard = newCrashGuard(h)
 	h.alerts = newCrashAlerts(h)
-	h.links = newLinks(h)
+	h.links = h.newLinks()
 	h.allowances = newAllowances(h)
-	h.Upstreams.NotifySlowDials(h.links.recordSlowDial)
+	h.Upstreams.NotifySlowDials(h.links.RecordSlowDial)
 	h.requestLog = h.newRequestLog()
 	h.refusalLog = h.newRequestLog()
 	h.fleet = &membership.Fleet{Self: h.Self, Seed: h.Seed, Exchange: h.exchangeGossip, OnChange: h.handleMemberChange, Tasks: &h.group}
--- a/internal/host/upstreamcheck.go
+++ b/internal/linkcheck/opinion.go
@@ -1,4 +1,4 @@
-package host
+package linkcheck
 
 // This file finds out whether an upstream has ended or the link to it is lost.
 
@@ -36,21 +36,22 @@
 	condition reachability.Condition
 }
 
-// CheckUpstream implements dispatch.Links. An upstream has ended if another host, which
+// CheckUpstream finds out whether an upstream runs. One that has responded to an attempt that began
+// after since does. An upstream has ended if another host, which
 // reaches others, does not reach it either. If no host can tell, it has ended if this host
 // reaches others in its data centre.
-func (l *links) CheckUpstream(ctx context.Context, u inventory.Upstream, since time.Time) reachability.Condition {
-	return l.join(ctx, &l.upstreamChecks, u, func(ctx context.Context) reachability.Condition { return l.checkWithOthers(ctx, u, since) })
+func (c *Checker) CheckUpstream(ctx context.Context, u inventory.Upstream, since time.Time) reachability.Condition {
+	return c.join(ctx, &c.upstreamChecks, u, func(ctx context.Context) reachability.Condition { return c.checkWithOthers(ctx, u, since) })
 }
 
 // checkOwn probes an upstream from this host. If it is unreachable, other upstreams of its
 // data centre tell whether the upstream or the link has failed.
-func (l *links) checkOwn(ctx context.Context, u inventory.Upstream) reachability.Condition {
+func (c *Checker) checkOwn(ctx context.Context, u inventory.Upstream) reachability.Condition {
 	ctx, cancel := context.WithTimeout(ctx, upstreamProbeTimeout)
 	defer cancel()
 	probed := make(chan bool, 1)
 	witnessed := make(chan bool, 1)
-	l.host.group.Go(func() { probed <- l.probe(ctx, u) })
+	c.Tasks.Go(func() { probed <- c.probe(ctx, u) })
 	stagger := time.NewTimer(probeStagger)
 	defer stagger.Stop()
 	hasEnded := false
@@ -62,7 +63,7 @@
 		hasEnded = true
 	case <-stagger.C:
 	}
-	l.host.group.Go(func() { witnessed <- l.hasWitness(ctx, u) })
+	c.Tasks.Go(func() { witnessed <- c.hasWitness(ctx, u) })
 	isConclusive, isWitnessed := false, false
 	for !hasEnded || !isWitnessed {
 		select {
@@ -85,18 +86,18 @@
 
 // hasWitness reports whether this host reaches another upstream in the data centre of u. It is
 // also true if u is the only one there.
-func (l *links) hasWitness(ctx context.Context, u inventory.Upstream) bool {
-	witnesses := l.sample(maxProbes, func(o inventory.Upstream) bool {
+func (c *Checker) hasWitness(ctx context.Context, u inventory.Upstream) bool {
+	witnesses := c.sample(maxProbes, func(o inventory.Upstream) bool {
 		return o.ID() != u.ID() && o.DataCenter() == u.DataCenter()
 	})
-	return len(witnesses) == 0 || l.reachesAny(ctx, witnesses, nil) == reachesSome
+	return len(witnesses) == 0 || c.reachesAny(ctx, witnesses, nil) == reachesSome
 }
 
 // checkWithOthers probes an upstream and asks other hosts if that does not succeed at once.
-func (l *links) checkWithOthers(ctx context.Context, u inventory.Upstream, since time.Time) reachability.Condition {
+func (c *Checker) checkWithOthers(ctx context.Context, u inventory.Upstream, since time.Time) reachability.Condition {
 	opinions := make(chan opinion, 1+maxSecondOpinions)
-	l.host.group.Go(func() {
-		condition := l.join(ctx, &l.ownChecks, u, func(ctx context.Context) reachability.Condition { return l.checkOwn(ctx, u) })
+	c.Tasks.Go(func() {
+		condition := c.join(ctx, &c.ownChecks, u, func(ctx context.Context) reachability.Condition { return c.checkOwn(ctx, u) })
 		opinions <- opinion{isOwn: true, condition: condition}
 	})
 	own, pending := reachability.Unknown, 1
@@ -128,7 +129,7 @@
 		}
 		if isAskDue {
 			askDue = nil
-			pending += l.askOthers(ctx, u, since, opinions)
+			pending += c.askOthers(ctx, u, since, opinions)
 		}
 	}
 	if contradicted != nil {
@@ -138,17 +139,17 @@
 }
 
 // askOthers asks other hosts for their opinions of an upstream and returns how many.
-func (l *links) askOthers(ctx context.Context, u inventory.Upstream, since time.Time, opinions chan<- opinion) int {
-	others := l.secondOpinions()
+func (c *Checker) askOthers(ctx context.Context, u inventory.Upstream, since time.Time, opinions chan<- opinion) int {
+	others := c.secondOpinions()
 	for _, m := range others {
-		l.host.group.Go(func() { opinions <- opinion{condition: l.askOther(ctx, m, u, since)} })
+		c.Tasks.Go(func() { opinions <- opinion{condition: c.askOther(ctx, m, u, since)} })
 	}
 	return len(others)
 }
 
 // askOther asks another host whether an upstream runs.
-func (l *links) askOther(ctx context.Context, m roster.Member, u inventory.Upstream, since time.Time) reachability.Condition {
-	reply, err := l.host.HostTransport.CheckUpstream(ctx, m.GateAddress(), &wire.CheckUpstreamRequest{
+func (c *Checker) askOther(ctx context.Context, m roster.Member, u inventory.Upstream, since time.Time) reachability.Condition {
+	reply, err := c.Peers.CheckUpstream(ctx, m.GateAddress(), &wire.CheckUpstreamRequest{
 		Upstream: u.ID(), Lifetime: u.LifetimeKey(), AgeMicros: time.Since(since).Microseconds(),
 	})
 	if err != nil {
@@ -166,7 +167,7 @@
 
 // join runs one check of an upstream at a time, bounded by upstreamCheckTimeout, and waits for
 // its result until the context ends.
-func (l *links) join(ctx context.Context, g *singleflight.Group, u inventory.Upstream, check func(context.Context) reachability.Condition) reachability.Condition {
+func (c *Checker) join(ctx context.Context, g *singleflight.Group, u inventory.Upstream, check func(context.Context) reachability.Condition) reachability.Condition {
 	result := g.DoChan(fmt.Sprint(u.LifetimeKey()), func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), upstreamCheckTimeout)
 		defer cancel()
@@ -185,36 +186,36 @@
 }
 
 // probe opens a connection to an upstream and reports whether it runs.
-func (l *links) probe(ctx context.Context, u inventory.Upstream) bool {
+func (c *Checker) probe(ctx context.Context, u inventory.Upstream) bool {
 	startedAt := time.Now()
-	slow := time.AfterFunc(probeStagger, func() { l.recordSlowDial(startedAt) })
-	r := l.host.Upstreams.Probe(ctx, u.Address())
+	slow := time.AfterFunc(probeStagger, func() { c.RecordSlowDial(startedAt) })
+	r := c.Prober.Probe(ctx, u.Address())
 	slow.Stop()
-	l.host.requestLog.recordProbe(u.ID(), r)
+	c.OnProbe(u.ID(), r)
 	switch r {
 	case upstream.Reachable:
-		l.RecordConnected(time.Now())
+		c.RecordConnected(time.Now())
 		return true
 	case upstream.Rejecting:
 		return true
 	default:
-		l.RecordDialFailure(time.Now(), u.LifetimeKey())
+		c.RecordDialFailure(time.Now(), u.LifetimeKey())
 		return false
 	}
 }
 
 // secondOpinions returns the hosts that are asked whether an upstream runs, of different data
 // centres as far as possible.
-func (l *links) secondOpinions() []roster.Member {
+func (c *Checker) secondOpinions() []roster.Member {
 	var candidates []roster.Member
-	for _, m := range l.host.fleet.Members() {
-		if m.State() == roster.Alive && m.Host() != l.host.Self.Host() && !m.IsPartitioned() {
+	for _, m := range c.Members() {
+		if m.State() == roster.Alive && m.Host() != c.Host && !m.IsPartitioned() {
 			candidates = append(candidates, m)
 		}
 	}
-	l.mu.Lock()
-	l.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	l.mu.Unlock()
+	c.mu.Lock()
+	c.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	c.mu.Unlock()
 	var chosen, others []roster.Member
 	for _, m := range candidates {
 		if slices.ContainsFunc(chosen, func(o roster.Member) bool { return o.DataCenter() == m.DataCenter() }) {
@@ -227,25 +228,23 @@
 	return chosen[:min(maxSecondOpinions, len(chosen))]
 }
 
-// CheckUpstream implements peer.HostHandler.
-func (h *Host) CheckUpstream(ctx context.Context, r *wire.CheckUpstreamRequest) (*wire.CheckUpstreamReply, error) {
-	h.mu.RLock()
-	u, ok := h.inventory.Upstream(r.GetUpstream())
-	h.mu.RUnlock()
+// Answer answers another host that asks whether this host reaches an upstream.
+func (c *Checker) Answer(ctx context.Context, r *wire.CheckUpstreamRequest) *wire.CheckUpstreamReply {
+	u, ok := c.Upstream(r.GetUpstream())
 	condition := wire.UpstreamCondition_UPSTREAM_CONDITION_UNKNOWN
 	since := time.Now().Add(-time.Duration(r.GetAgeMicros()) * time.Microsecond)
 	switch {
 	case !ok || u.LifetimeKey() != r.GetLifetime():
-	case h.links.RespondedSince(u.LifetimeKey(), since):
+	case c.RespondedSince(u.LifetimeKey(), since):
 		condition = wire.UpstreamCondition_UPSTREAM_CONDITION_RUNNING
-	case h.links.IsPartitioned():
+	case c.IsPartitioned():
 	default:
-		switch h.links.join(ctx, &h.links.ownChecks, u, func(ctx context.Context) reachability.Condition { return h.links.checkOwn(ctx, u) }) {
+		switch c.join(ctx, &c.ownChecks, u, func(ctx context.Context) reachability.Condition { return c.checkOwn(ctx, u) }) {
 		case reachability.Running:
 			condition = wire.UpstreamCondition_UPSTREAM_CONDITION_RUNNING
 		case reachability.Ended:
 			condition = wire.UpstreamCondition_UPSTREAM_CONDITION_UNREACHABLE
 		}
 	}
-	return &wire.CheckUpstreamReply{Condition: condition}, nil
+	return &wire.CheckUpstreamReply{Condition: condition}
 }
--- a/internal/host/linkprobes.go
+++ b/internal/linkcheck/probing.go
@@ -1,4 +1,4 @@
-package host
+package linkcheck
 
 // This file finds out whether this host reaches any upstream.
 
@@ -39,7 +39,7 @@
 // reachesAny opens connections to upstreams until one of them has accepted one. If it takes
 // longer than usual, askOthers is called; nothing more is expected a little after the channel
 // that it returns has a value.
-func (l *links) reachesAny(ctx context.Context, list []inventory.Upstream, askOthers func(context.Context) <-chan struct{}) probeResult {
+func (c *Checker) reachesAny(ctx context.Context, list []inventory.Upstream, askOthers func(context.Context) <-chan struct{}) probeResult {
 	ctx, cancel := context.WithTimeout(ctx, probeStagger+probeTimeout)
 	defer cancel()
 	reached := make(chan bool, len(list))
@@ -47,7 +47,7 @@
 	start := func(n int) {
 		for _, u := range list[:min(n, len(list))] {
 			pending++
-			l.host.group.Go(func() { reached <- l.reaches(ctx, u) })
+			c.Tasks.Go(func() { reached <- c.reaches(ctx, u) })
 		}
 		list = list[min(n, len(list)):]
 	}
@@ -94,34 +94,31 @@
 }
 
 // reaches opens a connection to an upstream and reports whether it has accepted it.
-func (l *links) reaches(ctx context.Context, u inventory.Upstream) bool {
-	switch l.host.Upstreams.Probe(ctx, u.Address()) {
+func (c *Checker) reaches(ctx context.Context, u inventory.Upstream) bool {
+	switch c.Prober.Probe(ctx, u.Address()) {
 	case upstream.Reachable:
-		l.RecordConnected(time.Now())
+		c.RecordConnected(time.Now())
 		return true
 	case upstream.NotListening, upstream.Rejecting:
-		l.RecordDialFailure(time.Now(), u.LifetimeKey())
+		c.RecordDialFailure(time.Now(), u.LifetimeKey())
 	}
 	return false
 }
 
 // askDetours asks the detours whether they reach upstreams, and remembers those that do. The
 // channel gets a value with the first of them.
-func (l *links) askDetours(ctx context.Context, list []inventory.Upstream) <-chan struct{} {
+func (c *Checker) askDetours(ctx context.Context, list []inventory.Upstream) <-chan struct{} {
 	first := make(chan struct{}, 1)
 	if len(list) == 0 {
 		return first
 	}
-	l.host.mu.RLock()
-	detours := l.host.view.Detours()
-	l.host.mu.RUnlock()
 	startedAt := time.Now()
-	for i, m := range detours {
-		l.host.group.Go(func() {
-			if l.askOther(ctx, m, list[i%len(list)], startedAt) != reachability.Running {
+	for i, m := range c.Detours() {
+		c.Tasks.Go(func() {
+			if c.askOther(ctx, m, list[i%len(list)], startedAt) != reachability.Running {
 				return
 			}
-			l.setReaching(m.GateAddress(), true)
+			c.setReaching(m.GateAddress(), true)
 			select {
 			case first <- struct{}{}:
 			default:
@@ -133,21 +130,18 @@
 
 // sample returns up to n upstreams in service that meet a condition: first two that have
 // responded last, as others may have ended, and the rest at random.
-func (l *links) sample(n int, meets func(inventory.Upstream) bool) []inventory.Upstream {
-	l.host.mu.RLock()
-	list := l.host.inventory.InService(time.Now())
-	l.host.mu.RUnlock()
-	list = slices.DeleteFunc(list, func(u inventory.Upstream) bool { return !meets(u) })
+func (c *Checker) sample(n int, meets func(inventory.Upstream) bool) []inventory.Upstream {
+	list := slices.DeleteFunc(c.InService(), func(u inventory.Upstream) bool { return !meets(u) })
 	respondedAt := make(map[uint64]time.Time, len(list))
 	for _, u := range list {
-		respondedAt[u.LifetimeKey()] = l.LastResponse(u.LifetimeKey())
+		respondedAt[u.LifetimeKey()] = c.LastResponse(u.LifetimeKey())
 	}
 	slices.SortStableFunc(list, func(a, b inventory.Upstream) int {
 		return respondedAt[b.LifetimeKey()].Compare(respondedAt[a.LifetimeKey()])
 	})
 	random := list[min(2, len(list)):]
-	l.mu.Lock()
-	l.random.Shuffle(len(random), func(i, j int) { random[i], random[j] = random[j], random[i] })
-	l.mu.Unlock()
+	c.mu.Lock()
+	c.random.Shuffle(len(random), func(i, j int) { random[i], random[j] = random[j], random[i] })
+	c.mu.Unlock()
 	return list[:min(n, len(list))]
 }
