--- a/internal/host/crashalert.go
+++ b/internal/crashguard/alerts.go
@@ -1,4 +1,4 @@
-package host
+package crashguard
 
 import (
 	"context"
@@ -7,10 +7,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/foxtailshelf/foxtailshelf/internal/dispatch"
 	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
 
 const (
@@ -23,9 +26,20 @@
 	alertCallTimeout = 250 * time.Millisecond
 )
 
-// crashAlerts are the dispatch.CrashAlerts of a host, which it shares with the other hosts.
-type crashAlerts struct {
-	host *Host
+// Alerts are the dispatch.CrashAlerts of a host, which it shares with the other hosts. Its exported
+// fields are set before use. It is safe for concurrent use.
+type Alerts struct {
+	// Self is this host.
+	Self roster.Member
+	// Members returns all hosts.
+	Members func() []roster.Member
+	// Tell exchanges messages, which hold the alerts, with the host at an address.
+	Tell    func(ctx context.Context, address string) error
+	Tasks   *work.Group
+	Log     logrus.FieldLogger
+	Metrics *Metrics
+	// AllowLine reports whether one more line about requests may be logged now.
+	AllowLine func() bool
 
 	// alertCount is the number of alerts, so that requests are checked without the lock while
 	// there are none.
@@ -36,14 +50,13 @@
 	known  quarantine.KnownRequests
 }
 
-var _ dispatch.CrashAlerts = (*crashAlerts)(nil)
+var _ dispatch.CrashAlerts = (*Alerts)(nil)
 
-func newCrashAlerts(h *Host) *crashAlerts {
-	return &crashAlerts{host: h, alerts: quarantine.NewAlerts()}
-}
+// NewAlerts returns the alerts of a host that has just started: none.
+func NewAlerts() *Alerts { return &Alerts{alerts: quarantine.NewAlerts()} }
 
 // Hold implements dispatch.CrashAlerts.
-func (a *crashAlerts) Hold(services ...string) bool {
+func (a *Alerts) Hold(services ...string) bool {
 	if a.alertCount.Load() == 0 || len(services) == 0 {
 		return a.alertCount.Load() > 0
 	}
@@ -58,8 +71,8 @@
 	return false
 }
 
-// holdsFor reports whether an alert holds for the service with a key.
-func (a *crashAlerts) holdsFor(service uint64) bool {
+// HoldsFor reports whether an alert holds for the service with a key.
+func (a *Alerts) HoldsFor(service uint64) bool {
 	if a.alertCount.Load() == 0 {
 		return false
 	}
@@ -69,41 +82,37 @@
 }
 
 // IsKnown implements dispatch.CrashAlerts.
-func (a *crashAlerts) IsKnown(fingerprint uint64) bool {
+func (a *Alerts) IsKnown(fingerprint uint64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.known.Contains(time.Now(), fingerprint)
 }
 
 // RecordKnown implements dispatch.CrashAlerts.
-func (a *crashAlerts) RecordKnown(fingerprint uint64) {
+func (a *Alerts) RecordKnown(fingerprint uint64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.known.Add(time.Now(), fingerprint)
 }
 
 // Raise implements dispatch.CrashAlerts.
-func (a *crashAlerts) Raise(fingerprint uint64, services []string) {
+func (a *Alerts) Raise(fingerprint uint64, services []string) {
 	now := time.Now()
 	list := make([]quarantine.Alert, 0, len(services))
 	for _, s := range services {
 		list = append(list, quarantine.Alert{Service: dispatch.ServiceKey(s), At: now})
 	}
-	if a.raise(list, "own", map[string]any{"fingerprint": formatFingerprint(fingerprint)}) {
+	if a.raise(list, "own", map[string]any{"fingerprint": quarantine.FormatFingerprint(fingerprint)}) {
 		a.send()
 	}
 }
 
 // RecordCanary implements dispatch.CrashAlerts. A canary that has ended its upstream prolongs the
 // alert of the service.
-func (a *crashAlerts) RecordCanary(fingerprint uint64, service string, r dispatch.CanaryResult) {
-	a.host.Metrics.canaries.WithLabelValues(string(r)).Inc()
-	if r != dispatch.CanaryAnswered {
-		if a.host.requestLog.allowLine() {
-			a.host.Log.WithFields(map[string]any{"fingerprint": formatFingerprint(fingerprint), "service": service, "result": string(r)}).Info("canary of a search had no response")
-		} else {
-			a.host.Metrics.unloggedLines.Inc()
-		}
+func (a *Alerts) RecordCanary(fingerprint uint64, service string, r dispatch.CanaryResult) {
+	a.Metrics.canaries.WithLabelValues(string(r)).Inc()
+	if r != dispatch.CanaryAnswered && a.AllowLine() {
+		a.Log.WithFields(map[string]any{"fingerprint": quarantine.FormatFingerprint(fingerprint), "service": service, "result": string(r)}).Info("canary of a search had no response")
 	}
 	if r == dispatch.CanaryEnded {
 		a.mu.Lock()
@@ -113,9 +122,9 @@
 	}
 }
 
-// apply handles the alerts in a message of another host. Alerts that were unknown are passed on
+// Apply handles the alerts in a message of another host. Alerts that were unknown are passed on
 // at once.
-func (a *crashAlerts) apply(source string, list []*wire.CrashAlert) {
+func (a *Alerts) Apply(source string, list []*wire.CrashAlert) {
 	if len(list) == 0 {
 		return
 	}
@@ -134,8 +143,8 @@
 	}
 }
 
-// encode returns the alerts for a message to another host.
-func (a *crashAlerts) encode() []*wire.CrashAlert {
+// Encode returns the alerts for a message to another host.
+func (a *Alerts) Encode() []*wire.CrashAlert {
 	if a.alertCount.Load() == 0 {
 		return nil
 	}
@@ -149,8 +158,8 @@
 	return list
 }
 
-// maintain removes the alerts that have ended.
-func (a *crashAlerts) maintain(now time.Time) {
+// Maintain removes the alerts that have ended.
+func (a *Alerts) Maintain(now time.Time) {
 	if a.alertCount.Load() == 0 {
 		return
 	}
@@ -160,20 +169,20 @@
 	a.alertCount.Store(int64(a.alerts.Len()))
 	a.mu.Unlock()
 	if hasEnded {
-		a.host.Log.Info("crash alerts ended")
+		a.Log.Info("crash alerts ended")
 	}
 }
 
 // permitTestRun permits a test run during an alert and returns zero, or returns how long to
 // wait.
-func (a *crashAlerts) permitTestRun(now time.Time) time.Duration {
+func (a *Alerts) permitTestRun(now time.Time) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.alerts.PermitTestRun(now)
 }
 
 // raise records alerts, and logs and counts them if they are news for other hosts.
-func (a *crashAlerts) raise(list []quarantine.Alert, source string, fields map[string]any) bool {
+func (a *Alerts) raise(list []quarantine.Alert, source string, fields map[string]any) bool {
 	now := time.Now()
 	raised := 0
 	a.mu.Lock()
@@ -187,47 +196,28 @@
 	if raised == 0 {
 		return false
 	}
-	a.host.Metrics.crashAlerts.Inc()
-	if a.host.requestLog.allowLine() {
-		a.host.Log.WithFields(fields).WithFields(map[string]any{"source": source, "services": raised, "age-ms": now.Sub(list[0].At).Milliseconds()}).Warn("crash alert: searches begin with a canary")
-	} else {
-		a.host.Metrics.unloggedLines.Inc()
+	a.Metrics.crashAlerts.Inc()
+	if a.AllowLine() {
+		a.Log.WithFields(fields).WithFields(map[string]any{"source": source, "services": raised, "age-ms": now.Sub(list[0].At).Milliseconds()}).Warn("crash alert: searches begin with a canary")
 	}
 	return true
 }
 
 // send sends the alerts to alertFanOut other hosts, drawn at random, at once.
-func (a *crashAlerts) send() {
+func (a *Alerts) send() {
 	var others []roster.Member
-	for _, m := range a.host.fleet.Members() {
-		if m.State() == roster.Alive && m.Host() != a.host.Self.Host() {
+	for _, m := range a.Members() {
+		if m.State() == roster.Alive && m.Host() != a.Self.Host() {
 			others = append(others, m)
 		}
 	}
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	for _, m := range others[:min(alertFanOut, len(others))] {
-		a.host.group.Go(func() {
+		a.Tasks.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), alertCallTimeout)
 			defer cancel()
 			// A host that is not reached learns of the alert from another one.
-			_, _ = a.host.exchangeGossip(ctx, m.GateAddress(), nil)
+			_ = a.Tell(ctx, m.GateAddress())
 		})
 	}
 }
-
-// recordReportedEnds has the pools avoid upstreams that have ended, as this or another host has
-// found out, while an alert holds for their service.
-func (h *Host) recordReportedEnds(crashes []quarantine.Crash) {
-	for _, c := range crashes {
-		if !h.alerts.holdsFor(c.Service) {
-			continue
-		}
-		h.mu.RLock()
-		for service, p := range h.pools {
-			if dispatch.ServiceKey(service) == c.Service {
-				p.RecordReportedEnd(time.Now(), c.Upstream, c.At)
-			}
-		}
-		h.mu.RUnlock()
-	}
-}
--- a/internal/host/crashguard.go
+++ b/internal/crashguard/guard.go
@@ -1,4 +1,7 @@
-package host
+// Package crashguard keeps requests that crash upstreams from running, with the other hosts: it
+// exchanges evidence and alerts with them and has suspect requests tested once. What counts as
+// evidence and what follows from it is decided in package quarantine.
+package crashguard
 
 import (
 	"context"
@@ -6,20 +9,24 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/foxtailshelf/foxtailshelf/internal/dispatch"
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
 	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
+	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
 
 const (
 	// maxRecentNotices and maxOtherNotices bound the notices in one message: those that
 	// have changed recently, and the others, which take turns. A host that lacks notices
-	// gets up to maxAllNotices.
+	// gets up to maxNotices.
 	maxRecentNotices = 8
 	maxOtherNotices  = 2
-	maxAllNotices    = 256
+	maxNotices       = 256
 	// maxCrashesPerNotice bounds the crashes in one notice. Four change every decision; more tell
 	// other hosts which replicas a search has taken.
 	maxCrashesPerNotice = 16
@@ -43,12 +50,38 @@
 	alertExaminerKey = 0
 )
 
-// A crashGuard is the dispatch.CrashGuard of a host. It shares evidence with the other
+// Peers are the other hosts, one of which permits the test runs of a request. The error is not nil if
+// the host at the address does not answer.
+type Peers interface {
+	TestRun(ctx context.Context, address string, r *wire.TestRunRequest) (*wire.TestRunReply, error)
+}
+
+// A Guard is the dispatch.CrashGuard of a host. It shares evidence with the other
 // hosts. For each request, one host, its examiner, permits the test runs; the examiner is
-// chosen by hash among the hosts that are alive.
-type crashGuard struct {
-	host      *Host
-	startedAt time.Time
+// chosen by hash among the hosts that are alive. Its exported fields are set before use. It is safe
+// for concurrent use.
+type Guard struct {
+	// Self is this host.
+	Self   roster.Member
+	Alerts *Alerts
+	Peers  Peers
+	// Members returns all hosts.
+	Members func() []roster.Member
+	// SendUpdates sends recent evidence to other hosts.
+	SendUpdates func(ctx context.Context)
+	// HasResponded reports whether a lifetime of an upstream has responded to an attempt of this
+	// host that began after a time.
+	HasResponded func(lifetime uint64, since time.Time) bool
+	// OnEnds is called with upstreams of services with an alert that have ended, as this or another
+	// host has found out.
+	OnEnds  func([]quarantine.Crash)
+	Tasks   *work.Group
+	Log     logrus.FieldLogger
+	Metrics *Metrics
+	// AllowLine reports whether one more line about requests may be logged now. LinkFields returns
+	// the state of the links to the upstreams as it is logged.
+	AllowLine  func() bool
+	LinkFields func(now time.Time) logrus.Fields
 
 	// recordCount is the number of records, so that requests are checked without the lock
 	// while there are none.
@@ -64,18 +97,15 @@
 	contactAt, lacksUntil time.Time
 }
 
-var _ dispatch.CrashGuard = (*crashGuard)(nil)
+var _ dispatch.CrashGuard = (*Guard)(nil)
 
-func newCrashGuard(h *Host) *crashGuard {
-	now := time.Now()
-	return &crashGuard{
-		host: h, startedAt: now, contactAt: now, lacksUntil: now.Add(newcomerPeriod),
-		records: quarantine.NewCrashRecords(), testRuns: quarantine.NewTestRuns(),
-	}
+// NewGuard returns the guard of a host that starts now.
+func NewGuard(now time.Time) *Guard {
+	return &Guard{contactAt: now, lacksUntil: now.Add(newcomerPeriod), records: quarantine.NewCrashRecords(), testRuns: quarantine.NewTestRuns()}
 }
 
 // Check implements dispatch.CrashGuard.
-func (g *crashGuard) Check(fingerprint uint64) quarantine.Verdict {
+func (g *Guard) Check(fingerprint uint64) quarantine.Verdict {
 	if g.recordCount.Load() == 0 {
 		return quarantine.Verdict{}
 	}
@@ -90,12 +120,12 @@
 }
 
 // isRefuted reports whether this host has heard from the upstream of a crash after its end.
-func (g *crashGuard) isRefuted(c quarantine.Crash) bool {
-	return g.host.links.RespondedSince(c.Upstream, c.At)
+func (g *Guard) isRefuted(c quarantine.Crash) bool {
+	return g.HasResponded(c.Upstream, c.At)
 }
 
 // RecordAnswers implements dispatch.CrashGuard.
-func (g *crashGuard) RecordAnswers(fingerprint uint64, services []string) {
+func (g *Guard) RecordAnswers(fingerprint uint64, services []string) {
 	if g.recordCount.Load() == 0 {
 		return
 	}
@@ -108,14 +138,14 @@
 }
 
 // RecordCrashes implements dispatch.CrashGuard.
-func (g *crashGuard) RecordCrashes(crashes []pool.Crash) {
+func (g *Guard) RecordCrashes(crashes []pool.Crash) {
 	now := time.Now()
 	for _, c := range crashes {
-		g.host.Metrics.upstreamCrashes.Inc()
-		if g.host.requestLog.allowLine() {
-			g.host.Log.WithFields(map[string]any{
-				"fingerprint": formatFingerprint(c.Fingerprint), "upstream": c.Upstream.ID(), "service": c.Upstream.Service(), "test-run": c.TestRun,
-			}).WithFields(linkFields(g.host.links.Summary(now))).Info("upstream ended while it ran a request")
+		g.Metrics.upstreamCrashes.Inc()
+		if g.AllowLine() {
+			g.Log.WithFields(map[string]any{
+				"fingerprint": quarantine.FormatFingerprint(c.Fingerprint), "upstream": c.Upstream.ID(), "service": c.Upstream.Service(), "test-run": c.TestRun,
+			}).WithFields(g.LinkFields(now)).Info("upstream ended while it ran a request")
 		}
 		g.record(now, "", quarantine.Report{Fingerprint: c.Fingerprint, Crashes: []quarantine.Crash{{
 			Upstream: c.Upstream.LifetimeKey(), Service: dispatch.ServiceKey(c.Upstream.Service()), At: now, TestRun: c.TestRun,
@@ -123,14 +153,14 @@
 	}
 }
 
-// applyNotices adds the evidence that another host has sent.
-func (g *crashGuard) applyNotices(source string, notices []*wire.Notice) {
+// ApplyNotices adds the evidence that another host has sent.
+func (g *Guard) ApplyNotices(source string, notices []*wire.Notice) {
 	for _, n := range notices {
-		g.applyNotice(source, n)
+		g.ApplyNotice(source, n)
 	}
 }
 
-func (g *crashGuard) applyNotice(source string, n *wire.Notice) {
+func (g *Guard) ApplyNotice(source string, n *wire.Notice) {
 	now := time.Now()
 	report := quarantine.Report{Fingerprint: n.GetFingerprint()}
 	for _, c := range n.GetCrashes()[:min(maxCrashesPerNotice, len(n.GetCrashes()))] {
@@ -149,16 +179,16 @@
 	}
 }
 
-// lacksNotices reports whether this host may lack notices that the others have.
-func (g *crashGuard) lacksNotices() bool {
+// LacksNotices reports whether this host may lack notices that the others have.
+func (g *Guard) LacksNotices() bool {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return now.Before(g.lacksUntil) || now.Sub(g.contactAt) > contactGap
 }
 
-// maintain removes expired records and updates the metrics.
-func (g *crashGuard) maintain(now time.Time) {
+// Maintain removes expired records and updates the metrics.
+func (g *Guard) Maintain(now time.Time) {
 	g.mu.Lock()
 	g.records.RemoveExpired(now)
 	g.testRuns.RemoveExpired(now)
@@ -166,26 +196,26 @@
 	counts := g.records.Counts(now)
 	g.mu.Unlock()
 	for _, d := range []quarantine.Decision{quarantine.Suspect, quarantine.Quarantined} {
-		g.host.Metrics.suspectRequests.WithLabelValues(d.String()).Set(float64(counts[d]))
+		g.Metrics.suspectRequests.WithLabelValues(d.String()).Set(float64(counts[d]))
 	}
 }
 
-// notice returns the evidence against one request as it is sent.
-func (g *crashGuard) notice(fingerprint uint64) *wire.Notice {
+// Notice returns the evidence against one request as it is sent.
+func (g *Guard) Notice(fingerprint uint64) *wire.Notice {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return encodeReport(now, g.records.Report(fingerprint))
 }
 
-// notices returns the evidence for a message to another host.
-func (g *crashGuard) notices(all bool) []*wire.Notice {
+// Notices returns the evidence for a message to another host.
+func (g *Guard) Notices(all bool) []*wire.Notice {
 	if g.recordCount.Load() == 0 {
 		return nil
 	}
 	recent, other := maxRecentNotices, maxOtherNotices
 	if all {
-		recent, other = maxAllNotices/2, maxAllNotices/2
+		recent, other = maxNotices/2, maxNotices/2
 	}
 	now := time.Now()
 	g.mu.Lock()
@@ -198,7 +228,7 @@
 }
 
 // record adds evidence, logs a quarantine, and sends strong evidence to other hosts.
-func (g *crashGuard) record(now time.Time, source string, report quarantine.Report) {
+func (g *Guard) record(now time.Time, source string, report quarantine.Report) {
 	g.mu.Lock()
 	before := g.records.Check(now, report.Fingerprint)
 	isStrong := g.records.Record(now, source, report)
@@ -206,14 +236,14 @@
 	g.recordCount.Store(int64(g.records.Len()))
 	g.mu.Unlock()
 	if after.Decision == quarantine.Quarantined && before.Decision != quarantine.Quarantined {
-		fields := verdictFields(after)
-		fields["fingerprint"] = formatFingerprint(report.Fingerprint)
-		g.host.Log.WithFields(fields).Warn("request quarantined")
+		fields := after.LogFields()
+		fields["fingerprint"] = quarantine.FormatFingerprint(report.Fingerprint)
+		g.Log.WithFields(fields).Warn("request quarantined")
 	}
-	isAlert := after.Crashes > before.Crashes && g.host.alerts.holdsFor(after.Service)
+	isAlert := after.Crashes > before.Crashes && g.Alerts.HoldsFor(after.Service)
 	if isAlert {
-		// The caller may hold the lock of the host.
-		g.host.group.Go(func() { g.host.recordReportedEnds(report.Crashes) })
+		// The caller may hold a lock that OnEnds needs.
+		g.Tasks.Go(func() { g.OnEnds(report.Crashes) })
 	}
 	if isStrong || isAlert {
 		g.push()
@@ -221,23 +251,23 @@
 }
 
 // push sends recent evidence to other hosts.
-func (g *crashGuard) push() {
+func (g *Guard) push() {
 	if !g.pushing.CompareAndSwap(false, true) {
 		return
 	}
-	started := g.host.group.Go(func() {
+	started := g.Tasks.Go(func() {
 		time.Sleep(pushDelay)
 		g.pushing.Store(false)
-		g.host.fleet.SendUpdates(context.Background())
+		g.SendUpdates(context.Background())
 	})
 	if !started {
 		g.pushing.Store(false)
 	}
 }
 
-// recordContact records that another host has answered. After a gap, this host asks for
+// RecordContact records that another host has answered. After a gap, this host asks for
 // all notices for a while.
-func (g *crashGuard) recordContact() {
+func (g *Guard) RecordContact() {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -247,8 +277,8 @@
 	g.contactAt = now
 }
 
-// recordRelayed records what an attempt for another host tells of its upstream.
-func (g *crashGuard) recordRelayed(p *pool.Pool, assignment *pool.Assignment, o upstream.Outcome, testRun bool) {
+// RecordRelayed records what an attempt for another host tells of its upstream.
+func (g *Guard) RecordRelayed(p *pool.Pool, assignment *pool.Assignment, o upstream.Outcome, testRun bool) {
 	var crashes []pool.Crash
 	switch {
 	case o.LinkLost:
--- /dev/null
+++ b/internal/crashguard/guard_test.go
@@ -0,0 +1,63 @@
+package crashguard
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
+	"github.com/foxtailshelf/foxtailshelf/internal/roster"
+	"github.com/foxtailshelf/foxtailshelf/internal/wire"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
+)
+
+// newTestGuard returns the guard of a host that knows no others.
+func newTestGuard(tasks *work.Group) *Guard {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	g := NewGuard(time.Now())
+	g.Self, g.Tasks, g.Log, g.Metrics = roster.NewMember("self", "z", "self", "", 1, roster.Alive), tasks, log, NewMetrics(prometheus.NewRegistry())
+	g.Members = func() []roster.Member { return []roster.Member{g.Self} }
+	g.SendUpdates = func(context.Context) {}
+	g.HasResponded = func(uint64, time.Time) bool { return false }
+	g.OnEnds = func([]quarantine.Crash) {}
+	g.AllowLine = func() bool { return true }
+	g.LinkFields = func(time.Time) logrus.Fields { return nil }
+	a := NewAlerts()
+	a.Self, a.Members, a.Tasks, a.Log, a.Metrics, a.AllowLine = g.Self, g.Members, g.Tasks, g.Log, g.Metrics, g.AllowLine
+	g.Alerts = a
+	return g
+}
+
+// TestNoticesAreBounded sends a host evidence against many requests, with more crashes than
+// fit, future and expired ages. Its own messages must stay small, and it must not
+// quarantine a request for evidence of that kind.
+func TestNoticesAreBounded(t *testing.T) {
+	const maxMessageNotices = maxRecentNotices + maxOtherNotices
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		tasks := &work.Group{}
+		g := newTestGuard(tasks)
+		for fingerprint := range uint64(20_000) {
+			n := &wire.Notice{Fingerprint: fingerprint}
+			for i := range 50 {
+				n.Crashes = append(n.Crashes, &wire.Crash{Upstream: uint64(i), Service: 1, AgeMicros: -1, TestRun: true}, &wire.Crash{Upstream: uint64(100 + i), AgeMicros: 1 << 60, TestRun: true})
+			}
+			g.ApplyNotices("peer", []*wire.Notice{n, {Fingerprint: fingerprint, Crashes: []*wire.Crash{{Upstream: fingerprint, AgeMicros: 5}}}})
+		}
+		c.Check(g.Check(5).TestRuns, qt.Equals, 0)
+		notices := g.Notices(false)
+		c.Check(len(notices) > 0 && len(notices) <= maxMessageNotices, qt.IsTrue)
+		c.Check(len(g.Notices(true)) <= maxNotices, qt.IsTrue)
+		for _, n := range notices {
+			c.Check(len(n.GetCrashes()) <= maxCrashesPerNotice, qt.IsTrue)
+		}
+		tasks.Wait()
+	})
+}
--- a/internal/host/testruns.go
+++ b/internal/crashguard/testrun.go
@@ -1,4 +1,4 @@
-package host
+package crashguard
 
 // This file has suspect requests run once, at the request of any host, by the host that examines them.
 
@@ -17,32 +17,32 @@
 )
 
 // BeginTestRun implements dispatch.CrashGuard.
-func (g *crashGuard) BeginTestRun(ctx context.Context, fingerprint uint64) (quarantine.Verdict, func(quarantine.TestResult)) {
-	request := &wire.TestRunRequest{Notice: g.notice(fingerprint), Event: wire.TestRunEvent_TEST_RUN_EVENT_BEGIN}
+func (g *Guard) BeginTestRun(ctx context.Context, fingerprint uint64) (quarantine.Verdict, func(quarantine.TestResult)) {
+	request := &wire.TestRunRequest{Notice: g.Notice(fingerprint), Event: wire.TestRunEvent_TEST_RUN_EVENT_BEGIN}
 	for _, m := range g.examiners(g.examinerKey(fingerprint)) {
-		if m.Host() == g.host.Self.Host() {
+		if m.Host() == g.Self.Host() {
 			break
 		}
 		callCtx, cancel := context.WithTimeout(ctx, testRunCallTimeout)
-		reply, err := g.host.HostTransport.TestRun(callCtx, m.GateAddress(), request)
+		reply, err := g.Peers.TestRun(callCtx, m.GateAddress(), request)
 		cancel()
 		if err != nil {
-			g.host.Log.WithError(err).WithField("examiner", m.Host()).Info("test run not permitted: no answer")
+			g.Log.WithError(err).WithField("examiner", m.Host()).Info("test run not permitted: no answer")
 			continue
 		}
-		g.applyNotice(m.Host(), reply.GetNotice())
+		g.ApplyNotice(m.Host(), reply.GetNotice())
 		v := g.verdictOf(fingerprint, reply)
 		return v, func(result quarantine.TestResult) { g.endTestRun(m, fingerprint, result) }
 	}
 	v := g.permit(fingerprint)
-	return v, func(result quarantine.TestResult) { g.endTestRun(g.host.Self, fingerprint, result) }
+	return v, func(result quarantine.TestResult) { g.endTestRun(g.Self, fingerprint, result) }
 }
 
 // endTestRun clears the evidence after an answer, and reports the end of a test run to
 // the examiner that permitted it.
-func (g *crashGuard) endTestRun(examiner roster.Member, fingerprint uint64, result quarantine.TestResult) {
-	g.host.Metrics.testRuns.WithLabelValues(result.String()).Inc()
-	g.host.Log.WithFields(map[string]any{"fingerprint": formatFingerprint(fingerprint), "result": result.String()}).Info("test run of suspect request ended")
+func (g *Guard) endTestRun(examiner roster.Member, fingerprint uint64, result quarantine.TestResult) {
+	g.Metrics.testRuns.WithLabelValues(result.String()).Inc()
+	g.Log.WithFields(map[string]any{"fingerprint": quarantine.FormatFingerprint(fingerprint), "result": result.String()}).Info("test run of suspect request ended")
 	event := wire.TestRunEvent_TEST_RUN_EVENT_UNANSWERED
 	switch result {
 	case quarantine.TestAnswered:
@@ -51,23 +51,23 @@
 		event = wire.TestRunEvent_TEST_RUN_EVENT_NOT_RUN
 	}
 	g.applyTestResult(fingerprint, result)
-	if examiner.Host() == g.host.Self.Host() {
+	if examiner.Host() == g.Self.Host() {
 		return
 	}
-	request := &wire.TestRunRequest{Notice: g.notice(fingerprint), Event: event}
-	g.host.group.Go(func() {
+	request := &wire.TestRunRequest{Notice: g.Notice(fingerprint), Event: event}
+	g.Tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), testRunCallTimeout)
 		defer cancel()
-		if _, err := g.host.HostTransport.TestRun(ctx, examiner.GateAddress(), request); err != nil {
-			g.host.Log.WithError(err).WithField("examiner", examiner.Host()).Info("end of test run not reported")
+		if _, err := g.Peers.TestRun(ctx, examiner.GateAddress(), request); err != nil {
+			g.Log.WithError(err).WithField("examiner", examiner.Host()).Info("end of test run not reported")
 		}
 	})
 }
 
 // examinerKey returns what determines the examiner of a request. While an alert holds, one host
 // examines all requests of its services, so that it can bound all their test runs.
-func (g *crashGuard) examinerKey(fingerprint uint64) uint64 {
-	if g.host.alerts.holdsFor(g.Check(fingerprint).Service) {
+func (g *Guard) examinerKey(fingerprint uint64) uint64 {
+	if g.Alerts.HoldsFor(g.Check(fingerprint).Service) {
 		return alertExaminerKey
 	}
 	return fingerprint
@@ -75,9 +75,9 @@
 
 // examiners returns the hosts that may permit test runs of the requests with a key, the first
 // choice first.
-func (g *crashGuard) examiners(key uint64) []roster.Member {
+func (g *Guard) examiners(key uint64) []roster.Member {
 	var alive []roster.Member
-	for _, m := range g.host.fleet.Members() {
+	for _, m := range g.Members() {
 		if m.State() == roster.Alive {
 			alive = append(alive, m)
 		}
@@ -89,10 +89,10 @@
 	return alive[:min(maxExaminers, len(alive))]
 }
 
-// handleTestRun handles the call of another host about a test run.
-func (g *crashGuard) handleTestRun(request *wire.TestRunRequest) *wire.TestRunReply {
+// AnswerTestRun answers the call of another host about a test run.
+func (g *Guard) AnswerTestRun(request *wire.TestRunRequest) *wire.TestRunReply {
 	fingerprint := request.GetNotice().GetFingerprint()
-	g.applyNotice(testRunSource, request.GetNotice())
+	g.ApplyNotice(testRunSource, request.GetNotice())
 	reply := &wire.TestRunReply{}
 	switch request.GetEvent() {
 	case wire.TestRunEvent_TEST_RUN_EVENT_BEGIN:
@@ -115,11 +115,11 @@
 	default:
 		g.applyTestResult(fingerprint, quarantine.TestUnanswered)
 	}
-	reply.Notice = g.notice(fingerprint)
+	reply.Notice = g.Notice(fingerprint)
 	return reply
 }
 
-func (g *crashGuard) applyTestResult(fingerprint uint64, result quarantine.TestResult) {
+func (g *Guard) applyTestResult(fingerprint uint64, result quarantine.TestResult) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -131,7 +131,7 @@
 
 // permit returns the verdict on a test run as the examiner. It permits the test run if the
 // decision is Suspect.
-func (g *crashGuard) permit(fingerprint uint64) quarantine.Verdict {
+func (g *Guard) permit(fingerprint uint64) quarantine.Verdict {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -139,8 +139,8 @@
 	if v.Decision != quarantine.Suspect {
 		return v
 	}
-	if g.host.alerts.holdsFor(v.Service) {
-		if wait := g.host.alerts.permitTestRun(now); wait > 0 {
+	if g.Alerts.HoldsFor(v.Service) {
+		if wait := g.Alerts.permitTestRun(now); wait > 0 {
 			v.Decision, v.Wait = quarantine.AwaitingTest, wait
 			return v
 		}
@@ -152,7 +152,7 @@
 }
 
 // verdictOf returns the examiner's verdict on a test run.
-func (g *crashGuard) verdictOf(fingerprint uint64, reply *wire.TestRunReply) quarantine.Verdict {
+func (g *Guard) verdictOf(fingerprint uint64, reply *wire.TestRunReply) quarantine.Verdict {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -171,8 +171,3 @@
 	}
 	return v
 }
-
-// TestRun implements peer.HostHandler.
-func (h *Host) TestRun(_ context.Context, request *wire.TestRunRequest) (*wire.TestRunReply, error) {
-	return h.guard.handleTestRun(request), nil
-}
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -242,7 +242,7 @@
 		u = known
 	}
 	now := time.Now()
-	h.newsBoard.record(now, upstreamNews{upstreamID: u.ID(), lifetime: u.LifetimeKey(), leaving: true, at: now})
+	h.newsBoard.Record(now, inventory.NewLeavingNews(u, now))
 	h.applyLeaving(u, source)
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/crashguard"
 	"github.com/foxtailshelf/foxtailshelf/internal/dialling"
 	"github.com/foxtailshelf/foxtailshelf/internal/dispatch"
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
@@ -144,13 +145,13 @@
 	// member changes.
 	addressCache map[string][]string
 
-	guard     *crashGuard
-	alerts    *crashAlerts
+	guard     *crashguard.Guard
+	alerts    *crashguard.Alerts
 	links     *linkcheck.Checker
-	newsBoard newsBoard
+	newsBoard inventory.NewsBoard
 	// allowances admits requests by the limits of their accounts.
 	allowances *allowances
-	turns      reservedTurns
+	turns      pool.Reservations
 }
 
 // Init must be called before anything else.
@@ -165,8 +166,7 @@
 	h.eraChanges = make(chan struct{}, 1)
 	h.cachedRecords = make(map[string]cachedRecord)
 	h.addressCache = make(map[string][]string)
-	h.guard = newCrashGuard(h)
-	h.alerts = newCrashAlerts(h)
+	h.initCrashGuard()
 	h.links = h.newLinks()
 	h.allowances = newAllowances(h)
 	h.Upstreams.NotifySlowDials(h.links.RecordSlowDial)
@@ -179,7 +179,7 @@
 	}
 	h.follower.Init()
 	h.dispatcher = &dispatch.Dispatcher{
-		Exchanger:        &relay.Exchanger{Direct: h.Upstreams, HostTransport: h.HostTransport, OnNotice: h.guard.applyNotice, OnPartitioned: h.recordPartitioned},
+		Exchanger:        &relay.Exchanger{Direct: h.Upstreams, HostTransport: h.HostTransport, OnNotice: h.guard.ApplyNotice, OnPartitioned: h.recordPartitioned},
 		Pool:             h.pool,
 		LatencyStats:     h.routeLatencyStats,
 		Guard:            h.guard,
@@ -302,6 +302,9 @@
 	return getOrCreate(&h.mu, h.latencyStats, key, func() *pool.LatencyStats { return pool.NewLatencyStats(target, gathers) })
 }
 
+// members returns all hosts as this one knows them.
+func (h *Host) members() []roster.Member { return h.fleet.Members() }
+
 // pool returns the pool of a service.
 func (h *Host) pool(service string) *pool.Pool {
 	return getOrCreate(&h.mu, h.pools, service, func() *pool.Pool { return h.newPool(service) })
@@ -335,9 +338,9 @@
 			h.updateInventory(now)
 			h.closeEvacuatedConnections()
 			h.settle(now)
-			h.guard.maintain(now)
+			h.guard.Maintain(now)
 			h.allowances.maintain(now)
-			h.alerts.maintain(now)
+			h.alerts.Maintain(now)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/host/links.go
+++ b/internal/host/links.go
@@ -30,7 +30,7 @@
 		defer h.mu.RUnlock()
 		return h.inventory.Upstream(id)
 	}
-	c.Members = func() []roster.Member { return h.fleet.Members() }
+	c.Members = h.members
 	c.Detours = func() []roster.Member {
 		h.mu.RLock()
 		defer h.mu.RUnlock()
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -38,8 +38,8 @@
 func (h *Host) Exchange(ctx context.Context, request *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
 	sender := peer.DecodeMember(request.GetSender())
 	h.fleet.HandleUpdates(sender, peer.DecodeMembers(request.GetRumours()))
-	h.alerts.apply(sender.Host(), request.GetCrashAlerts())
-	h.guard.applyNotices(sender.Host(), request.GetNotices())
+	h.alerts.Apply(sender.Host(), request.GetCrashAlerts())
+	h.guard.ApplyNotices(sender.Host(), request.GetNotices())
 	h.applyNews(sender.Host(), request.GetNews())
 	h.follower.HandlePeerRevision(sender.GateAddress(), keyvalue.NewRevision(request.GetEra(), request.GetRevision()), time.Duration(request.GetAgeMicros())*time.Microsecond)
 	reply := &wire.ExchangeReply{}
@@ -53,8 +53,8 @@
 	reply.Sender, reply.Rumours = peer.EncodeMember(self), peer.EncodeMembers(updates)
 	revision := h.follower.Revision()
 	reply.Revision, reply.Era, reply.AgeMicros = revision.Number(), revision.Era(), h.follower.Age().Microseconds()
-	reply.Notices = h.guard.notices(request.GetAllNotices())
-	reply.News, reply.CrashAlerts = h.news(), h.alerts.encode()
+	reply.Notices = h.guard.Notices(request.GetAllNotices())
+	reply.News, reply.CrashAlerts = h.news(), h.alerts.Encode()
 	return reply, nil
 }
 
@@ -65,7 +65,7 @@
 	self, updates := h.fleet.NextUpdates(address)
 	revision := h.follower.Revision()
 	request := &wire.ExchangeRequest{
-		Sender: peer.EncodeMember(self), Rumours: peer.EncodeMembers(updates), Notices: h.guard.notices(false), AllNotices: h.guard.lacksNotices(), News: h.news(), CrashAlerts: h.alerts.encode(),
+		Sender: peer.EncodeMember(self), Rumours: peer.EncodeMembers(updates), Notices: h.guard.Notices(false), AllNotices: h.guard.LacksNotices(), News: h.news(), CrashAlerts: h.alerts.Encode(),
 		Revision: revision.Number(), Era: revision.Era(), AgeMicros: h.follower.Age().Microseconds(),
 	}
 	if probe != nil {
@@ -80,9 +80,9 @@
 	}
 	sender := peer.DecodeMember(reply.GetSender())
 	h.fleet.HandleUpdates(sender, peer.DecodeMembers(reply.GetRumours()))
-	h.guard.recordContact()
-	h.alerts.apply(sender.Host(), reply.GetCrashAlerts())
-	h.guard.applyNotices(sender.Host(), reply.GetNotices())
+	h.guard.RecordContact()
+	h.alerts.Apply(sender.Host(), reply.GetCrashAlerts())
+	h.guard.ApplyNotices(sender.Host(), reply.GetNotices())
 	h.applyNews(sender.Host(), reply.GetNews())
 	h.follower.HandlePeerRevision(sender.GateAddress(), keyvalue.NewRevision(reply.GetEra(), reply.GetRevision()), time.Duration(reply.GetAgeMicros())*time.Microsecond)
 	return reply.GetProbeAnswered(), nil
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -59,7 +59,7 @@
 		h.Metrics.relayedAttempts.WithLabelValues(relayResultLabel(upstream.Refused)).Inc()
 		err := fmt.Errorf("host %s: the request may crash upstreams", h.Self.Host())
 		reply := relay.EncodeOutcome("", upstream.Outcome{Result: upstream.Refused, Err: err})
-		reply.Notice = h.guard.notice(r.GetFingerprint())
+		reply.Notice = h.guard.Notice(r.GetFingerprint())
 		return reply, nil
 	}
 	attempt := relay.DecodeAttempt(time.Now(), r)
@@ -94,7 +94,7 @@
 	outcome := h.dispatcher.RunAttempt(ctx, p, assignment, attempt)
 	cancel()
 	outcome.LinkLost = isLost() && outcome.Result == upstream.Aborted
-	h.guard.recordRelayed(p, assignment, outcome, r.GetTestRun())
+	h.guard.RecordRelayed(p, assignment, outcome, r.GetTestRun())
 	h.Metrics.relayedAttempts.WithLabelValues(relayResultLabel(outcome.Result)).Inc()
 	reply := relay.EncodeOutcome(attempt.UpstreamID, outcome)
 	if outcome.LinkLost {
--- a/internal/host/requestlog.go
+++ b/internal/host/requestlog.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/crashguard"
 	"github.com/foxtailshelf/foxtailshelf/internal/dispatch"
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
@@ -28,15 +29,11 @@
 
 // Metrics are the Prometheus metrics of a host.
 type Metrics struct {
+	crashes              *crashguard.Metrics
 	answers              *prometheus.CounterVec
 	answerSeconds        *prometheus.HistogramVec
 	attempts             *prometheus.CounterVec
 	attemptResults       *prometheus.CounterVec
-	suspectRequests      *prometheus.GaugeVec
-	testRuns             *prometheus.CounterVec
-	upstreamCrashes      prometheus.Counter
-	crashAlerts          prometheus.Counter
-	canaries             *prometheus.CounterVec
 	storeEras            prometheus.Counter
 	leavingUpstreams     prometheus.Counter
 	rests                prometheus.Counter
@@ -58,6 +55,7 @@
 // NewMetrics registers the metrics of a host.
 func NewMetrics(registry prometheus.Registerer) *Metrics {
 	m := &Metrics{
+		crashes: crashguard.NewMetrics(registry),
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "foxtailshelf_answers_total", Help: "Answers to callers by route, status and reason.",
 		}, []string{"route", "status", "reason"}),
@@ -71,21 +69,6 @@
 		attemptResults: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "foxtailshelf_attempt_results_total", Help: "Attempts at upstreams by result.",
 		}, []string{"result"}),
-		suspectRequests: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "foxtailshelf_suspect_requests", Help: "Requests that seem to crash upstreams by decision: suspect, awaiting-test, quarantined.",
-		}, []string{"decision"}),
-		testRuns: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "foxtailshelf_test_runs_total", Help: "Test runs of suspect requests by result: answered, unanswered, not-run.",
-		}, []string{"result"}),
-		upstreamCrashes: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "foxtailshelf_upstream_crashes_total", Help: "Upstreams that ended while they ran a request, counted for each request.",
-		}),
-		crashAlerts: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "foxtailshelf_crash_alerts_total", Help: "Crash alerts that this host has raised or learned of.",
-		}),
-		canaries: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "foxtailshelf_canaries_total", Help: "Canaries of searches by result: answered, ended, overdue, not-run.",
-		}, []string{"result"}),
 		storeEras: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "foxtailshelf_store_eras_total", Help: "Returns of the store from a copy that this host has seen.",
 		}),
@@ -130,7 +113,7 @@
 	}, []string{"result"})
 	registry.MustRegister(m.accountRequests, m.tokenCalls)
 	registry.MustRegister(m.waitingRequests, m.admissions)
-	registry.MustRegister(m.answers, m.answerSeconds, m.attempts, m.attemptResults, m.suspectRequests, m.testRuns, m.upstreamCrashes, m.crashAlerts, m.canaries, m.storeEras, m.leavingUpstreams, m.rests, m.limitChanges, m.missingParts, m.unloggedLines, m.badRecords, m.relayedAttempts, m.configurationVersion, m.partitioned, m.probes)
+	registry.MustRegister(m.answers, m.answerSeconds, m.attempts, m.attemptResults, m.storeEras, m.leavingUpstreams, m.rests, m.limitChanges, m.missingParts, m.unloggedLines, m.badRecords, m.relayedAttempts, m.configurationVersion, m.partitioned, m.probes)
 	m.evacuationMetrics = newEvacuationMetrics(registry)
 	return m
 }
@@ -176,7 +159,7 @@
 		return
 	}
 	fields := logrus.Fields{
-		"request": s.RequestID, "fingerprint": formatFingerprint(s.Fingerprint), "account": s.Account, "route": s.Route, "version": s.Version, "status": s.Status, "reason": string(s.Reason),
+		"request": s.RequestID, "fingerprint": quarantine.FormatFingerprint(s.Fingerprint), "account": s.Account, "route": s.Route, "version": s.Version, "status": s.Status, "reason": string(s.Reason),
 		"parts": s.Parts, "missing": s.MissingParts, "attempts": s.Attempts, "late": s.Hedges, "retried": s.Retries,
 		"lacking": s.MissingDetails, "failure": s.LastFailure, "took-ms": s.Elapsed.Milliseconds(),
 		"store-age-ms": l.mirrorAge().Milliseconds(), "unanswered": s.Unanswered, "ended": s.EndedUpstreams, "probed": s.Probed,
@@ -187,7 +170,7 @@
 	}
 	maps.Copy(fields, admissionFields(s))
 	if s.Verdict.Decision != quarantine.Allowed {
-		maps.Copy(fields, verdictFields(s.Verdict))
+		maps.Copy(fields, s.Verdict.LogFields())
 	}
 	l.log.WithFields(fields).Info("request answered")
 }
@@ -207,7 +190,7 @@
 		return
 	}
 	l.log.WithFields(logrus.Fields{
-		"request": a.RequestID, "fingerprint": formatFingerprint(fingerprint), "upstream": a.UpstreamID, "result": o.Result.String(),
+		"request": a.RequestID, "fingerprint": quarantine.FormatFingerprint(fingerprint), "upstream": a.UpstreamID, "result": o.Result.String(),
 		"refused": o.ConnectionRefused, "relayed": a.Relay != nil, "account": a.Account,
 	}).WithError(o.Err).Info("attempt without a response")
 }
@@ -257,26 +240,11 @@
 	line.Info("limit on requests of an upstream has changed")
 }
 
-// verdictFields returns the evidence for a verdict as it is logged.
-func verdictFields(v quarantine.Verdict) logrus.Fields {
-	source := v.Source
-	if source == "" {
-		source = "own"
-	}
-	return logrus.Fields{
-		"decision": v.Decision.String(), "crashes": v.Crashes, "test-run-crashes": v.TestRuns, "evidence-from": source,
-		"evidence-age-ms": v.Age.Milliseconds(), "wait-ms": v.Wait.Milliseconds(),
-	}
-}
-
 // linkFields returns the state of the links to the upstreams as it is logged.
 func linkFields(s reachability.Summary) logrus.Fields {
 	return logrus.Fields{"links": string(s.State), "heard-ms-ago": s.HeardAgo.Milliseconds(), "failed-links": s.Failed}
 }
 
-// formatFingerprint returns the fingerprint of a request as it is logged.
-func formatFingerprint(fingerprint uint64) string { return strconv.FormatUint(fingerprint, 16) }
-
 // allowLine counts a line and reports whether it is within the limit of the current second.
 func (l *requestLog) allowLine() bool {
 	l.mu.Lock()
@@ -287,3 +255,12 @@
 	l.lineCount++
 	return l.lineCount <= maxLogLinesPerSecond
 }
+
+// allowOrCountLine is allowLine; it counts the lines that are above the limit.
+func (l *requestLog) allowOrCountLine() bool {
+	if l.allowLine() {
+		return true
+	}
+	l.metrics.unloggedLines.Inc()
+	return false
+}
