Merging keeps the greatest records instead of sorting all

Cause: a search sorted the records of all parts to return the first 5 to 50. merge now keeps these in order and compares every other record once.

--- a/internal/dispatch/merge.go
+++ b/internal/dispatch/merge.go
@@ -12,21 +12,25 @@
 // byte by byte. Equal records are all kept; a trailing remainder shorter than a
 // record is ignored.
 func merge(parts [][]byte, top int) []byte {
-	count := 0
-	for _, p := range parts {
-		count += len(p) / RecordSize
-	}
-	records := make([][RecordSize]byte, 0, count)
+	compare := func(a, b [RecordSize]byte) int { return bytes.Compare(b[:], a[:]) }
+	var greatest [][RecordSize]byte
 	for _, p := range parts {
 		for ; len(p) >= RecordSize; p = p[RecordSize:] {
-			records = append(records, [RecordSize]byte(p))
+			record := [RecordSize]byte(p)
+			isFull := len(greatest) >= top
+			if isFull && (top <= 0 || compare(record, greatest[top-1]) >= 0) {
+				continue
+			}
+			if isFull {
+				greatest = greatest[:top-1]
+			}
+			i, _ := slices.BinarySearchFunc(greatest, record, compare)
+			greatest = slices.Insert(greatest, i, record)
 		}
 	}
-	slices.SortFunc(records, func(a, b [RecordSize]byte) int { return bytes.Compare(b[:], a[:]) })
-	records = records[:min(len(records), max(0, top))]
-	merged := make([]byte, 0, len(records)*RecordSize)
-	for i := range records {
-		merged = append(merged, records[i][:]...)
+	merged := make([]byte, 0, len(greatest)*RecordSize)
+	for i := range greatest {
+		merged = append(merged, greatest[i][:]...)
 	}
 	return merged
 }
