--- a/internal/dialling/view.go
+++ b/internal/dialling/view.go
@@ -110,11 +110,6 @@
 	return weightShare(host, members, loadWeights(members, advertised))
 }
 
-// LoadWeights returns the load that each member is expected to carry, relative to the others.
-func LoadWeights(members []roster.Member) []float64 {
-	return loadWeights(members, allAdvertisedHosts(members))
-}
-
 // loadWeights returns the load that each member is expected to carry, relative to the
 // others.
 func loadWeights(members []roster.Member, advertised map[string]bool) []float64 {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -26,7 +24,6 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/relay"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/routing"
-	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
 
@@ -40,54 +37,8 @@
 	// maintenanceInterval is how often expired connections are closed and expired
 	// upstreams are removed.
 	maintenanceInterval = time.Second
-	// maxAddressLists bounds the data centres in the address cache, because callers
-	// can ask for any name. A full cache is cleared.
-	maxAddressLists = 64
-	// noConfigurationRetryDelay is the Retry-After of the answers before the first
-	// configuration. A host that has received no configuration from the store or from
-	// other hosts has to wait for the end of a store outage, which takes seconds.
-	noConfigurationRetryDelay = time.Second
 )
 
-// A DecodedRecord is the decoded value of one key of the store: a configuration, an
-// upstream, or the registration of a host. It is the zero value for other keys.
-type DecodedRecord struct {
-	Table    *routing.Table
-	Upstream *inventory.UpstreamSpec
-	// PeerAddress is the address of a registered host, PeerRegistration its encoded
-	// wire.Member.
-	PeerAddress      string
-	PeerRegistration string
-	// EvacuatedDataCenter is the data centre that the key evacuates.
-	EvacuatedDataCenter string
-	// Ignored describes the parts of the value that are invalid and do not count; empty if
-	// there are none.
-	Ignored string
-}
-
-var _ UpstreamTransport = (*upstream.ConnectionPool)(nil)
-
-// A RecordDecoder decodes the keys and values of the store.
-type RecordDecoder interface {
-	// DecodeRecord decodes a record. It returns the zero value for a key that hosts do
-	// not use.
-	DecodeRecord(record keyvalue.Change) (DecodedRecord, error)
-	// RegistrationKey returns the key under which a host registers itself.
-	RegistrationKey(address string) string
-}
-
-// An UpstreamTransport sends attempts to upstreams over connections that it keeps.
-type UpstreamTransport interface {
-	upstream.Exchanger
-	// NotifySlowDials has a function called while a connection takes long to open. It is called
-	// before the first attempt.
-	NotifySlowDials(onSlowDial func(upstreamID string, startedAt time.Time))
-	// AbortDials gives up all connections that are being opened. Their attempts are not sent.
-	AbortDials()
-	// CloseExpired closes the idle connections that have expired.
-	CloseExpired(now time.Time)
-}
-
 // A Host is the state of one host process. Its exported fields are set before Init.
 type Host struct {
 	Settings      Settings
@@ -208,44 +159,6 @@
 	}
 }
 
-// AdvertisedAddresses returns the entry addresses that callers of a data centre should use.
-func (h *Host) AdvertisedAddresses(dataCenter string) []string {
-	h.addressMu.Lock()
-	defer h.addressMu.Unlock()
-	list, cached := h.addressCache[dataCenter]
-	if !cached {
-		if len(h.addressCache) >= maxAddressLists {
-			clear(h.addressCache)
-		}
-		list = membership.AdvertisedAddresses(h.fleet.Members(), dataCenter)
-		h.addressCache[dataCenter] = list
-	}
-	return list
-}
-
-// Answer runs a request with the active configuration and returns the answer for the caller.
-func (h *Host) Answer(ctx context.Context, request *dispatch.Request) dispatch.Answer {
-	return h.AnswerWith(ctx, request, h.Table())
-}
-
-// AnswerWith is Answer with the configuration with which the request was decoded; nil if there
-// was none.
-func (h *Host) AnswerWith(ctx context.Context, request *dispatch.Request, table *routing.Table) dispatch.Answer {
-	if table == nil {
-		return dispatch.Answer{Status: http.StatusServiceUnavailable, RetryAfter: noConfigurationRetryDelay}
-	}
-	request.ArrivedAt = time.Now()
-	path, _, _ := strings.Cut(request.Target, "?")
-	route := table.Match(request.Host, path)
-	if route == nil {
-		return dispatch.Answer{Status: http.StatusNotFound}
-	}
-	if answer, refused := h.authenticate(request, route, table); refused {
-		return answer
-	}
-	return h.answerAdmitted(ctx, request, route, table.Version())
-}
-
 // Leave announces to the other hosts that this host is stopping, so that they no longer
 // advertise it. Leave returns after the shutdown delay, in which the host still serves
 // callers whose addresses are outdated, or when the context ends.
@@ -257,20 +170,6 @@
 	work.Sleep(ctx, h.Settings.ShutdownDelay())
 }
 
-// NotReadyReason returns why this host is not ready, or an empty string if it is.
-func (h *Host) NotReadyReason() string {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	switch {
-	case h.stopping:
-		return "stopping"
-	case h.table == nil:
-		return "no configuration yet"
-	default:
-		return ""
-	}
-}
-
 // Run keeps the members, the mirror and the registration up to date and does maintenance
 // until the context ends.
 func (h *Host) Run(ctx context.Context) error {
@@ -283,57 +182,6 @@
 	return h.follower.Run(ctx)
 }
 
-// Stopping reports whether Leave was called.
-func (h *Host) Stopping() bool {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	return h.stopping
-}
-
-// Table returns the active configuration, or nil before the first one.
-func (h *Host) Table() *routing.Table {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	return h.table
-}
-
-// routeLatencyStats returns the latency statistics of a route. A route whose latency target
-// changes starts with empty statistics.
-func (h *Host) routeLatencyStats(r *routing.Route) *pool.LatencyStats {
-	return h.latencyStatsFor(r.Name(), r.LatencyTarget(), r.Gathers())
-}
-
-func (h *Host) latencyStatsFor(route string, target time.Duration, gathers bool) *pool.LatencyStats {
-	key := route + " " + target.String()
-	return getOrCreate(&h.mu, h.latencyStats, key, func() *pool.LatencyStats { return pool.NewLatencyStats(target, gathers) })
-}
-
-// members returns all hosts as this one knows them.
-func (h *Host) members() []roster.Member { return h.fleet.Members() }
-
-// pool returns the pool of a service.
-func (h *Host) pool(service string) *pool.Pool {
-	return getOrCreate(&h.mu, h.pools, service, func() *pool.Pool { return h.newPool(service) })
-}
-
-// getOrCreate returns the value of a key, creating it if needed. It acquires mu; create is
-// called with mu held.
-func getOrCreate[V any](mu *sync.RWMutex, values map[string]V, key string, create func() V) V {
-	mu.RLock()
-	v, ok := values[key]
-	mu.RUnlock()
-	if ok {
-		return v
-	}
-	mu.Lock()
-	defer mu.Unlock()
-	if v, ok = values[key]; !ok {
-		v = create()
-		values[key] = v
-	}
-	return v
-}
-
 func (h *Host) runMaintenance(ctx context.Context) {
 	ticker := time.NewTicker(maintenanceInterval)
 	defer ticker.Stop()
@@ -352,17 +200,3 @@
 		}
 	}
 }
-
-// newListedMembers returns members in state Listed that have an address but no data
-// centre and no capacity.
-func newListedMembers(addresses []string) []roster.Member {
-	members := make([]roster.Member, 0, len(addresses))
-	for _, a := range addresses {
-		members = append(members, newListedMember(a, "", 0))
-	}
-	return members
-}
-
-func newListedMember(address, dataCenter string, capacity int) roster.Member {
-	return roster.NewMember(address, dataCenter, address, "", 0, roster.Listed).WithCapacity(capacity)
-}
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -130,3 +130,20 @@
 		}
 	}
 }
+
+// members returns all hosts as this one knows them.
+func (h *Host) members() []roster.Member { return h.fleet.Members() }
+
+// newListedMembers returns members in state Listed that have an address but no data
+// centre and no capacity.
+func newListedMembers(addresses []string) []roster.Member {
+	members := make([]roster.Member, 0, len(addresses))
+	for _, a := range addresses {
+		members = append(members, newListedMember(a, "", 0))
+	}
+	return members
+}
+
+func newListedMember(address, dataCenter string, capacity int) roster.Member {
+	return roster.NewMember(address, dataCenter, address, "", 0, roster.Listed).WithCapacity(capacity)
+}
--- a/internal/host/state.go
+++ b/internal/host/state.go
@@ -1,5 +1,9 @@
 package host
 
+import (
+	"github.com/foxtailshelf/foxtailshelf/internal/routing"
+)
+
 // State is the state of a host that is shown to operators.
 type State struct {
 	// Version is the version of the active configuration; zero before the first one.
@@ -33,3 +37,31 @@
 	s.Upstreams, s.Stopping = h.inventory.Len(), h.stopping
 	return s
 }
+
+// NotReadyReason returns why this host is not ready, or an empty string if it is.
+func (h *Host) NotReadyReason() string {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	switch {
+	case h.stopping:
+		return "stopping"
+	case h.table == nil:
+		return "no configuration yet"
+	default:
+		return ""
+	}
+}
+
+// Stopping reports whether Leave was called.
+func (h *Host) Stopping() bool {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.stopping
+}
+
+// Table returns the active configuration, or nil before the first one.
+func (h *Host) Table() *routing.Table {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.table
+}
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -49,6 +49,11 @@
 	// maxHealthyFactor bounds how long an attempt in flight at a healthy member has
 	// taken, as a multiple of the typical latency.
 	maxHealthyFactor = 2
+	// An upstream is healthy if its failure ratio is below maxHealthyFailureRatio, its
+	// expected latency is below maxHealthyTargetRatio of the target, and no attempt in
+	// flight exceeds maxHealthyFactor.
+	maxHealthyFailureRatio = 0.15
+	maxHealthyTargetRatio  = 0.4
 )
 
 // A member is this host's record of one upstream in a pool.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -15,28 +15,6 @@
 )
 
 const (
-	// crossDataCenterFactor and crossDataCenterDelay are how much faster an
-	// upstream of another data centre must be to be preferred: traffic between data
-	// centres costs money, and a part that comes slightly later does no harm as
-	// long as the answer is on time. If no healthy local upstream accepts the attempt,
-	// unhealthyCrossFactor is used instead of crossDataCenterFactor.
-	crossDataCenterFactor = 2.8
-	unhealthyCrossFactor  = 1.15
-	crossDataCenterDelay  = 2 * time.Millisecond
-	// directDialFactor is how much faster an upstream must be than a dialling host
-	// to be dialled directly: the upstream's connections are reserved for its
-	// dialling hosts.
-	directDialFactor = 4.0
-	// unprovedDetourFactor is how much faster a detour must be that is not known to reach
-	// upstreams.
-	unprovedDetourFactor = 4.0
-	// failureCostRatio is the cost of a failed attempt, as a ratio of the target,
-	// while the whole budget for extra attempts remains. Once the budget is used
-	// up, or on the last attempt that a request may have, a failure is a missing
-	// part and costs scarceCostRatio more. While some of the budget remains, the
-	// additional cost is in proportion to the ratio of the budget that is used up.
-	failureCostRatio = 0.3
-	scarceCostRatio  = 1.2
 	// initialConnectDuration is the assumed duration of opening a connection until
 	// the first one has been opened.
 	initialConnectDuration = 3 * time.Millisecond
@@ -45,11 +23,6 @@
 	// retryReserveRatio is the ratio of the allowed extra attempts that hedges leave
 	// for retries after failures.
 	retryReserveRatio = 0.15
-	// An upstream is healthy if its failure ratio is below maxHealthyFailureRatio, its
-	// expected latency is below maxHealthyTargetRatio of the target, and no attempt in
-	// flight exceeds maxHealthyFactor.
-	maxHealthyFailureRatio = 0.15
-	maxHealthyTargetRatio  = 0.4
 )
 
 // A Policy bounds how one host uses the upstreams of a service.
--- a/internal/pool/selection.go
+++ b/internal/pool/selection.go
@@ -10,6 +10,31 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 )
 
+const (
+	// crossDataCenterFactor and crossDataCenterDelay are how much faster an
+	// upstream of another data centre must be to be preferred: traffic between data
+	// centres costs money, and a part that comes slightly later does no harm as
+	// long as the answer is on time. If no healthy local upstream accepts the attempt,
+	// unhealthyCrossFactor is used instead of crossDataCenterFactor.
+	crossDataCenterFactor = 2.8
+	unhealthyCrossFactor  = 1.15
+	crossDataCenterDelay  = 2 * time.Millisecond
+	// directDialFactor is how much faster an upstream must be than a dialling host
+	// to be dialled directly: the upstream's connections are reserved for its
+	// dialling hosts.
+	directDialFactor = 4.0
+	// unprovedDetourFactor is how much faster a detour must be that is not known to reach
+	// upstreams.
+	unprovedDetourFactor = 4.0
+	// failureCostRatio is the cost of a failed attempt, as a ratio of the target,
+	// while the whole budget for extra attempts remains. Once the budget is used
+	// up, or on the last attempt that a request may have, a failure is a missing
+	// part and costs scarceCostRatio more. While some of the budget remains, the
+	// additional cost is in proportion to the ratio of the budget that is used up.
+	failureCostRatio = 0.3
+	scarceCostRatio  = 1.2
+)
+
 // bestMember returns one of the members with the lowest expected cost that has this
 // eligibility and accepts the attempt, or nil.
 func (p *Pool) bestMember(now time.Time, members []*member, r Requirements, eligibility inventory.Eligibility) *member {
