--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -74,7 +74,7 @@
 	// counts as ended. If u is a dialling host, forwardedTo is the ID of the upstream.
 	OnLeaving func(u inventory.Upstream, forwardedTo string)
 	// OnUnreachable is called when the pool has recorded that no connection to an upstream could
-	// be made: its retest is due some time later. It may be nil.
+	// be made: its reconnect is due some time later. It may be nil.
 	OnUnreachable func()
 	// OnFinish is called with the summary of each finished request.
 	OnFinish func(Summary)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -65,9 +65,9 @@
 	// eraChanges holds a value while this host has to register again, because the store has
 	// come back from a copy.
 	eraChanges chan struct{}
-	// retestsDue holds a value while the pools may have upstreams for runRetests that it does
+	// reconnectsDue holds a value while the pools may have upstreams for runReconnects that it does
 	// not know of.
-	retestsDue chan struct{}
+	reconnectsDue chan struct{}
 
 	mu sync.RWMutex
 	// table is the active configuration, nil before the first one. Its version never
@@ -118,7 +118,7 @@
 	h.dialPlans = make(map[dialling.Key]dialling.Plan)
 	h.fleetChanges = make(chan struct{}, 1)
 	h.eraChanges = make(chan struct{}, 1)
-	h.retestsDue = make(chan struct{}, 1)
+	h.reconnectsDue = make(chan struct{}, 1)
 	h.cachedRecords = make(map[string]cachedRecord)
 	h.addressCache = make(map[string][]string)
 	h.initCrashGuard()
@@ -141,7 +141,7 @@
 		Alerts:           h.alerts,
 		OnAttempt:        h.requestLog.recordAttempt,
 		OnLeaving:        h.recordLeaving,
-		OnUnreachable:    h.scheduleRetests,
+		OnUnreachable:    h.scheduleReconnects,
 		Links:            h.links,
 		OnFinish:         h.requestLog.record,
 		OnWaiting:        h.Metrics.waitingRequests.Add,
@@ -177,7 +177,7 @@
 	h.group.Go(func() { h.handleFleetChanges(ctx) })
 	h.group.Go(func() { h.keepRegistered(ctx) })
 	h.group.Go(func() { h.links.Run(ctx) })
-	h.group.Go(func() { h.runRetests(ctx) })
+	h.group.Go(func() { h.runReconnects(ctx) })
 	h.group.Go(func() { h.runMaintenance(ctx) })
 	return h.follower.Run(ctx)
 }
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -31,7 +31,7 @@
 	configurationVersion prometheus.Gauge
 	partitioned          prometheus.Gauge
 	probes               *prometheus.CounterVec
-	retests              *prometheus.CounterVec
+	reconnects           *prometheus.CounterVec
 	accountRequests      *prometheus.CounterVec
 	tokenCalls           *prometheus.CounterVec
 	evacuationMetrics
@@ -89,8 +89,8 @@
 		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "foxtailshelf_upstream_probes_total", Help: "Connections opened to find out whether an upstream runs, by result.",
 		}, []string{"result"}),
-		retests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "foxtailshelf_upstream_retests_total", Help: "Connections opened to upstreams that were not reached, by result: reached, unreachable.",
+		reconnects: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "foxtailshelf_upstream_reconnects_total", Help: "Connections opened to upstreams that were not reached, by result: reached, unreachable.",
 		}, []string{"result"}),
 		waitingRequests: newWaitingRequests(),
 		admissions:      newAdmissions(),
--- a/internal/host/retests.go
+++ b/internal/host/reconnects.go
@@ -9,22 +9,22 @@
 )
 
 const (
-	// retestInterval is the least time between two looks for upstreams that are due for a
-	// retest.
-	retestInterval = 50 * time.Millisecond
-	// retestTimeout bounds a retest.
-	retestTimeout = 250 * time.Millisecond
+	// reconnectInterval is the least time between two looks for upstreams that are due for a
+	// reconnect.
+	reconnectInterval = 50 * time.Millisecond
+	// reconnectTimeout bounds a reconnect.
+	reconnectTimeout = 250 * time.Millisecond
 )
 
-// runRetests tries to connect to the upstreams that this host did not reach, when its pools say
+// runReconnects tries to connect to the upstreams that this host did not reach, when its pools say
 // so, until the context ends.
-func (h *Host) runRetests(ctx context.Context) {
-	ticker := time.NewTicker(retestInterval)
+func (h *Host) runReconnects(ctx context.Context) {
+	ticker := time.NewTicker(reconnectInterval)
 	defer ticker.Stop()
 	var next time.Time
 	for {
 		select {
-		case <-h.retestsDue:
+		case <-h.reconnectsDue:
 		case now := <-ticker.C:
 			if next.IsZero() || now.Before(next) {
 				continue
@@ -32,13 +32,13 @@
 		case <-ctx.Done():
 			return
 		}
-		next = h.startRetests(ctx, time.Now())
+		next = h.startReconnects(ctx, time.Now())
 	}
 }
 
-// startRetests starts the retests that are due and returns when the next ones are; zero if none
+// startReconnects starts the reconnects that are due and returns when the next ones are; zero if none
 // will be.
-func (h *Host) startRetests(ctx context.Context, now time.Time) (next time.Time) {
+func (h *Host) startReconnects(ctx context.Context, now time.Time) (next time.Time) {
 	h.mu.RLock()
 	pools := make([]*pool.Pool, 0, len(h.pools))
 	for _, p := range h.pools {
@@ -46,28 +46,28 @@
 	}
 	h.mu.RUnlock()
 	for _, p := range pools {
-		due, at := p.DueRetests(now)
+		due, at := p.DueReconnects(now)
 		if !at.IsZero() && (next.IsZero() || at.Before(next)) {
 			next = at
 		}
 		for _, u := range due {
-			h.group.Go(func() { h.retest(ctx, p, u) })
+			h.group.Go(func() { h.reconnect(ctx, p, u) })
 		}
 	}
 	return next
 }
 
-func (h *Host) retest(ctx context.Context, p *pool.Pool, u inventory.Upstream) {
-	ctx, cancel := context.WithTimeout(ctx, retestTimeout)
+func (h *Host) reconnect(ctx context.Context, p *pool.Pool, u inventory.Upstream) {
+	ctx, cancel := context.WithTimeout(ctx, reconnectTimeout)
 	defer cancel()
 	isReached := h.links.Reaches(ctx, u)
-	p.RecordRetest(time.Now(), u, isReached)
-	h.scheduleRetests()
+	p.RecordReconnect(time.Now(), u, isReached)
+	h.scheduleReconnects()
 	if !isReached {
-		h.Metrics.retests.WithLabelValues("unreachable").Inc()
+		h.Metrics.reconnects.WithLabelValues("unreachable").Inc()
 		return
 	}
-	h.Metrics.retests.WithLabelValues("reached").Inc()
+	h.Metrics.reconnects.WithLabelValues("reached").Inc()
 	h.Log.WithFields(map[string]any{"upstream": u.ID(), "service": u.Service(), "address": u.Address()}).Info("upstream reached again")
 }
 
@@ -78,14 +78,14 @@
 	u, ok := h.inventory.Upstream(upstreamID)
 	h.mu.RUnlock()
 	if ok && h.pool(u.Service()).RecordSlowDial(time.Now(), u, startedAt) {
-		h.scheduleRetests()
+		h.scheduleReconnects()
 	}
 }
 
-// scheduleRetests has runRetests look for upstreams that it has to connect to.
-func (h *Host) scheduleRetests() {
+// scheduleReconnects has runReconnects look for upstreams that it has to connect to.
+func (h *Host) scheduleReconnects() {
 	select {
-	case h.retestsDue <- struct{}{}:
+	case h.reconnectsDue <- struct{}{}:
 	default:
 		// A look is already due.
 	}
--- a/internal/host/retests_test.go
+++ b/internal/host/reconnects_test.go
@@ -15,6 +15,7 @@
 // while under a load that the others can run. Once each host has found that out, no caller may wait for them, and they must be used
 // again soon after they are back.
 func TestUnreachableUpstreamsCostNoRequests(t *testing.T) {
+	t.Parallel()
 	const (
 		discoveryTime   = 2 * time.Second
 		unreachableTime = 10 * time.Second
--- a/internal/pool/detour_test.go
+++ b/internal/pool/detour_test.go
@@ -131,9 +131,9 @@
 	f.fail("c")
 	c.Check(f.chosen(Requirements{}), qt.Equals, "near:1")
 	f.now = f.now.Add(minDownPeriod)
-	c.Check(f.retest(false), qt.DeepEquals, []string{"a", "b", "c"})
+	c.Check(f.reconnect(false), qt.DeepEquals, []string{"a", "b", "c"})
 	c.Check(f.chosen(Requirements{}), qt.Equals, "near:1")
 	f.now = f.now.Add(2 * minDownPeriod)
-	c.Check(f.retest(true), qt.DeepEquals, []string{"a", "b", "c"})
+	c.Check(f.reconnect(true), qt.DeepEquals, []string{"a", "b", "c"})
 	c.Check(f.chosen(Requirements{}), qt.Equals, "a")
 }
--- a/internal/pool/limit_test.go
+++ b/internal/pool/limit_test.go
@@ -170,7 +170,7 @@
 	c.Assert(assignment, qt.IsNotNil)
 	f.RecordOutcome(f.now, assignment, upstream.Outcome{Result: upstream.Unreachable})
 	f.now = f.now.Add(minDownPeriod)
-	f.retest(true)
+	f.reconnect(true)
 	c.Check(f.Assign(f.now, r), qt.IsNotNil)
 	c.Check(f.Assign(f.now, r), qt.IsNil)
 }
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -80,9 +80,9 @@
 	// last down; zero once the upstream has responded.
 	downUntil  time.Time
 	downPeriod time.Duration
-	// isUnproved is set after no connection could be made, until one could: the member stays
-	// down after downUntil. isRetested is set while this host tries to make one.
-	isUnproved, isRetested bool
+	// isUnreachable is set after no connection could be made, until one could: the member stays
+	// down after downUntil. isReconnecting is set while this host tries to make one.
+	isUnreachable, isReconnecting bool
 	// restUntil is until when the upstream wants no requests of this host.
 	restUntil time.Time
 	// limit is the limit on requests that the upstream has stated; nil if none.
@@ -139,7 +139,7 @@
 // isDown reports whether the member gets no attempts, because no connection could be
 // made or another upstream has its address.
 func (m *member) isDown(now time.Time) bool {
-	return m.isUnproved || now.Before(m.downUntil)
+	return m.isUnreachable || now.Before(m.downUntil)
 }
 
 // isResting reports whether the upstream wants no requests of this host.
@@ -217,7 +217,7 @@
 func (m *member) recordReachable(now time.Time) {
 	m.respondedAt = now
 	m.downPeriod, m.downUntil = 0, time.Time{}
-	m.isUnproved = false
+	m.isUnreachable = false
 	m.noDialPeriod = 0
 }
 
@@ -252,7 +252,7 @@
 
 // recordUnreachable records that no connection could be made.
 func (m *member) recordUnreachable(now time.Time) {
-	m.isUnproved = !m.upstream.IsDiallingHost()
+	m.isUnreachable = !m.upstream.IsDiallingHost()
 	m.downPeriod = min(max(2*m.downPeriod, minDownPeriod), maxDownPeriod)
 	// An upstream that is known to have ended is down for longer.
 	if until := now.Add(m.downPeriod); until.After(m.downUntil) {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -339,7 +339,7 @@
 		}
 	case upstream.Unreachable:
 		m.giveBackTurn()
-		if !o.AtConnectionLimit && !o.ConnectAborted && !m.isUnproved {
+		if !o.AtConnectionLimit && !o.ConnectAborted && !m.isUnreachable {
 			m.recordUnreachable(now)
 		}
 	case upstream.Broken:
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -190,8 +190,8 @@
 }
 
 // TestUnreachableUpstreamIsSkipped checks that an upstream that refuses connections
-// is due for a retest after minDownPeriod and gets no attempt before one has reached it. After
-// a second refusal the retest is due later. If all upstreams refuse connections, no attempt is
+// is due for a reconnect after minDownPeriod and gets no attempt before one has reached it. After
+// a second refusal the reconnect is due later. If all upstreams refuse connections, no attempt is
 // assigned.
 func TestUnreachableUpstreamIsSkipped(t *testing.T) {
 	c := qt.New(t)
@@ -201,13 +201,13 @@
 	}
 	c.Assert(f.run(refused), qt.Equals, "a")
 	c.Check(f.run(answered), qt.Not(qt.Equals), "a")
-	c.Check(f.retest(true), qt.HasLen, 0, qt.Commentf("too early"))
+	c.Check(f.reconnect(true), qt.HasLen, 0, qt.Commentf("too early"))
 	f.now = f.now.Add(minDownPeriod)
-	c.Check(f.run(answered), qt.Not(qt.Equals), "a", qt.Commentf("before the retest"))
-	c.Check(f.retest(true), qt.DeepEquals, []string{"a"})
+	c.Check(f.run(answered), qt.Not(qt.Equals), "a", qt.Commentf("before the reconnect"))
+	c.Check(f.reconnect(true), qt.DeepEquals, []string{"a"})
 	c.Assert(f.run(refused), qt.Equals, "a")
 	f.now = f.now.Add(minDownPeriod)
-	c.Check(f.retest(true), qt.HasLen, 0, qt.Commentf("the second period is longer"))
+	c.Check(f.reconnect(true), qt.HasLen, 0, qt.Commentf("the second period is longer"))
 	c.Check(f.run(answered), qt.Not(qt.Equals), "a")
 	for range 2 {
 		f.run(refused)
--- a/internal/pool/retest.go
+++ b/internal/pool/reconnect.go
@@ -11,14 +11,14 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 )
 
-// DueRetests returns the upstreams to which the caller must try to make a connection now, and
+// DueReconnects returns the upstreams to which the caller must try to make a connection now, and
 // when the next ones will be due; zero if none will. The caller reports the result of each to
-// RecordRetest. Until a connection was made, the upstream gets no attempts.
-func (p *Pool) DueRetests(now time.Time) (due []inventory.Upstream, next time.Time) {
+// RecordReconnect. Until a connection was made, the upstream gets no attempts.
+func (p *Pool) DueReconnects(now time.Time) (due []inventory.Upstream, next time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range p.members {
-		if !m.isUnproved || m.isRetested || m.upstream.Eligibility(now) == inventory.Retired || m.upstream.IsEvacuated() {
+		if !m.isUnreachable || m.isReconnecting || m.upstream.Eligibility(now) == inventory.Retired || m.upstream.IsEvacuated() {
 			continue
 		}
 		at := m.downUntil
@@ -27,7 +27,7 @@
 		}
 		switch {
 		case !at.After(now) && (p.Links == nil || p.Links.AllowsDial(now, m.upstream.LifetimeKey())):
-			m.isRetested = true
+			m.isReconnecting = true
 			due = append(due, m.upstream)
 		case next.IsZero() || at.Before(next):
 			next = at
@@ -37,21 +37,21 @@
 }
 
 // RecordSlowDial records that a connection to an upstream, which this host began to open at a time,
-// takes longer than the network and a running upstream take. It reports whether a retest is due
+// takes longer than the network and a running upstream take. It reports whether a reconnect is due
 // some time later: the upstream has not responded since.
 func (p *Pool) RecordSlowDial(now time.Time, u inventory.Upstream, startedAt time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	i := slices.IndexFunc(p.members, func(m *member) bool { return m.upstream.HasSameLifetime(u) })
-	if i < 0 || p.members[i].isUnproved || p.members[i].respondedAt.After(startedAt) {
+	if i < 0 || p.members[i].isUnreachable || p.members[i].respondedAt.After(startedAt) {
 		return false
 	}
 	p.members[i].recordUnreachable(now)
 	return true
 }
 
-// RecordRetest records whether a connection to an upstream of DueRetests could be made.
-func (p *Pool) RecordRetest(now time.Time, u inventory.Upstream, isReached bool) {
+// RecordReconnect records whether a connection to an upstream of DueReconnects could be made.
+func (p *Pool) RecordReconnect(now time.Time, u inventory.Upstream, isReached bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	i := slices.IndexFunc(p.members, func(m *member) bool { return m.upstream.HasSameLifetime(u) })
@@ -59,12 +59,12 @@
 		return
 	}
 	m := p.members[i]
-	m.isRetested = false
+	m.isReconnecting = false
 	switch {
-	case !m.isUnproved:
+	case !m.isUnreachable:
 		// The upstream has responded meanwhile.
 	case isReached:
-		m.isUnproved = false
+		m.isUnreachable = false
 	default:
 		m.recordUnreachable(now)
 	}
--- a/internal/pool/retest_test.go
+++ b/internal/pool/reconnect_test.go
@@ -7,55 +7,55 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// retest makes all retests that are due, with one result, and returns the upstreams.
-func (f *fixture) retest(isReached bool) (ids []string) {
-	due, _ := f.DueRetests(f.now)
+// reconnect makes all reconnects that are due, with one result, and returns the upstreams.
+func (f *fixture) reconnect(isReached bool) (ids []string) {
+	due, _ := f.DueReconnects(f.now)
 	for _, u := range due {
 		ids = append(ids, u.ID())
-		f.RecordRetest(f.now, u, isReached)
+		f.RecordReconnect(f.now, u, isReached)
 	}
 	return ids
 }
 
-// TestRetestsAreDue checks when retests are due, that only one of an upstream runs at a time, and that
+// TestReconnectsAreDue checks when reconnects are due, that only one of an upstream runs at a time, and that
 // an upstream that responds meanwhile needs none.
-func TestRetestsAreDue(t *testing.T) {
+func TestReconnectsAreDue(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(newPolicy())
-	_, next := f.DueRetests(f.now)
+	_, next := f.DueReconnects(f.now)
 	c.Check(next.IsZero(), qt.IsTrue)
 	f.members[0].recordUnreachable(f.now)
-	_, next = f.DueRetests(f.now)
+	_, next = f.DueReconnects(f.now)
 	c.Check(next, qt.Equals, f.now.Add(minDownPeriod))
 	f.now = next
-	due, next := f.DueRetests(f.now)
+	due, next := f.DueReconnects(f.now)
 	c.Assert(due, qt.HasLen, 1)
 	c.Check(next.IsZero(), qt.IsTrue)
-	due, _ = f.DueRetests(f.now)
+	due, _ = f.DueReconnects(f.now)
 	c.Check(due, qt.HasLen, 0)
 
 	f.members[1].recordUnreachable(f.now)
 	f.now = f.now.Add(10 * time.Second)
-	due, _ = f.DueRetests(f.now)
+	due, _ = f.DueReconnects(f.now)
 	c.Assert(due, qt.HasLen, 1)
 	f.members[1].recordReachable(f.now)
-	f.RecordRetest(f.now, due[0], false)
+	f.RecordReconnect(f.now, due[0], false)
 	c.Check(f.members[1].isUsable(f.now), qt.IsTrue)
 }
 
-// TestRestingUpstreamsAreNotRetested checks that an upstream that wants no requests is left alone.
-func TestRestingUpstreamsAreNotRetested(t *testing.T) {
+// TestNoReconnectToRestingUpstreams checks that an upstream that wants no requests is left alone.
+func TestNoReconnectToRestingUpstreams(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(newPolicy())
 	f.members[0].recordUnreachable(f.now)
 	f.members[0].restUntil = f.now.Add(time.Minute)
-	due, next := f.DueRetests(f.now.Add(time.Second))
+	due, next := f.DueReconnects(f.now.Add(time.Second))
 	c.Check(due, qt.HasLen, 0)
 	c.Check(next, qt.Equals, f.members[0].restUntil)
 }
 
 // TestSlowDial checks that an upstream to which a connection takes long to open gets no attempts
-// until a retest, unless it has responded meanwhile.
+// until a reconnect, unless it has responded meanwhile.
 func TestSlowDial(t *testing.T) {
 	c := qt.New(t)
 	f := newFixture(newPolicy())
@@ -67,6 +67,6 @@
 	c.Check(m.isUsable(f.now), qt.IsFalse)
 	c.Check(f.RecordSlowDial(f.now, m.upstream, f.now), qt.IsFalse, qt.Commentf("known"))
 	f.now = f.now.Add(minDownPeriod)
-	c.Check(f.retest(true), qt.DeepEquals, []string{"a"})
+	c.Check(f.reconnect(true), qt.DeepEquals, []string{"a"})
 	c.Check(m.isUsable(f.now), qt.IsTrue)
 }
