--- a/internal/host/admission_test.go
+++ b/internal/host/admission_test.go
@@ -27,6 +27,7 @@
 // against refusals without a delay, against tokens that are lost with requests that have not
 // run, and against limits on requests without an account.
 func TestRequestsAboveTheLimitOfTheirAccountAreRefused(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		f := newTestFleet()
@@ -83,6 +84,7 @@
 // TestHostsOfAnEarlierBuildAreNotAskedAgainAtOnce replaces the answers of all other hosts by
 // errors. It guards against requests that wait for hosts that cannot issue tokens.
 func TestHostsOfAnEarlierBuildAreNotAskedAgainAtOnce(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		f := newTestFleet()
--- a/internal/host/allowance_test.go
+++ b/internal/host/allowance_test.go
@@ -102,6 +102,7 @@
 // TestAccountsKeepToTheirLimits plays calm days, floods, and faults of hosts while accounts flood.
 // It guards against limits that do not hold and against refusals below them.
 func TestAccountsKeepToTheirLimits(t *testing.T) {
+	t.Parallel()
 	const oneIn200 = 1.0 / 200
 	flood := accountPlay{flooding: 3, floodRatio: 6, cutAt: 5 * time.Second, cutTime: 10 * time.Second}
 	above, disturbed, killed, cutFew, halves, lowered := flood, flood, flood, flood, flood, flood
--- a/internal/host/authentication_test.go
+++ b/internal/host/authentication_test.go
@@ -49,6 +49,7 @@
 // hear of it. Hosts without one must serve the keys that they know, and must not refuse others
 // for good.
 func TestKeysReachAllHosts(t *testing.T) {
+	t.Parallel()
 	for _, size := range playSizes() {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			t.Parallel()
@@ -129,6 +130,7 @@
 // upstreams without the account's name. With few connections for each upstream, most attempts
 // are relayed.
 func TestRelayedAttemptsNameTheAccount(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		f, addresses := startLimitedSearchFleet(24, closesConnections, false, 8)
--- a/internal/host/coldlimit_test.go
+++ b/internal/host/coldlimit_test.go
@@ -51,6 +51,7 @@
 // TestColdUpstreamsGetNoMoreThanTheyTake makes upstreams cold that had been idle or busy, with
 // other upstreams that have room and without, while all hosts send at the same moments.
 func TestColdUpstreamsGetNoMoreThanTheyTake(t *testing.T) {
+	t.Parallel()
 	for _, size := range playSizes() {
 		for name, p := range map[string]coldPlay{
 			"one":           {rate: 2},
@@ -87,6 +88,7 @@
 // TestColdUpstreamsWithoutLimitAreUsed checks that a configuration without a rate limits
 // nothing: more arrives at cold upstreams than the smallest limit allows.
 func TestColdUpstreamsWithoutLimitAreUsed(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		r := coldPlay{size: 7, all: true}.run()
@@ -99,6 +101,7 @@
 // TestHostsThatStartWithColdUpstreams starts all hosts at once while all upstreams are cold. Hosts
 // that do not know each other yet must not each take a large part of the limit.
 func TestHostsThatStartWithColdUpstreams(t *testing.T) {
+	t.Parallel()
 	const (
 		rate     = 50
 		playTime = 3 * time.Second
--- a/internal/host/copyloss_test.go
+++ b/internal/host/copyloss_test.go
@@ -57,12 +57,14 @@
 // them, and so has a host. All hosts must have the version, the upstreams of the store and no others, and
 // their registrations must be back.
 func TestStoreBackFromCopy(t *testing.T) {
+	t.Parallel()
 	sizes := []int{7, 63}
 	if *fleetSize > 0 {
 		sizes = []int{*fleetSize}
 	}
 	for _, size := range sizes {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				f, addresses := startFleet(size)
--- a/internal/host/crashalert_test.go
+++ b/internal/host/crashalert_test.go
@@ -179,6 +179,7 @@
 // before the evidence against them takes effect. Three in a hundred searches, each with a path
 // of its own, crash each upstream that begins to run them, and are sent once more.
 func TestSearchesThatCrashUpstreams(t *testing.T) {
+	t.Parallel()
 	sizes := []int{7, 63}
 	if *fleetSize > 0 {
 		sizes = []int{*fleetSize}
@@ -232,6 +233,7 @@
 // messages must raise none. The alert must end on all hosts at about the same time, also on one
 // that learned of it late.
 func TestCrashAlertReachesHosts(t *testing.T) {
+	t.Parallel()
 	const (
 		spreadTime = 40 * time.Millisecond
 		lateTime   = 3 * time.Second
--- a/internal/host/crashing_test.go
+++ b/internal/host/crashing_test.go
@@ -323,6 +323,7 @@
 
 // TestRequestThatCrashesUpstreamsIsStopped sends such a request again and again.
 func TestRequestThatCrashesUpstreamsIsStopped(t *testing.T) {
+	t.Parallel()
 	calm := crashPlay{interval: 700 * time.Millisecond, repetitions: 36, minCrashes: 3}
 	many, disturbed, massCrash, sameID, relayed := calm, calm, calm, calm, calm
 	many.copies, many.interval, many.repetitions = 4, 300*time.Millisecond, 60
@@ -374,6 +375,7 @@
 
 // TestUpstreamsThatEndAfterCallerLeft sends a request again and again whose upstreams end 1.5 s after its caller has left.
 func TestUpstreamsThatEndAfterCallerLeft(t *testing.T) {
+	t.Parallel()
 	sizes := []int{7}
 	if *fleetSize > 0 {
 		sizes = []int{*fleetSize}
--- a/internal/host/evacuation_test.go
+++ b/internal/host/evacuation_test.go
@@ -44,6 +44,7 @@
 // get no response from the store, or start. No request may arrive there, other upstreams serve
 // the searches, and the data centre returns without more requests than before.
 func TestNoRequestReachesEvacuatedDataCenter(t *testing.T) {
+	t.Parallel()
 	for _, size := range playSizes() {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			t.Parallel()
@@ -121,6 +122,7 @@
 // TestRequestsAreRefusedAtOnceIfAllIsEvacuated evacuates all data centres. Requests must be
 // refused at once as not run, with a delay, also through dialling hosts.
 func TestRequestsAreRefusedAtOnceIfAllIsEvacuated(t *testing.T) {
+	t.Parallel()
 	for _, maxConnections := range []int{0, 8} {
 		t.Run(fmt.Sprint("connections-", maxConnections), func(t *testing.T) {
 			t.Parallel()
@@ -159,6 +161,7 @@
 // TestEvacuationThatComesAndGoes writes and removes the key every second. Callers must be served, as
 // other data centres have all shards.
 func TestEvacuationThatComesAndGoes(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		f, _, load := startEvacuationFleet(7)
--- a/internal/host/lapse_test.go
+++ b/internal/host/lapse_test.go
@@ -14,8 +14,10 @@
 // counts as a crash only if the upstream has ended: an outage of the store may have lost the
 // entry of one that runs, which other hosts would then avoid for seconds.
 func TestLapsedEntryIsNoEnd(t *testing.T) {
+	t.Parallel()
 	for name, hasEnded := range map[string]bool{"runs": false, "ended": true} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				f, addresses := startSearchFleet(7, closesConnections, false)
--- a/internal/host/layers_test.go
+++ b/internal/host/layers_test.go
@@ -15,9 +15,11 @@
 // TestDecisionsDoNoIO checks that the packages that decide for the host read no clock, start no
 // goroutine and import nothing that does I/O, so that their decisions can be tested by values.
 func TestDecisionsDoNoIO(t *testing.T) {
+	t.Parallel()
 	forbidden := []string{"net", "os", "crashguard", "host", "linkcheck", "peer", "relay", "wire", "work"}
 	for _, name := range []string{"account", "admission", "allowance", "budget", "dialling", "inventory", "pool", "quarantine", "reachability", "roster", "routing"} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			files, err := filepath.Glob(filepath.Join("..", name, "*.go"))
 			c.Assert(err, qt.IsNil)
--- a/internal/host/leaving_test.go
+++ b/internal/host/leaving_test.go
@@ -18,6 +18,7 @@
 // than restSlack after a refusal; ordinary requests are served meanwhile. -fleet-size
 // sets another number of hosts than 7.
 func TestLeavingAndRestingUpstreamsInFleet(t *testing.T) {
+	t.Parallel()
 	const (
 		drainTime = 1500 * time.Millisecond
 		restSlack = 50 * time.Millisecond
--- a/internal/host/limits_test.go
+++ b/internal/host/limits_test.go
@@ -52,6 +52,7 @@
 
 // TestLimitedUpstreamsGetNoMoreThanTheyTake plays limits that leave room at other upstreams of each shard, and limits of all upstreams.
 func TestLimitedUpstreamsGetNoMoreThanTheyTake(t *testing.T) {
+	t.Parallel()
 	sizes := []int{7, 63}
 	if *fleetSize > 0 {
 		sizes = []int{*fleetSize}
--- a/internal/host/links_test.go
+++ b/internal/host/links_test.go
@@ -15,6 +15,7 @@
 
 // TestEndsOfUpstreamsAreToldFromLostLinks has an upstream end or hosts lose their links, and checks what hosts conclude.
 func TestEndsOfUpstreamsAreToldFromLostLinks(t *testing.T) {
+	t.Parallel()
 	const address = "shard-0-0:1"
 	for _, test := range []struct {
 		name string
@@ -41,6 +42,7 @@
 		}, reachability.Ended},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				f, addresses := startSearchFleet(7, test.mode, false)
@@ -58,6 +60,7 @@
 
 // TestAnotherUpstreamAtTheAddressRefutesNothing has an address answer for another upstream.
 func TestAnotherUpstreamAtTheAddressRefutesNothing(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		f, addresses := startSearchFleet(3, closesConnections, false)
--- a/internal/host/masscrash_test.go
+++ b/internal/host/masscrash_test.go
@@ -21,6 +21,7 @@
 // must be served by its third attempt; none may be told to wait for longer than a
 // second, and no request may be quarantined.
 func TestMassCrashStopsNoOrdinaryRequest(t *testing.T) {
+	t.Parallel()
 	const (
 		callers     = 3000
 		maxAttempts = 3
@@ -28,6 +29,7 @@
 	)
 	for _, mode := range []endMode{closesConnections, goesSilent} {
 		t.Run(string(mode), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				f, addresses := startSearchFleet(7, mode, false)
@@ -77,6 +79,7 @@
 // TestRestartedHostLearnsOfQuarantine restarts a host, and cuts off another one, after many
 // requests were quarantined. Both must refuse all of them within the settle period.
 func TestRestartedHostLearnsOfQuarantine(t *testing.T) {
+	t.Parallel()
 	const quarantined = 60
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
@@ -126,6 +129,7 @@
 // TestRelayRefusesSuspectRequest asks a dialling host to run a suspect request. It must not
 // run it, and must reply with the evidence, so that the asking host stops too.
 func TestRelayRefusesSuspectRequest(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		f, addresses := startSearchFleet(3, closesConnections, false)
--- a/internal/host/partition_test.go
+++ b/internal/host/partition_test.go
@@ -60,6 +60,7 @@
 
 // TestCallersOfHostsWithoutUpstreamsAreServed cuts hosts from all upstreams in several ways.
 func TestCallersOfHostsWithoutUpstreamsAreServed(t *testing.T) {
+	t.Parallel()
 	for name, p := range partitionPlays() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -80,6 +81,7 @@
 
 // TestHostsWithoutUpstreamsAccuseNoRequest cuts hosts from upstreams, of which none ends, while callers repeat their requests.
 func TestHostsWithoutUpstreamsAccuseNoRequest(t *testing.T) {
+	t.Parallel()
 	for _, mode := range []cutMode{cutHangs, cutResets, cutRefuses} {
 		t.Run(string(mode), func(t *testing.T) {
 			t.Parallel()
@@ -203,8 +205,10 @@
 // they know it, requests must be refused at once as not run, with a delay, unless open
 // connections live on.
 func TestRequestsAreRefusedAtOnceIfNoHostReachesUpstreams(t *testing.T) {
+	t.Parallel()
 	for _, mode := range []cutMode{cutHangs, cutResets, cutRefuses} {
 		t.Run(string(mode), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				f, addresses := startSearchFleet(7, closesConnections, false)
--- a/internal/host/propagation_test.go
+++ b/internal/host/propagation_test.go
@@ -25,12 +25,14 @@
 // in one at the end, no host may have returned to an older version, and the extra
 // attempts must be within the limit.
 func TestConfigurationReachesAllHosts(t *testing.T) {
+	t.Parallel()
 	const (
 		maxPropagationTime = 3 * time.Second
 		rounds             = 12
 	)
 	for _, size := range []int{7, 63} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				f, addresses := startFleet(size)
@@ -66,6 +68,7 @@
 // Within one second after its start, each host must have the configuration from the
 // other hosts.
 func TestRestartDuringStoreOutage(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		f, addresses := startFleet(7)
@@ -85,12 +88,14 @@
 // four more for each watcher. Two seconds after the end of the outage, all hosts must
 // have a change that was made at its end.
 func TestCallRateDuringStoreOutage(t *testing.T) {
+	t.Parallel()
 	const (
 		outagePeriod          = 10 * time.Second
 		watcherCallsPerSecond = 4 * membership.WatcherCount
 	)
 	for _, size := range []int{7, 63} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				f, _ := startFleet(size)
@@ -119,6 +124,7 @@
 // of hosts. The calls between hosts must not exceed 150 for each host, so they grow
 // no faster than the fleet.
 func TestCallRateIsBounded(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{7, 63, 300} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
 			t.Parallel()
@@ -148,6 +154,7 @@
 // it after a change of the store either, although the store still lists its
 // registration.
 func TestLeavingHostIsNotAdvertised(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		f, addresses := startFleet(7)
@@ -179,6 +186,7 @@
 // and a host may use the upstream for one second after the host has received the
 // change.
 func TestWatchersLoseStore(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		f, addresses := startFleet(7)
@@ -216,9 +224,11 @@
 // isolated. A host may use a leaving upstream for one second after the host has
 // received the change; the platform allows three seconds in total.
 func TestChangePropagationTime(t *testing.T) {
+	t.Parallel()
 	const maxPropagationTime = 1200 * time.Millisecond
 	for _, size := range []int{7, 63} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				f, addresses := startFleet(size)
@@ -246,6 +256,7 @@
 // the large hosts and no small host, although most hosts have not exchanged gossip
 // with each other yet.
 func TestDiscoveryAfterFullRestart(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		f, addresses := startFleet(63)
@@ -272,9 +283,11 @@
 // them dead. All hosts must consider all others alive, so that changes and callers reach
 // them, once the platform's stabilisation period has passed since they were reconnected.
 func TestReconnectedHostsAreAlive(t *testing.T) {
+	t.Parallel()
 	const stabilisationPeriod = 4 * time.Second
 	for _, size := range []int{7, 63} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				f, addresses := startFleet(size)
--- a/internal/host/upstreamnews_test.go
+++ b/internal/host/upstreamnews_test.go
@@ -16,6 +16,7 @@
 
 // TestNewsOfUpstreamReachesOtherHosts has one host hear that an upstream leaves or states a limit. The other hosts must act on it before their first request there.
 func TestNewsOfUpstreamReachesOtherHosts(t *testing.T) {
+	t.Parallel()
 	const (
 		limit    = 1.0
 		loadTime = 4 * time.Second
@@ -89,6 +90,7 @@
 
 // TestImplausibleNewsIsIgnored sends a host news that no host would send.
 func TestImplausibleNewsIsIgnored(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		f, addresses := startSearchFleet(3, closesConnections, false)
