Unreachable upstreams of an evacuated data centre are found again after its evacuation

Found by reading: a reconnect is scheduled when an attempt fails. While a data centre is evacuated or an upstream retired, none is due, and nothing scheduled one afterwards, so that the upstream stayed out of use until another one failed.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -192,6 +192,8 @@
 			h.updateInventory(now)
 			h.closeEvacuatedConnections()
 			h.settle(now)
+			// An upstream that was evacuated or retired meanwhile may be due again.
+			h.scheduleReconnects()
 			h.guard.Maintain(now)
 			h.allowances.maintain(now)
 			h.alerts.Maintain(now)
--- a/internal/host/reconnects_test.go
+++ b/internal/host/reconnects_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
+	"github.com/foxtailshelf/foxtailshelf/internal/pool"
 )
 
 // TestUnreachableUpstreamsCostNoRequests has seven of ten upstreams accept no connections for a
@@ -71,3 +73,30 @@
 		f.stopAll()
 	})
 }
+
+// TestUnreachableUpstreamsReturnAfterEvacuation evacuates a data centre while hosts do not reach
+// some of its upstreams. They make no connections there until the evacuation has ended, and must
+// then find out that the upstreams are back, although nothing else happens.
+func TestUnreachableUpstreamsReturnAfterEvacuation(t *testing.T) {
+	t.Parallel()
+	const returnTime = 8 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f, addresses := startSearchFleet(3, goesSilent, false)
+		f.upstreams.isCut = func(u inventory.UpstreamSpec) bool { return u.Service == "letters" }
+		f.upstreams.cut(addresses, cutResets)
+		for n := range 5 {
+			f.ask(addresses[0], fmt.Sprint("/single/", n), fmt.Sprint("r-", n))
+		}
+		f.put(evacuationKeyPrefix+"z", "")
+		time.Sleep(3 * time.Second)
+		f.upstreams.cut(addresses, "")
+		f.remove(evacuationKeyPrefix + "z")
+		time.Sleep(returnTime)
+		f.mu.Lock()
+		h := f.hosts[addresses[0]].host
+		f.mu.Unlock()
+		c.Check(h.pool("letters").Census(time.Now(), pool.Requirements{LatencyStats: pool.NewLatencyStats(time.Second, false)}).String(), qt.Equals, "10 free")
+		f.stopAll()
+	})
+}
