Comments read as a newcomer: reconnects, cold upstreams, shares, alerts, test runs

Two were wrong: reconnectInterval bounds no two checks, and the examiner of a request permits its test runs, it does not make them. Comments only.

--- a/internal/crashguard/alerts.go
+++ b/internal/crashguard/alerts.go
@@ -20,7 +20,7 @@
 	// maxAlertsPerMessage bounds the alerts in one message to another host.
 	maxAlertsPerMessage = 16
 	// alertFanOut is how many hosts a host tells of a new alert at once. Each of them tells as
-	// many: 300 hosts know it after two or three messages in a row.
+	// many, so that the alert reaches 300 hosts in two or three hops.
 	alertFanOut = 16
 	// alertCallTimeout bounds the call that tells another host.
 	alertCallTimeout = 250 * time.Millisecond
@@ -52,7 +52,7 @@
 
 var _ dispatch.CrashAlerts = (*Alerts)(nil)
 
-// NewAlerts returns the alerts of a host that has just started: none.
+// NewAlerts returns Alerts that hold no alert yet.
 func NewAlerts() *Alerts { return &Alerts{alerts: quarantine.NewAlerts()} }
 
 // Hold implements dispatch.CrashAlerts.
@@ -173,15 +173,16 @@
 	}
 }
 
-// permitTestRun permits a test run during an alert and returns zero, or returns how long to
-// wait.
+// permitTestRun permits a test run during an alert and returns zero, or returns how long to wait
+// before the next one may be permitted.
 func (a *Alerts) permitTestRun(now time.Time) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.alerts.PermitTestRun(now)
 }
 
-// raise records alerts, and logs and counts them if they are news for other hosts.
+// raise records alerts. It reports whether any of them must be sent to other hosts; these are logged
+// and counted.
 func (a *Alerts) raise(list []quarantine.Alert, source string, fields map[string]any) bool {
 	now := time.Now()
 	raised := 0
--- a/internal/crashguard/testrun.go
+++ b/internal/crashguard/testrun.go
@@ -1,6 +1,7 @@
 package crashguard
 
-// This file has suspect requests run once, at the request of any host, by the host that examines them.
+// This file decides with other hosts which host runs a suspect request as a test. One host, the
+// examiner of the request, permits its test runs, so that hosts do not test it at the same time.
 
 import (
 	"cmp"
@@ -16,7 +17,8 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
 )
 
-// BeginTestRun implements dispatch.CrashGuard.
+// BeginTestRun implements dispatch.CrashGuard. It asks the examiners in turn; if none answers, this
+// host decides itself.
 func (g *Guard) BeginTestRun(ctx context.Context, fingerprint uint64) (quarantine.Verdict, func(quarantine.TestResult)) {
 	request := &wire.TestRunRequest{Notice: g.Notice(fingerprint), Event: wire.TestRunEvent_TEST_RUN_EVENT_BEGIN}
 	for _, m := range g.examiners(g.examinerKey(fingerprint)) {
--- a/internal/dialling/cold.go
+++ b/internal/dialling/cold.go
@@ -13,13 +13,15 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 )
 
-// A cold upstream crashes if more than 1.5 times the configured requests per second plus 5
-// arrive in any second. Of these, the hosts send at most coldRateRatio times the rate, and
-// accumulate at most coldBurstRatio times the rate plus coldBurstSlack. The rest is for
-// requests that take up to 0.4 s longer to arrive than others, because a connection is opened
-// for them, and for hosts that do not know of a new member yet.
+// A cold upstream crashes if more than 1.5 times the configured rate plus 5 requests arrive in
+// any second. All hosts together stay below that. The margin is for requests that arrive up to
+// 0.4 s late, because a connection is opened for them, and for hosts that do not know of a new
+// member yet.
 const (
-	coldRateRatio  = 0.85
+	// coldRateRatio is the part of the configured rate that all hosts together use.
+	coldRateRatio = 0.85
+	// coldBurstRatio times the rate plus coldBurstSlack is how many requests all hosts together
+	// may accumulate while they send fewer.
 	coldBurstRatio = 0.25
 	coldBurstSlack = 4.0
 )
@@ -27,15 +29,15 @@
 // maxColdRelays bounds the hosts that run attempts at cold upstreams for one host.
 const maxColdRelays = 16
 
-// coldRefusalPeriod is how long, for each known host, a host that sends to cold upstreams is not
-// asked again by one whose attempt it refused: at most 100 refused attempts a second and
-// service arrive at it from all hosts.
+// coldRefusalPeriod times the number of hosts is how long a host does not ask another one again that
+// has refused to send its attempt to a cold upstream. All hosts together thus cause at most 100
+// refusals a second and service at any of them.
 const coldRefusalPeriod = 10 * time.Millisecond
 
 // coldSenders returns the hosts that send requests to cold upstreams of a service that take
-// perSecond each. Each of them may send one at any moment, so there are only as many as
-// requests may accumulate; advertised hosts come first. Members count in any state: a host
-// that is cut off cannot find out which of the others still send.
+// perSecond each, advertised hosts first. Each sender may send a request at any moment, so there
+// are no more senders than requests that may accumulate. Members count in any state, because a
+// host that is cut off cannot find out which of the others still send.
 func coldSenders(perSecond float64, bucket int, v View) []roster.Member {
 	candidates := make([]candidate, 0, len(v.members))
 	for _, m := range v.members {
@@ -47,7 +49,8 @@
 // coldBurst returns how many requests to one cold upstream may accumulate at all hosts.
 func coldBurst(perSecond float64) float64 { return coldBurstRatio*perSecond + coldBurstSlack }
 
-// coldLimit returns the part of a host in the requests that one cold upstream takes per second.
+// coldLimit returns the limit on the requests of the host of a view at one cold upstream: its part
+// of what all senders together may send, or no requests if it is not a sender.
 func coldLimit(perSecond float64, senders []roster.Member, v View) pool.ColdLimit {
 	limit := pool.ColdLimit{RefusalPeriod: time.Duration(len(v.members)) * coldRefusalPeriod}
 	if slices.ContainsFunc(senders, func(m roster.Member) bool { return m.Host() == v.host }) {
--- a/internal/dialling/view.go
+++ b/internal/dialling/view.go
@@ -1,5 +1,5 @@
 // Package dialling decides, from the members of the fleet, which hosts open connections to the
-// upstreams of a service and which part of each limit on all hosts together is for one of them. It
+// upstreams of a service, and each host's part of the limits that apply to all hosts together. It
 // does no I/O and reads no clock.
 package dialling
 
@@ -24,8 +24,9 @@
 	// is a margin: each host has its own windows, and all hosts together must stay within the
 	// limit.
 	usableExtraSlack = 0.75
-	// remoteLimitWeight is the weight of hosts of other data centres than the upstream in
-	// limits on requests. They prefer upstreams of their own data centre.
+	// remoteLimitWeight is the weight of a host in another data centre than the upstream,
+	// relative to one in the same, when a limit on requests is divided among the hosts. Hosts
+	// prefer upstreams of their own data centre.
 	remoteLimitWeight = 0.3
 )
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -73,8 +73,8 @@
 	// OnLeaving is called when an upstream has stated that it leaves, before the attempt
 	// counts as ended. If u is a dialling host, forwardedTo is the ID of the upstream.
 	OnLeaving func(u inventory.Upstream, forwardedTo string)
-	// OnUnreachable is called when the pool has recorded that no connection to an upstream could
-	// be made: its reconnect is due some time later. It may be nil.
+	// OnUnreachable is called after an attempt for which no connection could be made: its pool now
+	// has a reconnect to come. It may be nil.
 	OnUnreachable func()
 	// OnFinish is called with the summary of each finished request.
 	OnFinish func(Summary)
--- a/internal/dispatch/silence.go
+++ b/internal/dispatch/silence.go
@@ -44,7 +44,7 @@
 			}
 		}
 	}
-	// Upstreams behind dialling hosts cannot be probed, so that hedges to them do not wait.
+	// Upstreams behind dialling hosts cannot be probed, so hedges do not wait for a result.
 	f.isUpstreamAlive = len(candidates) == 0 && f.lostConnectionCount() == 0
 	f.silenceProbed = len(candidates) > 0 || f.isUpstreamAlive
 	for _, r := range candidates[:min(maxSilenceProbes, len(candidates))] {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -65,8 +65,7 @@
 	// eraChanges holds a value while this host has to register again, because the store has
 	// come back from a copy.
 	eraChanges chan struct{}
-	// reconnectsDue holds a value while the pools may have upstreams for runReconnects that it does
-	// not know of.
+	// reconnectsDue holds a value while runReconnects has to check the pools for due reconnects.
 	reconnectsDue chan struct{}
 
 	mu sync.RWMutex
@@ -192,7 +191,8 @@
 			h.updateInventory(now)
 			h.closeEvacuatedConnections()
 			h.settle(now)
-			// An upstream that was evacuated or retired meanwhile may be due again.
+			// Upstreams that were evacuated or retired had no reconnects; nothing else
+			// schedules them afterwards.
 			h.scheduleReconnects()
 			h.guard.Maintain(now)
 			h.allowances.maintain(now)
--- a/internal/host/links.go
+++ b/internal/host/links.go
@@ -46,8 +46,8 @@
 	return h.links.Answer(ctx, r), nil
 }
 
-// applyLinkChange applies that this host has lost the links to all upstreams, or that they
-// work again.
+// applyLinkChange tells the other hosts and the log that this host has lost the links to all
+// upstreams, or that they work again. After a loss it gives up the connections that may not work.
 func (h *Host) applyLinkChange(isPartitioned bool) {
 	summary := h.links.Summary(time.Now())
 	h.group.Go(func() { h.fleet.SetPartitioned(context.Background(), isPartitioned) })
--- a/internal/host/pools.go
+++ b/internal/host/pools.go
@@ -22,12 +22,13 @@
 	return h.latencyStatsFor(r.Name(), r.LatencyTarget(), r.Gathers())
 }
 
+// latencyStatsFor is routeLatencyStats for a route that another host has named, with its target.
 func (h *Host) latencyStatsFor(route string, target time.Duration, gathers bool) *pool.LatencyStats {
 	key := route + " " + target.String()
 	return getOrCreate(&h.mu, h.latencyStats, key, func() *pool.LatencyStats { return pool.NewLatencyStats(target, gathers) })
 }
 
-// pool returns the pool of a service.
+// pool returns the pool of a service and creates it if needed.
 func (h *Host) pool(service string) *pool.Pool {
 	return getOrCreate(&h.mu, h.pools, service, func() *pool.Pool { return h.newPool(service) })
 }
--- a/internal/host/reconnects.go
+++ b/internal/host/reconnects.go
@@ -9,15 +9,14 @@
 )
 
 const (
-	// reconnectInterval is the least time between two looks for upstreams that are due for a
-	// reconnect.
+	// reconnectInterval is how often runReconnects checks whether the next reconnect is due.
 	reconnectInterval = 50 * time.Millisecond
-	// reconnectTimeout bounds a reconnect.
+	// reconnectTimeout bounds the time to open one connection.
 	reconnectTimeout = 250 * time.Millisecond
 )
 
-// runReconnects tries to connect to the upstreams that this host did not reach, when its pools say
-// so, until the context ends.
+// runReconnects starts the reconnects that the pools have due until the context ends. It runs them
+// when next is over, and at once after scheduleReconnects.
 func (h *Host) runReconnects(ctx context.Context) {
 	ticker := time.NewTicker(reconnectInterval)
 	defer ticker.Stop()
@@ -36,8 +35,8 @@
 	}
 }
 
-// startReconnects starts the reconnects that are due and returns when the next ones are; zero if none
-// will be.
+// startReconnects starts the reconnects that are due in all pools. It returns when the next one is
+// due; zero if none is known.
 func (h *Host) startReconnects(ctx context.Context, now time.Time) (next time.Time) {
 	h.mu.RLock()
 	pools := make([]*pool.Pool, 0, len(h.pools))
@@ -57,6 +56,8 @@
 	return next
 }
 
+// reconnect opens a connection to an upstream, without a request, and tells its pool whether that
+// succeeded.
 func (h *Host) reconnect(ctx context.Context, p *pool.Pool, u inventory.Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, reconnectTimeout)
 	defer cancel()
@@ -71,7 +72,8 @@
 	h.Log.WithFields(map[string]any{"upstream": u.ID(), "service": u.Service(), "address": u.Address()}).Info("upstream reached again")
 }
 
-// recordSlowDial records that a connection to an upstream takes long to open.
+// recordSlowDial records that a connection to an upstream, begun at startedAt, is still not open.
+// Its pool then sends no requests there until a reconnect has succeeded.
 func (h *Host) recordSlowDial(upstreamID string, startedAt time.Time) {
 	h.links.RecordSlowDial(startedAt)
 	h.mu.RLock()
@@ -82,11 +84,11 @@
 	}
 }
 
-// scheduleReconnects has runReconnects look for upstreams that it has to connect to.
+// scheduleReconnects has runReconnects check the pools at once.
 func (h *Host) scheduleReconnects() {
 	select {
 	case h.reconnectsDue <- struct{}{}:
 	default:
-		// A look is already due.
+		// A check is already scheduled.
 	}
 }
--- a/internal/host/transport.go
+++ b/internal/host/transport.go
@@ -23,8 +23,8 @@
 	CloseExpired(now time.Time)
 }
 
-// A DecodedRecord is the decoded value of one key of the store: a configuration, an
-// upstream, or the registration of a host. It is the zero value for other keys.
+// A DecodedRecord is the decoded value of one key of the store: a configuration, an upstream, the
+// registration of a host, or the evacuation of a data centre. It is the zero value for other keys.
 type DecodedRecord struct {
 	Table    *routing.Table
 	Upstream *inventory.UpstreamSpec
@@ -42,7 +42,7 @@
 // A RecordDecoder decodes the keys and values of the store.
 type RecordDecoder interface {
 	// DecodeRecord decodes a record. It returns the zero value for a key that hosts do
-	// not use.
+	// not use, and an error if the value of another key cannot be read.
 	DecodeRecord(record keyvalue.Change) (DecodedRecord, error)
 	// RegistrationKey returns the key under which a host registers itself.
 	RegistrationKey(address string) string
--- a/internal/inventory/upstream.go
+++ b/internal/inventory/upstream.go
@@ -62,8 +62,8 @@
 	// isDiallingHost is set for a host that runs attempts at the upstreams of the
 	// service.
 	isDiallingHost bool
-	// isDetour is set for a dialling host that is a last way, for when this host itself
-	// reaches no upstream of the service.
+	// isDetour is set for a dialling host that is used only while this host itself reaches no
+	// upstream of the service.
 	isDetour bool
 	// isColdSender is set for a dialling host that is used only for upstreams that are cold.
 	isColdSender bool
@@ -81,7 +81,7 @@
 	return u.coldUntil
 }
 
-// DataCenter returns the data centre.
+// DataCenter returns the data centre in which the upstream runs.
 func (u Upstream) DataCenter() string { return u.spec.DataCenter }
 
 // IsDraining reports whether the upstream has announced that it leaves.
@@ -95,7 +95,7 @@
 // host does not reach the upstreams itself.
 func (u Upstream) IsDetour() bool { return u.isDetour }
 
-// ID returns the id.
+// ID returns the ID, which is unique over all upstreams.
 func (u Upstream) ID() string { return u.spec.ID }
 
 // Service returns the service that the upstream belongs to.
--- a/internal/pool/lateness.go
+++ b/internal/pool/lateness.go
@@ -9,9 +9,8 @@
 	// An attempt for an answer that is gathered is late from lateRatio of the target on:
 	// the other parts and the merge need the rest.
 	lateRatio = 0.75
-	// latenessDecrease is the factor of the limit after late attempts, and
-	// latenessIncrease is added to it after an attempt that was fast enough for one more
-	// at a time.
+	// latenessDecrease is the factor of the limit after late attempts. latenessIncrease is
+	// added after an attempt that would have been on time with one more in flight, too.
 	latenessDecrease = 0.7
 	latenessIncrease = 0.25
 )
--- a/internal/pool/reconnect.go
+++ b/internal/pool/reconnect.go
@@ -1,8 +1,8 @@
 package pool
 
-// This file decides when a host tries to connect again to an upstream that it did not reach. It
-// answers upstreams that are gone without notice while all others are busy: were requests to
-// find out whether such an upstream is back, each of them would wait for its connection.
+// This file decides when a host tries again to connect to an upstream that it did not reach. The
+// connection carries no request. It answers upstreams that are gone without notice while the others
+// are busy: a request that is sent to find out whether such an upstream is back waits in vain.
 
 import (
 	"slices"
@@ -11,9 +11,9 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 )
 
-// DueReconnects returns the upstreams to which the caller must try to make a connection now, and
-// when the next ones will be due; zero if none will. The caller reports the result of each to
-// RecordReconnect. Until a connection was made, the upstream gets no attempts.
+// DueReconnects returns the upstreams to which the caller must open a connection now, and when the
+// next one is due; zero if none is known. The caller reports each result to RecordReconnect. An
+// upstream gets no attempts until a connection to it was opened or it has responded.
 func (p *Pool) DueReconnects(now time.Time) (due []inventory.Upstream, next time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -36,9 +36,9 @@
 	return due, next
 }
 
-// RecordSlowDial records that a connection to an upstream, which this host began to open at a time,
-// takes longer than the network and a running upstream take. It reports whether a reconnect is due
-// some time later: the upstream has not responded since.
+// RecordSlowDial records that a connection, begun at startedAt, takes longer to open than a running
+// upstream and the network take. It marks the upstream as unreachable and reports true, unless the
+// upstream has responded since startedAt or is marked already.
 func (p *Pool) RecordSlowDial(now time.Time, u inventory.Upstream, startedAt time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/pool/selection.go
+++ b/internal/pool/selection.go
@@ -23,14 +23,14 @@
 	// to be dialled directly: the upstream's connections are reserved for its
 	// dialling hosts.
 	directDialFactor = 4.0
-	// unprovedDetourFactor is how much faster a detour must be that is not known to reach
-	// upstreams.
+	// unprovedDetourFactor is how much faster a detour must be to be preferred if it is not
+	// known to reach upstreams.
 	unprovedDetourFactor = 4.0
 	// failureCostRatio is the cost of a failed attempt, as a ratio of the target,
 	// while the whole budget for extra attempts remains. Once the budget is used
 	// up, or on the last attempt that a request may have, a failure is a missing
-	// part and costs scarceCostRatio more. While some of the budget remains, the
-	// additional cost is in proportion to the ratio of the budget that is used up.
+	// part and costs scarceCostRatio more. Before that, the part of scarceCostRatio that
+	// applies is the part of the budget that is used up.
 	failureCostRatio = 0.3
 	scarceCostRatio  = 1.2
 )
