Stops log what is in flight: counts by phase at each step, each unfinished request by its id

Nothing told on which of its requests a stopping host was still at work when it was killed: a request that is never answered leaves no line. The host now keeps the set of requests in flight with their phase (reading, running, answering), and logs at SIGTERM and when it stops accepting requests how many there are, then each of them by its id, with its age and when it arrived in the stop, and each that ends after that. Lines about requests state how long the host has been stopping.

No decision is changed.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -24,6 +24,7 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/relay"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/routing"
+	"github.com/foxtailshelf/foxtailshelf/internal/shutdown"
 	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
 
@@ -89,10 +90,15 @@
 	// dialPlans caches the plans that were computed from view.
 	dialPlans map[dialling.Key]dialling.Plan
 	stopping  bool
+	// stopBeganAt is when Leave was called; zero before.
+	stopBeganAt time.Time
 	// startedAt is when Init was called; settled is set once memberSettlePeriod has passed.
 	startedAt time.Time
 	settled   bool
 
+	// requests are the requests of callers in flight.
+	requests work.Registry[shutdown.Request]
+
 	addressMu sync.Mutex
 	// addressCache holds the advertised addresses by data centre. It is cleared when a
 	// member changes.
@@ -155,20 +161,10 @@
 func (h *Host) newRequestLog() *requestLog {
 	return &requestLog{
 		log: h.Log, metrics: h.Metrics, links: h.links.Tracker, evacuated: h.evacuatedDataCenters, mirrorAge: func() time.Duration { return h.follower.Age() },
+		sinceStop: h.sinceStop,
 	}
 }
 
-// Leave announces to the other hosts that this host is stopping, so that they no longer
-// advertise it. Leave returns after the shutdown delay, in which the host still serves
-// callers whose addresses are outdated, or when the context ends.
-func (h *Host) Leave(ctx context.Context) {
-	h.mu.Lock()
-	h.stopping = true
-	h.mu.Unlock()
-	h.group.Go(func() { h.fleet.Leave(ctx) })
-	work.Sleep(ctx, h.Settings.ShutdownDelay())
-}
-
 // Run keeps the members, the mirror and the registration up to date and does maintenance
 // until the context ends.
 func (h *Host) Run(ctx context.Context) error {
--- a/internal/host/requestlog.go
+++ b/internal/host/requestlog.go
@@ -28,6 +28,8 @@
 	// mirrorAge returns the time since the mirror was last confirmed to be up to date
 	// with the store.
 	mirrorAge func() time.Duration
+	// sinceStop returns how long ago the stop of the host began; zero if it does not stop.
+	sinceStop func() time.Duration
 	// links is what the host's own connections to upstreams have shown.
 	links *reachability.Tracker
 	// evacuated returns the evacuated data centres.
@@ -70,6 +72,9 @@
 		fields["evacuated"] = list
 	}
 	maps.Copy(fields, admissionFields(s))
+	if stopping := l.sinceStop(); stopping > 0 {
+		fields["stopping-ms"] = stopping.Milliseconds()
+	}
 	if s.Verdict.Decision != quarantine.Allowed {
 		maps.Copy(fields, s.Verdict.LogFields())
 	}
--- /dev/null
+++ b/internal/shutdown/request.go
@@ -0,0 +1,63 @@
+// Package shutdown follows the requests of callers while a host stops.
+package shutdown
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// The phases.
+const (
+	// Reading requests have not been read whole.
+	Reading Phase = iota
+	// Running requests have been read, and have no answer.
+	Running
+	// Answering requests have an answer that is not written whole.
+	Answering
+	phaseCount
+)
+
+// A Phase is how far a request in flight has come.
+type Phase int32
+
+// A Request is a request of a caller in flight. It is safe for concurrent use.
+type Request struct {
+	id        string
+	arrivedAt time.Time
+	phase     atomic.Int32
+}
+
+// Counts counts requests by phase.
+type Counts [phaseCount]int
+
+// NewRequest returns a request in the phase Reading. The id is the one that its caller has sent;
+// it may be empty.
+func NewRequest(id string, arrivedAt time.Time) *Request {
+	return &Request{id: id, arrivedAt: arrivedAt}
+}
+
+// ArrivedAt returns when the host began to read the request.
+func (r *Request) ArrivedAt() time.Time { return r.arrivedAt }
+
+// ID returns the id that the caller has sent; it may be empty.
+func (r *Request) ID() string { return r.id }
+
+// Phase returns how far the request has come.
+func (r *Request) Phase() Phase { return Phase(r.phase.Load()) }
+
+// SetPhase sets how far the request has come.
+func (r *Request) SetPhase(p Phase) { r.phase.Store(int32(p)) }
+
+// Count counts requests by phase.
+func Count(requests []*Request) Counts {
+	var c Counts
+	for _, r := range requests {
+		c[r.Phase()]++
+	}
+	return c
+}
+
+// String returns the name of the phase, as it is logged.
+func (p Phase) String() string {
+	return [phaseCount]string{"reading", "running", "answering"}[p]
+}
