A stopping host accepts only what it can answer, and answers all before its kill

Callers saw requests end with EOF at the end of the grace of a stopping host: read, passed on to an upstream, never answered, among them some that must not be repeated.

Cause: a host accepted requests until 1.5 s before the end of its grace, whatever they take, and a request's time limit knew nothing of the stop. Its server then waited 2 s for them, half a second longer than the process had to live. The class: time that a process no longer has is promised to a request.

Change: package shutdown holds the schedule of a stop, from one figure, the grace: until when requests are accepted, by when all are answered (0.6 s before the kill, at most a sixth of the grace, so that silent upstreams get the rest), when what is left is cancelled, when the process ends. A request is refused at once (503, not run, Retry-After of 1 ms if another host serves, Connection: close) if it would not end in time: one that may be repeated by what most attempts of its route take, any other by the longest recent request, also one still in flight, or else the route's timeout. The same holds for one that waits and has not begun. Requests in flight get an answer by then: what parts there are, 503 if not run, 504 otherwise. A body that is not read whole by then is answered 503. A host that was paused when the signal came counts its grace from before the pause. The process ends as soon as nothing is in flight, and new connections without a request no longer delay its end.

--- a/internal/dispatch/conclude.go
+++ b/internal/dispatch/conclude.go
@@ -27,7 +27,7 @@
 	case p.reason != ReasonNone:
 		return f.failureAnswer(p.reason), true
 	case !now.Before(f.deadline):
-		return f.failureAnswer(ReasonDeadline), true
+		return f.failureAnswer(f.deadlineReason()), true
 	default:
 		return Answer{}, false
 	}
@@ -44,7 +44,7 @@
 // on it also does so while parts are pending, because these may never respond.
 func (f *inFlightRequest) tryGatherAnswer(now time.Time) (Answer, bool) {
 	answered, pending := 0, 0
-	reason := ReasonDeadline
+	reason := f.deadlineReason()
 	for _, p := range f.parts {
 		switch {
 		case p.response != nil:
@@ -68,7 +68,7 @@
 	case answered+pending < required:
 		return f.failureAnswer(reason), true
 	case !now.Before(f.deadline):
-		return f.failureAnswer(ReasonDeadline), true
+		return f.failureAnswer(f.deadlineReason()), true
 	default:
 		return Answer{}, false
 	}
@@ -190,7 +190,7 @@
 	switch {
 	case ran == 0:
 		answer.NotRun = true
-	case reason == ReasonDeadline:
+	case reason == ReasonDeadline, reason == ReasonStopping:
 		answer.Status = http.StatusGatewayTimeout
 	default:
 		answer.Status = http.StatusBadGateway
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -64,6 +64,8 @@
 	// LatencyStats returns the latency statistics of a route's requests, never nil.
 	LatencyStats func(route *routing.Route) *pool.LatencyStats
 	Links        Links
+	// Stop tells when the host stops. It may be nil.
+	Stop Stop
 	// Guard keeps requests that crash upstreams from running.
 	Guard CrashGuard
 	// Alerts tell which searches must begin with a canary.
@@ -135,6 +137,9 @@
 func (d *Dispatcher) Run(ctx context.Context, request *Request, route *routing.Route, version uint64) Answer {
 	f := newInFlightRequest(d, request, route)
 	answer := f.run(ctx)
+	if !answer.NotRun {
+		f.latencyStats.RecordAnswer(time.Now(), time.Since(f.startedAt))
+	}
 	d.OnFinish(Summary{
 		RequestID: request.ID, Fingerprint: f.fingerprint, Account: request.AccountName(), Route: route.Name(), Version: version, Status: answer.Status, Reason: answer.Reason,
 		Parts: len(f.parts), MissingParts: answer.MissingParts, Attempts: f.attempts, Hedges: f.hedges, Retries: f.retries,
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -29,6 +29,8 @@
 	// whichever is earlier.
 	startedAt, answerDueAt, deadline time.Time
 	allowance                        time.Duration
+	// isCutByStop is set if deadline is when the stopping host has to answer.
+	isCutByStop bool
 	// attempts counts all attempts, including hedges and retries.
 	attempts, hedges, retries int
 	// hedgedAt is when the last hedge began; zero if there was none.
@@ -63,6 +65,7 @@
 		startedAt: now, deadline: now.Add(remaining), allowance: d.allowance(request, d.timeSpent(now, request, route.Name(), route.Timeout())),
 	}
 	f.answerDueAt = now.Add(f.availableTime())
+	f.limitToStop()
 	for _, s := range route.NextServices() {
 		f.parts = append(f.parts, &part{service: s, pool: d.Pool(s)})
 	}
@@ -84,7 +87,7 @@
 }
 
 func (f *inFlightRequest) run(ctx context.Context) Answer {
-	attemptsCtx, cancel := context.WithCancel(context.Background())
+	attemptsCtx, cancel := context.WithCancel(f.dispatcher.stopContext())
 	defer func() { f.cancelUnneeded(ctx, cancel) }()
 	defer func() { f.finishWaiting(ctx.Err() != nil) }()
 	for _, p := range f.parts {
@@ -102,6 +105,7 @@
 	timer := time.NewTimer(time.Until(f.deadline))
 	defer timer.Stop()
 	linksChanged := f.dispatcher.Links.Changed()
+	stopBegun := f.dispatcher.stopBegun()
 	for {
 		now := time.Now()
 		f.startDueAttempts(attemptsCtx, now)
@@ -123,6 +127,9 @@
 		case <-linksChanged:
 			linksChanged = f.dispatcher.Links.Changed()
 			f.handleLinkChange()
+		case <-stopBegun:
+			stopBegun = nil
+			f.limitToStop()
 		case <-f.wake:
 		case <-timer.C:
 		case <-ctx.Done():
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -9,6 +9,7 @@
 
 	"github.com/foxtailshelf/foxtailshelf/internal/account"
 	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
+	"github.com/foxtailshelf/foxtailshelf/internal/shutdown"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 )
 
@@ -30,6 +31,7 @@
 	ReasonNotStarted         Reason = "not-started"
 	ReasonUnknownKey         Reason = "unknown-key"
 	ReasonKeyUndecided       Reason = "key-undecided"
+	ReasonStopping           Reason = "stopping"
 )
 
 // A Reason says why a request failed, or why a part is missing in an answer.
@@ -59,6 +61,8 @@
 	// ArrivedAt is when this host received the request; zero for the time of Dispatcher.Run. What
 	// precedes Run, such as a call for tokens, is part of the time within which the answer is due.
 	ArrivedAt time.Time
+	// InFlight is what the host follows the request by; nil if it does not.
+	InFlight *shutdown.Request
 	// NewConnection is set if the caller opened a connection for this request; the
 	// target then includes the time to connect.
 	NewConnection bool
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -19,8 +19,12 @@
 // startDueAttempts starts the first attempts, retries and hedges that are due. On a
 // route that gathers, it starts the first ones only once assignFirst reports true.
 func (f *inFlightRequest) startDueAttempts(ctx context.Context, now time.Time) {
-	if f.isBarred() {
-		f.abandonUnstarted()
+	switch {
+	case f.isBarred():
+		f.abandonUnstarted(ReasonQuarantined)
+		return
+	case f.cannotEndBeforeStop(now):
+		f.abandonUnstarted(ReasonStopping)
 		return
 	}
 	if !f.mayTryFirst(now) {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -24,7 +24,6 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/relay"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/routing"
-	"github.com/foxtailshelf/foxtailshelf/internal/shutdown"
 	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
 
@@ -54,6 +53,7 @@
 	Seed          uint64
 
 	group      work.Group
+	stop       *stop
 	fleet      *membership.Fleet
 	follower   *mirror.Follower
 	dispatcher *dispatch.Dispatcher
@@ -89,16 +89,10 @@
 	view dialling.View
 	// dialPlans caches the plans that were computed from view.
 	dialPlans map[dialling.Key]dialling.Plan
-	stopping  bool
-	// stopBeganAt is when Leave was called; zero before.
-	stopBeganAt time.Time
 	// startedAt is when Init was called; settled is set once memberSettlePeriod has passed.
 	startedAt time.Time
 	settled   bool
 
-	// requests are the requests of callers in flight.
-	requests work.Registry[shutdown.Request]
-
 	addressMu sync.Mutex
 	// addressCache holds the advertised addresses by data centre. It is cleared when a
 	// member changes.
@@ -116,6 +110,7 @@
 // Init must be called before anything else.
 func (h *Host) Init() {
 	h.startedAt = time.Now()
+	h.stop = newStop(h.startedAt)
 	h.inventory = inventory.New()
 	h.inventory.Seed = xxhash.Sum64String(h.Self.Host())
 	h.pools = make(map[string]*pool.Pool)
@@ -148,6 +143,7 @@
 		OnLeaving:        h.recordLeaving,
 		OnUnreachable:    h.scheduleReconnects,
 		Links:            h.links,
+		Stop:             h.stop,
 		OnFinish:         h.requestLog.record,
 		OnWaiting:        h.Metrics.waitingRequests.Add,
 		CallerAllowance:  callerRoundTripTime + callerOverhead,
@@ -161,7 +157,7 @@
 func (h *Host) newRequestLog() *requestLog {
 	return &requestLog{
 		log: h.Log, metrics: h.Metrics, links: h.links.Tracker, evacuated: h.evacuatedDataCenters, mirrorAge: func() time.Duration { return h.follower.Age() },
-		sinceStop: h.sinceStop,
+		sinceStop: h.stop.elapsed,
 	}
 }
 
@@ -183,6 +179,7 @@
 	for {
 		select {
 		case now := <-ticker.C:
+			h.stop.lastTick.Store(time.Now().UnixNano())
 			h.Upstreams.CloseExpired(now)
 			h.updateInventory(now)
 			h.closeEvacuatedConnections()
--- a/internal/host/layers_test.go
+++ b/internal/host/layers_test.go
@@ -17,7 +17,7 @@
 func TestDecisionsDoNoIO(t *testing.T) {
 	t.Parallel()
 	forbidden := []string{"net", "os", "crashguard", "host", "linkcheck", "peer", "relay", "wire", "work"}
-	for _, name := range []string{"account", "admission", "allowance", "budget", "dialling", "inventory", "pool", "quarantine", "reachability", "roster", "routing"} {
+	for _, name := range []string{"account", "admission", "allowance", "budget", "dialling", "inventory", "pool", "quarantine", "reachability", "roster", "routing", "shutdown"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
--- a/internal/host/requests.go
+++ b/internal/host/requests.go
@@ -33,6 +33,14 @@
 	if route == nil {
 		return dispatch.Answer{Status: http.StatusNotFound}
 	}
+	if request.InFlight != nil {
+		request.InFlight.SetRoute(route)
+	}
+	if !h.dispatcher.CanEndBeforeStop(request.ArrivedAt, route) {
+		answer := h.RefusalWhileStopping()
+		h.Metrics.answers.WithLabelValues(route.Name(), fmt.Sprint(answer.Status), string(answer.Reason)).Inc()
+		return answer
+	}
 	if answer, refused := h.authenticate(request, route, table); refused {
 		return answer
 	}
@@ -51,5 +59,8 @@
 	if answer.NotRun {
 		h.allowances.giveBack(ticket)
 	}
+	if answer.NotRun && answer.Reason == dispatch.ReasonStopping {
+		answer.RetryAfter = h.stopRetryDelay()
+	}
 	return answer
 }
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -44,17 +44,12 @@
 }
 
 const (
-	// finishPeriod is the last part of the grace period: it is left for the last
-	// accepted requests to finish.
-	finishPeriod = 1500 * time.Millisecond
-	// minShutdownDelay is the shortest time for which a stopping host accepts requests.
-	minShutdownDelay = 200 * time.Millisecond
 	// megabitsPerCore is the bandwidth in Mbit/s that the requests of one core use:
 	// upstream responses are about 1.4 KB and take about 100 microseconds of CPU each.
 	megabitsPerCore = 100.0
 	// maxAddressTTL bounds how long callers may cache advertised addresses. Some
 	// callers cache addresses three times as long, and a stopping host must not
-	// terminate before these addresses have expired.
+	// stop accepting requests before these addresses have expired.
 	maxAddressTTL = 1500 * time.Millisecond
 )
 
@@ -70,7 +65,7 @@
 	return int(thousandths * min(s.CPUShare*s.Cores, s.LinkMegabits/megabitsPerCore))
 }
 
-// ShutdownDelay returns how long a stopping host accepts requests.
-func (s Settings) ShutdownDelay() time.Duration {
-	return max(minShutdownDelay, time.Duration(s.GraceSeconds*float64(time.Second))-finishPeriod)
+// Grace returns the time from the stop signal until the process is killed.
+func (s Settings) Grace() time.Duration {
+	return time.Duration(s.GraceSeconds * float64(time.Second))
 }
--- a/internal/host/state.go
+++ b/internal/host/state.go
@@ -34,7 +34,7 @@
 		s.Version = h.table.Version()
 	}
 	s.EvacuatedDataCenters = h.inventory.Evacuated()
-	s.Upstreams, s.Stopping = h.inventory.Len(), h.stopping
+	s.Upstreams, s.Stopping = h.inventory.Len(), h.Stopping()
 	return s
 }
 
@@ -43,7 +43,7 @@
 	h.mu.RLock()
 	defer h.mu.RUnlock()
 	switch {
-	case h.stopping:
+	case h.Stopping():
 		return "stopping"
 	case h.table == nil:
 		return "no configuration yet"
@@ -52,13 +52,6 @@
 	}
 }
 
-// Stopping reports whether Leave was called.
-func (h *Host) Stopping() bool {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	return h.stopping
-}
-
 // Table returns the active configuration, or nil before the first one.
 func (h *Host) Table() *routing.Table {
 	h.mu.RLock()
--- a/internal/pool/latencystats.go
+++ b/internal/pool/latencystats.go
@@ -44,6 +44,7 @@
 	// baseline is the smoothed median as of baselineAt; zero until there is a median.
 	baseline   time.Duration
 	baselineAt time.Time
+	answers    answerWindows
 }
 
 // NewLatencyStats returns the statistics of requests with a latency target; isGather
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -3,6 +3,7 @@
 package process
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -32,12 +33,12 @@
 	timelineCapacity = 8192
 	// readHeaderTimeout is how long a client may take to send the headers of a request.
 	readHeaderTimeout = 5 * time.Second
-	// gracefulStopTimeout limits the duration of Process.Shutdown: after it, the
-	// context of Shutdown is cancelled.
+	// gracefulStopTimeout limits the duration of Process.Shutdown, unless the program sets
+	// another limit: after it, the context of Shutdown is cancelled.
 	gracefulStopTimeout = 2 * time.Minute
-	// httpShutdownTimeout is how long an HTTP server may take to finish requests in
+	// defaultCloseTimeout is how long an HTTP server may take to finish requests in
 	// flight after the tasks have been cancelled.
-	httpShutdownTimeout = 2 * time.Second
+	defaultCloseTimeout = 2 * time.Second
 	maxHeaderBytes      = 64 << 10
 )
 
@@ -61,6 +62,11 @@
 	// Shutdown stops the program gracefully. It is called on SIGINT or SIGTERM, before
 	// the context of the tasks is cancelled, and may be nil.
 	Shutdown func(context.Context)
+	// ShutdownTimeout limits the duration of Shutdown; zero for gracefulStopTimeout.
+	ShutdownTimeout time.Duration
+	// CloseTimeout is how long the operations endpoint may take to finish requests in flight
+	// after the tasks have been cancelled; zero for defaultCloseTimeout.
+	CloseTimeout time.Duration
 	// HandleHangup is called on SIGHUP, which means that the settings file has changed. It
 	// may be nil.
 	HandleHangup func()
@@ -120,7 +126,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	tasks = append(tasks, HTTPTask(p.OperationsAddress, p.operationsHandler()))
+	tasks = append(tasks, (&Server{Address: p.OperationsAddress, Handler: p.operationsHandler(), CloseTimeout: p.CloseTimeout}).Run)
 	if p.Revision != nil {
 		p.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "foxtailshelf_revision", Help: "Revision of the configuration in force.",
@@ -166,10 +172,10 @@
 	}
 }
 
-// shutdown calls Shutdown with a context that ends after gracefulStopTimeout.
+// shutdown calls Shutdown with a context that ends after ShutdownTimeout.
 func (p *Process) shutdown(ctx context.Context) {
 	p.Log().Info("leaving")
-	ctx, cancel := context.WithTimeout(ctx, gracefulStopTimeout)
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(p.ShutdownTimeout, gracefulStopTimeout))
 	defer cancel()
 	if p.Shutdown != nil {
 		p.Shutdown(ctx)
@@ -199,15 +205,28 @@
 	_, _ = fmt.Fprintln(w, "ready")
 }
 
-// HTTPTask returns a task that listens on an address and runs ServeHTTP on the listener.
+// A Server serves HTTP. Its exported fields are set before Run.
+type Server struct {
+	// Address is the address on which Run listens.
+	Address string
+	Handler http.Handler
+	// CloseTimeout is how long requests in flight may take once the context has ended; zero for
+	// defaultCloseTimeout.
+	CloseTimeout time.Duration
+}
+
+// HTTPTask returns a task that listens on an address and serves a handler.
 func HTTPTask(address string, handler http.Handler) Task {
-	return func(ctx context.Context) error {
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			return fmt.Errorf("listen: %w", err)
-		}
-		return ServeHTTP(ctx, listener, handler)
+	return (&Server{Address: address, Handler: handler}).Run
+}
+
+// Run listens on Address and serves until the context ends, as Serve does.
+func (s *Server) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", s.Address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
 	}
+	return s.Serve(ctx, listener)
 }
 
 // connectionUsedKey is the context key of a connection's *atomic.Bool.
@@ -222,9 +241,15 @@
 	return ok && !used.Swap(true)
 }
 
-// ServeHTTP serves a handler on a listener until the context is cancelled, and then waits
-// up to httpShutdownTimeout for the requests in flight.
-func ServeHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
+// Serve serves on a listener until the context ends. It then waits for the requests in flight and
+// closes all connections; its error says if requests were cut.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	var running atomic.Int64
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		running.Add(1)
+		defer running.Add(-1)
+		s.Handler.ServeHTTP(w, r)
+	})
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
@@ -241,13 +266,24 @@
 	})
 	group.Go(func() error {
 		<-ctx.Done()
-		stop, cancel := context.WithTimeout(context.Background(), httpShutdownTimeout)
+		stop, cancel := context.WithTimeout(context.Background(), cmp.Or(s.CloseTimeout, defaultCloseTimeout))
 		defer cancel()
-		return server.Shutdown(stop)
+		err := server.Shutdown(stop)
+		_ = server.Close()
+		// Shutdown also waits for new connections on which no request has begun.
+		if n := running.Load(); err != nil && n > 0 {
+			return fmt.Errorf("%d requests cut at %s: %w", n, listener.Addr(), err)
+		}
+		return nil
 	})
 	return group.Wait()
 }
 
+// ServeHTTP serves a handler on a listener until the context ends, as Server.Serve does.
+func ServeHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	return (&Server{Handler: handler}).Serve(ctx, listener)
+}
+
 func writeJSON(w http.ResponseWriter, document any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(document)
--- a/internal/shutdown/request.go
+++ b/internal/shutdown/request.go
@@ -1,9 +1,11 @@
-// Package shutdown follows the requests of callers while a host stops.
+// Package shutdown decides what a stopping host still does, and follows the requests in flight.
 package shutdown
 
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/routing"
 )
 
 // The phases.
@@ -25,6 +27,8 @@
 	id        string
 	arrivedAt time.Time
 	phase     atomic.Int32
+	// route is nil until the request is routed.
+	route atomic.Pointer[routing.Route]
 }
 
 // Counts counts requests by phase.
@@ -48,6 +52,9 @@
 // SetPhase sets how far the request has come.
 func (r *Request) SetPhase(p Phase) { r.phase.Store(int32(p)) }
 
+// SetRoute sets the route of the request.
+func (r *Request) SetRoute(route *routing.Route) { r.route.Store(route) }
+
 // Count counts requests by phase.
 func Count(requests []*Request) Counts {
 	var c Counts
@@ -57,6 +64,17 @@
 	return c
 }
 
+// OldestAge returns for how long the oldest request of a route has been in flight.
+func OldestAge(now time.Time, requests []*Request, route *routing.Route) time.Duration {
+	oldest := time.Duration(0)
+	for _, r := range requests {
+		if o := r.route.Load(); o != nil && o.Name() == route.Name() {
+			oldest = max(oldest, now.Sub(r.arrivedAt))
+		}
+	}
+	return oldest
+}
+
 // String returns the name of the phase, as it is logged.
 func (p Phase) String() string {
 	return [phaseCount]string{"reading", "running", "answering"}[p]
