A stopping host accepts no attempt of another host that it could cut

A host that carries attempts for others (few connections to an upstream, or hosts cut from theirs) ran them until the server for other hosts ended, 1.5 s before its kill, together with all other tasks: an attempt in flight then broke, and the caller of a host that does not stop got 502, as a request that must not run twice could not be sent again.

A stopping host now refuses such attempts at once, so that the asking host sends them to another; others are accepted while they can end in time, and end when requests of callers do. Attempts for others count as in flight: the host waits for them before its server ends.

--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -7,8 +7,10 @@
 	"context"
 	"time"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/pool"
 	"github.com/foxtailshelf/foxtailshelf/internal/routing"
 	"github.com/foxtailshelf/foxtailshelf/internal/shutdown"
+	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 )
 
 // A Stop tells when the host stops. It is safe for concurrent use.
@@ -87,6 +89,18 @@
 	return !f.dispatcher.CanEndBeforeStop(now, f.route)
 }
 
+// LimitRelayedToStop makes an attempt for another host end before this host has stopped. It reports
+// false if the attempt must not be accepted: it would end too late, or it must not run twice, so
+// that another host cannot send it again if it is cut.
+func (d *Dispatcher) LimitRelayedToStop(now time.Time, a *upstream.Attempt, stats *pool.LatencyStats) bool {
+	schedule, stopping := d.schedule()
+	if !stopping {
+		return true
+	}
+	a.Deadline = earlier(a.Deadline, schedule.AnswerBy())
+	return !a.RequireNewConnection && schedule.Admits(now, stats.HighLatency())
+}
+
 // deadlineReason returns why a request is given up at its deadline.
 func (f *inFlightRequest) deadlineReason() Reason {
 	if f.isCutByStop {
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
 	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
 	"github.com/foxtailshelf/foxtailshelf/internal/relay"
+	"github.com/foxtailshelf/foxtailshelf/internal/shutdown"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
 )
@@ -53,18 +55,22 @@
 // Relay implements peer.HostHandler: it runs one attempt for another host. The
 // outcome is upstream.Refused if no upstream is free.
 func (h *Host) Relay(ctx context.Context, r *wire.RelayRequest) (*wire.RelayReply, error) {
+	inFlight := h.BeginRequest(r.GetRequestId())
+	inFlight.SetPhase(shutdown.Running)
+	defer h.EndRequest(inFlight)
 	v := h.guard.Check(r.GetFingerprint())
 	isPermittedTest := r.GetTestRun() && v.Decision == quarantine.Suspect
 	if v.Decision != quarantine.Allowed && !isPermittedTest {
-		h.Metrics.relayedAttempts.WithLabelValues(relayResultLabel(upstream.Refused)).Inc()
-		err := fmt.Errorf("host %s: the request may crash upstreams", h.Self.Host())
-		reply := relay.EncodeOutcome("", upstream.Outcome{Result: upstream.Refused, Err: err})
+		reply := h.refuseRelayed(errors.New("the request may crash upstreams"), false)
 		reply.Notice = h.guard.Notice(r.GetFingerprint())
 		return reply, nil
 	}
 	attempt := relay.DecodeAttempt(time.Now(), r)
 	p := h.pool(r.GetService())
 	stats := h.latencyStatsFor(r.GetRoute(), time.Duration(r.GetTargetMicros())*time.Microsecond, r.GetGathers())
+	if !h.dispatcher.LimitRelayedToStop(time.Now(), attempt, stats) {
+		return h.refuseRelayed(errors.New("the host stops"), false), nil
+	}
 	requirements := pool.Requirements{
 		LatencyStats: stats, Fingerprint: r.GetFingerprint(), TriedUpstreams: r.GetTried(), IsLastAttempt: r.GetLast(), DirectOnly: true,
 	}
@@ -74,9 +80,7 @@
 		assignment = p.Assign(time.Now(), requirements)
 	}
 	if assignment == nil {
-		h.Metrics.relayedAttempts.WithLabelValues(relayResultLabel(upstream.Refused)).Inc()
-		err := fmt.Errorf("host %s: no upstream is free", h.Self.Host())
-		reply := relay.EncodeOutcome("", upstream.Outcome{Result: upstream.Refused, Err: err, NoRoute: !p.HasOwnLink(time.Now())})
+		reply := h.refuseRelayed(errors.New("no upstream is free"), !p.HasOwnLink(time.Now()))
 		if h.links.IsPartitioned() {
 			reply.Sender = peer.EncodeMember(h.fleet.Current())
 		}
@@ -87,6 +91,7 @@
 	attempt.UpstreamID, attempt.Address = assignment.Upstream.ID(), assignment.Upstream.Address()
 	ctx, cancel := context.WithDeadline(ctx, attempt.Deadline)
 	defer cancel()
+	defer context.AfterFunc(h.stop.Context(), cancel)()
 	isLost := func() bool { return false }
 	if !r.GetFresh() {
 		isLost = h.cancelIfLost(ctx, cancel, assignment.Upstream)
@@ -103,6 +108,13 @@
 	return reply, nil
 }
 
+// refuseRelayed returns the reply to an attempt for another host that this host does not run.
+func (h *Host) refuseRelayed(reason error, noRoute bool) *wire.RelayReply {
+	h.Metrics.relayedAttempts.WithLabelValues(relayResultLabel(upstream.Refused)).Inc()
+	err := fmt.Errorf("host %s: %w", h.Self.Host(), reason)
+	return relay.EncodeOutcome("", upstream.Outcome{Result: upstream.Refused, Err: err, NoRoute: noRoute})
+}
+
 // cancelIfLost calls cancel if this host loses the link to an upstream before the context
 // ends. The function that it returns waits for the end of the context and reports whether that
 // has happened.
--- /dev/null
+++ b/internal/host/stop_test.go
@@ -0,0 +1,44 @@
+package host
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/wire"
+)
+
+// TestStoppingHostCutsNoAttemptOfOtherHosts guards against attempts for other hosts that the stop of
+// this host cuts: one that must not run twice could not be sent again.
+func TestStoppingHostCutsNoAttemptOfOtherHosts(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f, addresses := startSearchFleet(3, closesConnections, false)
+		defer f.stopAll()
+		h := f.hosts[addresses[0]].host
+		relay := func(target string, fresh bool) wire.RelayResult {
+			reply, err := h.Relay(context.Background(), &wire.RelayRequest{
+				Service: "shard-0", Route: "r", TargetMicros: 100_000, Target: target, LeftMicros: 10e6, Fresh: fresh, Fingerprint: uint64(len(target)),
+			})
+			c.Assert(err, qt.IsNil)
+			return reply.GetResult()
+		}
+		c.Check(relay("/a", true), qt.Equals, wire.RelayResult_RELAY_RESULT_ANSWERED)
+		left := make(chan struct{})
+		f.hosts[addresses[0]].group.Go(func() {
+			h.Leave(context.Background())
+			close(left)
+		})
+		time.Sleep(time.Second)
+		c.Check(relay("/bb", true), qt.Equals, wire.RelayResult_RELAY_RESULT_NOT_RUN)
+		c.Check(relay("/ccc", false), qt.Equals, wire.RelayResult_RELAY_RESULT_ANSWERED)
+		<-left
+		c.Check(relay("/dddd", false), qt.Equals, wire.RelayResult_RELAY_RESULT_NOT_RUN)
+		c.Check(f.upstreams.arrivalsOf("/bb", time.Time{}), qt.HasLen, 0)
+		c.Check(f.upstreams.arrivalsOf("/dddd", time.Time{}), qt.HasLen, 0)
+	})
+}
