Callers keep an address no longer than its host serves after a stop

Callers may keep an address three times as long as its time to live, which was 1.5 s whatever the grace: with a grace under 6 s a host stopped accepting requests (0.2, 0.5 and 2.5 s after the signal at graces of 1, 2 and 4 s) before addresses that it had just given out expired, 4.5 s after. The time to live is now at most a third of the time for which a stopping host accepts requests. At a grace of 6 s it stays 1.5 s.

TestAdvertisedAddressOutlivesNoStop failed at graces of 1, 2 and 4 s before.

--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -1,6 +1,10 @@
 package host
 
-import "time"
+import (
+	"time"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/shutdown"
+)
 
 // Settings is the content of the settings file of a host.
 type Settings struct {
@@ -50,12 +54,13 @@
 	// maxAddressTTL bounds how long callers may cache advertised addresses. Some
 	// callers cache addresses three times as long, and a stopping host must not
 	// stop accepting requests before these addresses have expired.
-	maxAddressTTL = 1500 * time.Millisecond
+	maxAddressTTL     = 1500 * time.Millisecond
+	addressTTLsCached = 3
 )
 
 // AddressTTL returns how long callers may cache the advertised addresses.
 func (s Settings) AddressTTL() time.Duration {
-	return min(maxAddressTTL, time.Duration(s.MaxAddressTTLSeconds*float64(time.Second)))
+	return min(maxAddressTTL, time.Duration(s.MaxAddressTTLSeconds*float64(time.Second)), shutdown.AcceptPeriod(s.Grace())/addressTTLsCached)
 }
 
 // Capacity returns the capacity of the host in thousandths of a core, limited by CPU or by
--- a/internal/host/stop_test.go
+++ b/internal/host/stop_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/shutdown"
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
 )
 
@@ -42,3 +43,15 @@
 		c.Check(f.upstreams.arrivalsOf("/dddd", time.Time{}), qt.HasLen, 0)
 	})
 }
+
+// TestAdvertisedAddressOutlivesNoStop guards against callers that still know the address of a host
+// after it has stopped.
+func TestAdvertisedAddressOutlivesNoStop(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	for _, grace := range []float64{1, 2, 4, 6, 30} {
+		s := Settings{GraceSeconds: grace, MaxAddressTTLSeconds: 5}
+		c.Check(addressTTLsCached*s.AddressTTL() <= shutdown.AcceptPeriod(s.Grace()), qt.IsTrue, qt.Commentf("grace %g s, time to live %v", grace, s.AddressTTL()))
+	}
+	c.Check(Settings{GraceSeconds: 6, MaxAddressTTLSeconds: 5}.AddressTTL(), qt.Equals, 1500*time.Millisecond)
+}
