Requests of a route whose upstreams are silent are refused in a stop, also if they may be repeated

In a stop with silent upstreams, lookups that may be repeated were still accepted, as those that never end do not count in the latency, and answered 504 only 0.6 s before the kill: their callers waited for up to 3 s and then sent them elsewhere. Requests in flight show the silence: the age of the oldest one of a route bounds what the next is expected to take, but for searches, which are answered without silent parts.

--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -34,17 +34,21 @@
 
 // expectedDuration returns how long a request of a route takes. A request that may be repeated is
 // expected to take as long as most attempts: if it does not end, its caller sends it elsewhere. Any
-// other takes as long as the longest recent one, or as the operator allows if there was none.
+// other takes as long as the longest recent one, or as the operator allows if there was none. While
+// upstreams are silent, requests in flight show it; a search is answered without these.
 func (d *Dispatcher) expectedDuration(now time.Time, route *routing.Route) time.Duration {
 	stats := d.LatencyStats(route)
-	if route.Idempotent() {
-		return stats.HighLatency()
+	expected := stats.HighLatency()
+	if !route.Idempotent() {
+		expected = stats.LongestAnswer(now)
+		if expected == 0 {
+			return route.Timeout()
+		}
 	}
-	longest := stats.LongestAnswer(now)
-	if longest == 0 {
-		return route.Timeout()
+	if route.Gathers() {
+		return expected
 	}
-	return max(longest, d.Stop.OldestAge(now, route))
+	return max(expected, d.Stop.OldestAge(now, route))
 }
 
 func (d *Dispatcher) schedule() (shutdown.Schedule, bool) {
