--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -94,9 +94,9 @@
 	return r
 }
 
-// EndRequest removes a request from those in flight.
+// EndRequest removes a request from those in flight. The host may end right after.
 func (h *Host) EndRequest(r *shutdown.Request) {
-	h.stop.requests.Remove(r)
+	defer h.stop.requests.Remove(r)
 	if schedule, stopping := h.stop.Schedule(); stopping && time.Now().After(schedule.AcceptUntil()) && h.requestLog.allowOrCountLine() {
 		h.Log.WithFields(requestFields(r, h.stop.elapsed())).Info("request ended after the host stopped accepting requests")
 	}
@@ -122,7 +122,7 @@
 	case <-h.stop.requests.Idle():
 	case <-ctx.Done():
 		h.logInFlight("host ends with requests in flight")
-		h.logEach("request is cut by the end of the host")
+		h.logEach("request in flight as the host ends")
 	}
 }
 
--- a/internal/peer/hosts.go
+++ b/internal/peer/hosts.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"time"
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
@@ -11,6 +12,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
 
 // A HostTransport carries calls to hosts that run entry and gate in one process. It
@@ -100,14 +102,43 @@
 	})
 }
 
-// ServeHost serves the calls of peers on a listener until the context ends.
+// replyTimeout is how long ServeHost waits for the replies to the calls in flight once its context
+// has ended.
+const replyTimeout = 100 * time.Millisecond
+
+// ServeHost serves the calls of peers on a listener until the context ends. It then waits for the
+// replies to the calls in flight, as drpc cuts these with its own context.
 func ServeHost(ctx context.Context, listener net.Listener, handler HostHandler) error {
 	mux := drpcmux.New()
 	if err := wire.DRPCRegisterHost(mux, handler); err != nil {
 		return fmt.Errorf("register host calls: %w", err)
 	}
-	if err := drpcserver.New(mux).Serve(ctx, listener); err != nil {
+	counted := &countedHandler{Handler: mux}
+	serving, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	defer context.AfterFunc(ctx, func() {
+		defer cancel()
+		timer := time.NewTimer(replyTimeout)
+		defer timer.Stop()
+		select {
+		case <-counted.inFlight.Idle():
+		case <-timer.C:
+		}
+	})()
+	if err := drpcserver.New(counted).Serve(serving, listener); err != nil {
 		return fmt.Errorf("serve host calls: %w", err)
 	}
 	return nil
 }
+
+// A countedHandler counts the calls whose reply is not sent yet.
+type countedHandler struct {
+	drpc.Handler
+	inFlight work.InFlight
+}
+
+// HandleRPC implements drpc.Handler.
+func (h *countedHandler) HandleRPC(stream drpc.Stream, rpc string) error {
+	defer h.inFlight.Begin()()
+	return h.Handler.HandleRPC(stream, rpc)
+}
