A host that was paused at its stop signal knows it, whichever it handles first

When a paused process goes on, its overdue maintenance and the signal are handled at the same time. If the maintenance is first, the host took the end of the pause for the begin of its grace, and its schedule ended after the kill.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -179,7 +179,7 @@
 	for {
 		select {
 		case now := <-ticker.C:
-			h.stop.lastTick.Store(time.Now().UnixNano())
+			h.stop.tick(time.Now())
 			h.Upstreams.CloseExpired(now)
 			h.updateInventory(now)
 			h.closeEvacuatedConnections()
--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,16 +35,16 @@
 	cancel context.CancelFunc
 	// requests are the requests of callers and the attempts for other hosts in flight.
 	requests work.Registry[shutdown.Request]
-	// lastTick is when the host last did maintenance, in Unix nanoseconds.
-	lastTick atomic.Int64
+
+	mu     sync.Mutex
+	pauses shutdown.PauseDetector
 }
 
 var _ dispatch.Stop = (*stop)(nil)
 
 func newStop(now time.Time) *stop {
-	s := &stop{begun: make(chan struct{})}
+	s := &stop{begun: make(chan struct{}), pauses: shutdown.NewPauseDetector(now, maintenanceInterval)}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
-	s.lastTick.Store(now.UnixNano())
 	return s
 }
 
@@ -68,7 +69,9 @@
 
 // begin begins the stop; it reports false if it has begun before.
 func (s *stop) begin(now time.Time, grace time.Duration) bool {
-	schedule := shutdown.NewSchedule(shutdown.BeganAt(now, time.Unix(0, s.lastTick.Load()), maintenanceInterval), grace)
+	s.mu.Lock()
+	schedule := shutdown.NewSchedule(s.pauses.SentAt(now), grace)
+	s.mu.Unlock()
 	if !s.schedule.CompareAndSwap(nil, &schedule) {
 		return false
 	}
@@ -77,6 +80,13 @@
 	return true
 }
 
+// tick records that the host does its maintenance.
+func (s *stop) tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pauses.Tick(now)
+}
+
 // elapsed returns how long ago the stop began; zero if it has not.
 func (s *stop) elapsed() time.Duration {
 	schedule, stopping := s.Schedule()
--- a/internal/shutdown/schedule.go
+++ b/internal/shutdown/schedule.go
@@ -11,8 +11,6 @@
 	// never more than maxAnswerMarginRatio of the grace: upstreams that are silent get the rest.
 	answerMargin         = 600 * time.Millisecond
 	maxAnswerMarginRatio = 1.0 / 6
-	// maxTickDelay is how late a periodic task may run before the process counts as paused.
-	maxTickDelay = 500 * time.Millisecond
 )
 
 // A Schedule says until when a stopping host does what. Its zero value belongs to a host that
@@ -25,15 +23,6 @@
 	exitBy      time.Time
 }
 
-// BeganAt returns when a stop that was noticed at now may have begun. A paused process notices the
-// signal late; its last periodic task, due every interval, ran at lastTick.
-func BeganAt(now, lastTick time.Time, interval time.Duration) time.Time {
-	if now.Sub(lastTick) > interval+maxTickDelay {
-		return lastTick
-	}
-	return now
-}
-
 // NewSchedule returns the schedule of a stop whose process is killed grace after beganAt.
 func NewSchedule(beganAt time.Time, grace time.Duration) Schedule {
 	margin := min(answerMargin, time.Duration(maxAnswerMarginRatio*float64(grace)))
--- a/internal/shutdown/schedule_test.go
+++ b/internal/shutdown/schedule_test.go
@@ -36,11 +36,19 @@
 	}
 }
 
-// TestPausedHostCountsItsGraceFromThePause checks that a host that was paused when it was told to
-// stop does not count on time that has passed.
+// TestPausedHostCountsItsGraceFromThePause guards against a host that was paused when it was told to stop and
+// counts on time that has passed.
 func TestPausedHostCountsItsGraceFromThePause(t *testing.T) {
 	c := qt.New(t)
-	now := time.Unix(1000, 0)
-	c.Check(BeganAt(now, now.Add(-900*time.Millisecond), time.Second), qt.Equals, now)
-	c.Check(BeganAt(now, now.Add(-3*time.Second), time.Second), qt.Equals, now.Add(-3*time.Second))
+	start := time.Unix(1000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	d := NewPauseDetector(start, time.Second)
+	d.Tick(at(1))
+	c.Check(d.SentAt(at(1.9)), qt.Equals, at(1.9))
+	// Paused from 1.2 to 4 s; the signal is handled before the overdue task, then after it.
+	c.Check(d.SentAt(at(4)), qt.Equals, at(1))
+	d.Tick(at(4))
+	c.Check(d.SentAt(at(4.1)), qt.Equals, at(1))
+	d.Tick(at(5))
+	c.Check(d.SentAt(at(5.2)), qt.Equals, at(5.2))
 }
