--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -159,7 +159,8 @@
 func (p *Process) handleHangups(ctx context.Context) error {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+	// The default action would end the process while it closes.
+	defer signal.Ignore(syscall.SIGHUP)
 	for {
 		select {
 		case <-hangups:
