Refusals of a stopping host do not list all members

Each refusal sorted and copied the list of members to find out whether another host serves, with a Retry-After of 1 ms. It is now derived when the members change.

--- a/internal/host/fleetview.go
+++ b/internal/host/fleetview.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/dialling"
+	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
 
@@ -20,11 +22,13 @@
 // updateFleetView derives the view from the current members and discards the dial
 // plans, which were computed from the previous view.
 func (h *Host) updateFleetView() {
-	view := dialling.NewView(h.Self.Host(), h.fleet.Members())
+	members := h.fleet.Members()
+	view := dialling.NewView(h.Self.Host(), members)
 	h.allowances.invalidateView()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.view = view
+	h.hasOtherHosts = slices.ContainsFunc(members, func(m roster.Member) bool { return m.State() == roster.Alive && m.Host() != h.Self.Host() })
 	clear(h.dialPlans)
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -87,6 +87,8 @@
 	cachedRecords map[string]cachedRecord
 	// view is derived from the current members.
 	view dialling.View
+	// hasOtherHosts is set if another host is alive.
+	hasOtherHosts bool
 	// dialPlans caches the plans that were computed from view.
 	dialPlans map[dialling.Key]dialling.Plan
 	// startedAt is when Init was called; settled is set once memberSettlePeriod has passed.
--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -10,7 +10,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/dispatch"
-	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/routing"
 	"github.com/foxtailshelf/foxtailshelf/internal/shutdown"
 	"github.com/foxtailshelf/foxtailshelf/internal/work"
@@ -154,10 +153,10 @@
 // stopRetryDelay returns when a caller may come back that was refused because the host stops: at
 // once if there is another host.
 func (h *Host) stopRetryDelay() time.Duration {
-	for _, m := range h.fleet.Members() {
-		if m.State() == roster.Alive && m.Host() != h.Self.Host() {
-			return otherHostRetryDelay
-		}
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	if h.hasOtherHosts {
+		return otherHostRetryDelay
 	}
 	return lastHostRetryDelay
 }
