Test runs end with the stop of the host, and a stop is no evidence against a request

A test run did not take notice of a stop: it ended when everything left is cancelled, 0.4 s before the kill, with 502 crash-suspected, and counted as one to which no upstream responded, which quarantines the request on all hosts. It now ends when all answers are due, with 504 stopping, and counts as not run; none begins that cannot end.

--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -29,6 +29,8 @@
 	// whichever is earlier.
 	startedAt, answerDueAt, deadline time.Time
 	allowance                        time.Duration
+	// stopBegun is closed when the host begins to stop; nil once the request has taken notice of it.
+	stopBegun <-chan struct{}
 	// isCutByStop is set if deadline is when the stopping host has to answer.
 	isCutByStop bool
 	// attempts counts all attempts, including hedges and retries.
@@ -65,6 +67,7 @@
 		startedAt: now, deadline: now.Add(remaining), allowance: d.allowance(request, d.timeSpent(now, request, route.Name(), route.Timeout())),
 	}
 	f.answerDueAt = now.Add(f.availableTime())
+	f.stopBegun = d.stopBegun()
 	f.limitToStop()
 	for _, s := range route.NextServices() {
 		f.parts = append(f.parts, &part{service: s, pool: d.Pool(s)})
@@ -105,7 +108,6 @@
 	timer := time.NewTimer(time.Until(f.deadline))
 	defer timer.Stop()
 	linksChanged := f.dispatcher.Links.Changed()
-	stopBegun := f.dispatcher.stopBegun()
 	for {
 		now := time.Now()
 		f.startDueAttempts(attemptsCtx, now)
@@ -127,8 +129,7 @@
 		case <-linksChanged:
 			linksChanged = f.dispatcher.Links.Changed()
 			f.handleLinkChange()
-		case <-stopBegun:
-			stopBegun = nil
+		case <-f.stopBegun:
 			f.limitToStop()
 		case <-f.wake:
 		case <-timer.C:
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
@@ -29,7 +30,7 @@
 // before the host has stopped.
 func (d *Dispatcher) CanEndBeforeStop(now time.Time, route *routing.Route) bool {
 	schedule, stopping := d.schedule()
-	return !stopping || schedule.Admits(now, d.expectedDuration(now, route))
+	return !stopping || schedule.Admits(now, 0) && schedule.Admits(now, d.expectedDuration(now, route))
 }
 
 // expectedDuration returns how long a request of a route takes. A request that may be repeated is
@@ -74,23 +75,33 @@
 	return d.Stop.Context()
 }
 
-// limitToStop makes the request end before the host has stopped.
+// limitToStop makes the request end before the host has stopped, if the host stops.
 func (f *inFlightRequest) limitToStop() {
 	schedule, stopping := f.dispatcher.schedule()
-	if !stopping || !schedule.AnswerBy().Before(f.deadline) {
+	if !stopping {
+		return
+	}
+	f.stopBegun = nil
+	if !schedule.AnswerBy().Before(f.deadline) {
 		return
 	}
 	f.deadline, f.isCutByStop = schedule.AnswerBy(), true
 	f.answerDueAt = earlier(f.answerDueAt, f.deadline)
 }
 
-// cannotEndBeforeStop reports whether the host stops too early for an attempt that begins at now. A
+// cannotEndBeforeStop reports whether the host stops too early for an attempt that is due now. A
 // request that may be repeated and has begun goes on: it may still get an answer in time.
 func (f *inFlightRequest) cannotEndBeforeStop(now time.Time) bool {
 	if f.attempts > 0 && f.route.Idempotent() {
 		return false
 	}
-	return !f.dispatcher.CanEndBeforeStop(now, f.route)
+	isDue := slices.ContainsFunc(f.parts, func(p *part) bool { return p.needsAttempt && !p.isDone() })
+	return isDue && !f.dispatcher.CanEndBeforeStop(now, f.route)
+}
+
+// endsWithStop reports whether the time of the request is over because the host stops.
+func (f *inFlightRequest) endsWithStop(now time.Time) bool {
+	return f.isCutByStop && !now.Before(f.deadline)
 }
 
 // LimitRelayedToStop makes an attempt for another host end before this host has stopped. It reports
--- a/internal/dispatch/testrun.go
+++ b/internal/dispatch/testrun.go
@@ -47,6 +47,10 @@
 // upstream works when the attempt begins. If the upstream responds, its response is used, the
 // request goes on, and runTest returns false. Otherwise it returns the answer and true.
 func (f *inFlightRequest) runTest(ctx, attemptsCtx context.Context, v quarantine.Verdict, end func(quarantine.TestResult)) (Answer, bool) {
+	if !f.dispatcher.CanEndBeforeStop(time.Now(), f.route) {
+		end(quarantine.TestNotRun)
+		return f.failureAnswer(ReasonStopping), true
+	}
 	f.isTesting = true
 	hasRun := false
 	for range maxTestRunTries {
@@ -59,7 +63,7 @@
 		f.awaitTest(ctx, p)
 		hasRun = p.ran > 0
 		// An upstream that cannot be reached says nothing about the request.
-		if hasRun || p.arrived > 0 || ctx.Err() != nil {
+		if hasRun || p.arrived > 0 || ctx.Err() != nil || f.endsWithStop(time.Now()) {
 			break
 		}
 	}
@@ -72,6 +76,11 @@
 		end(quarantine.TestNotRun)
 		return f.failureAnswer(ReasonBusy), true
 	}
+	if f.endsWithStop(time.Now()) {
+		// The stop of this host says nothing about the request.
+		end(quarantine.TestNotRun)
+		return f.failureAnswer(ReasonStopping), true
+	}
 	f.reportCrashes(ctx)
 	end(quarantine.TestUnanswered)
 	if ctx.Err() != nil {
@@ -108,12 +117,18 @@
 }
 
 // awaitTest waits until the test run of a part has ended, its upstream is known to have
-// ended, or the caller has disconnected.
+// ended, the caller has disconnected, or the host has to answer because it stops.
 func (f *inFlightRequest) awaitTest(ctx context.Context, p *part) {
 	timer := time.NewTimer(time.Until(f.answerDueAt))
 	defer timer.Stop()
-	for p.running > 0 && f.endedUpstreams == 0 {
+	deadline := time.NewTimer(time.Until(f.deadline))
+	defer deadline.Stop()
+	for p.running > 0 && f.endedUpstreams == 0 && !f.endsWithStop(time.Now()) {
 		select {
+		case <-f.stopBegun:
+			f.limitToStop()
+			deadline.Reset(time.Until(f.deadline))
+		case <-deadline.C:
 		case result := <-f.results:
 			f.handleResult(result)
 		case result := <-f.probeResults:
