Stopping entries and gates refuse what they can no longer answer

Callers saw three things. A booking whose body arrived after the entry had stopped serving was accepted and ended with EOF 2 s later, and the entry exited with code 1. While requests kept overlapping, an entry or a gate never ended by itself: after 2 minutes of its stop everything in flight was cut. Requests with deadlines of up to 10 minutes were cut then too, without an answer.

Cause: both waited for a moment without requests, accepted requests before and after it, and let deadlines exceed their own end.

Change: work.Intake counts accepted requests and refuses others once it is closed, which happens when addresses that name the process have run out (entry) or views that name it are outdated (gate). A body that is not read within 0.5 s of the refusal gets 503.

--- a/internal/command/process_test.go
+++ b/internal/command/process_test.go
@@ -1,9 +1,12 @@
 package command
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -24,6 +27,7 @@
 	storeAddress, hostListAddress, lastUpstreamAddress string
 	entryAddresses, gateAddresses                      []string
 	entryOperationsAddresses, gateOperationsAddresses  []string
+	upstreamAddresses                                  []string
 	processes                                          map[string]*exec.Cmd
 	slots                                              int
 }
@@ -73,6 +77,7 @@
 		var names []string
 		for r := range 3 {
 			f.lastUpstreamAddress = freeAddress(f.t)
+			f.upstreamAddresses = append(f.upstreamAddresses, f.lastUpstreamAddress)
 			name := fmt.Sprintf("s%d-%d", s, r)
 			upstreams = append(upstreams, fmt.Sprintf(`{"name": %q, "address": %q, "data-center": "attiki-1", "slots": %d, "connections": 50}`, name, f.lastUpstreamAddress, f.slots))
 			names = append(names, fmt.Sprintf("%q", name))
@@ -221,3 +226,41 @@
 	}
 	c.Check(isBehind, qt.IsFalse)
 }
+
+// TestRealEntryRefusesRequestsReadLate sends a report to a stopping entry and holds back half of
+// its body until the entry serves no more. Without a refusal the report would run longer than the
+// entry, and end without an answer.
+func TestRealEntryRefusesRequestsReadLate(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	f := startProcesses(t, 2)
+	f.awaitComplete(0)
+	for _, address := range f.upstreamAddresses {
+		request, err := http.NewRequest(http.MethodPut, "http://"+address+"/faults", strings.NewReader(`{"slow-factor": 500}`))
+		c.Assert(err, qt.IsNil)
+		response, err := http.DefaultClient.Do(request)
+		c.Assert(err, qt.IsNil)
+		_ = response.Body.Close()
+	}
+	body := `{"request-id": "late-1", "kind": "report", "key": "k", "deadline-milliseconds": 20000, "first-sending": true}`
+	conn, err := net.Dial("tcp", f.entryAddresses[0])
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	c.Assert(conn.SetDeadline(time.Now().Add(30*time.Second)), qt.IsNil)
+	_, err = fmt.Fprintf(conn, "POST /v1/services/screening/requests HTTP/1.1\r\nHost: e\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:20])
+	c.Assert(err, qt.IsNil)
+	f.signal("entry-0", syscall.SIGTERM)
+	// The entry serves for 4 s and its time to live of 1 s.
+	time.Sleep(6 * time.Second)
+	_, _ = conn.Write([]byte(body[20:]))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	c.Check(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(string(text), qt.Contains, "stopping")
+	c.Check(response.Close, qt.IsTrue)
+	c.Check(response.Header.Get("Retry-After"), qt.Equals, "1")
+	c.Check(f.processes["entry-0"].Wait(), qt.IsNil)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
 	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
 	"github.com/foxtailshelf/foxtailshelf/internal/peer"
+	"github.com/foxtailshelf/foxtailshelf/internal/shard"
 	"github.com/foxtailshelf/foxtailshelf/internal/timeline"
 	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
@@ -28,6 +29,9 @@
 	// withdrawPeriod is how long other entries may take to learn that this entry is
 	// leaving. Until then they still include its address in their address answers.
 	withdrawPeriod = 4 * time.Second
+	// finishReadPeriod is how long a request may take to be read once the entry refuses
+	// requests. The HTTP server waits longer.
+	finishReadPeriod = 500 * time.Millisecond
 	// DefaultAddressTTL is the default of Entry.AddressTTL.
 	DefaultAddressTTL = 10 * time.Second
 )
@@ -71,8 +75,12 @@
 	lastCrashAt   map[string]time.Time
 	leaving       bool
 	viewUpdatedAt time.Time
-	inFlight      work.InFlight
-	initOnce      sync.Once
+	// intake counts the requests and closes when a stopping entry refuses further ones. refusing
+	// ends just after that, answering when requests in flight must be answered.
+	intake              work.Intake
+	refusing, answering context.Context
+	refuse, answerNow   context.CancelFunc
+	initOnce            sync.Once
 }
 
 // Catalog returns the active catalog.
@@ -83,7 +91,8 @@
 
 // Leave withdraws this entry's address from the address answers and keeps serving,
 // for withdrawPeriod and AddressTTL, callers that may still use the address. It then
-// returns when no request is in flight, or when the context ends.
+// refuses requests, and returns when none is in flight, as work.Intake.Drain does, or when the
+// context ends.
 func (e *Entry) Leave(ctx context.Context) {
 	e.init()
 	e.Timeline.Add("leave", "", "entry withdraws its address")
@@ -92,10 +101,9 @@
 	e.mu.Unlock()
 	e.refreshView(ctx)
 	work.Sleep(ctx, withdrawPeriod+e.AddressTTL)
-	select {
-	case <-e.inFlight.Idle():
-	case <-ctx.Done():
-	}
+	e.intake.Close()
+	e.refuse()
+	e.intake.Drain(ctx, e.answerNow)
 }
 
 // NotReadyReason returns why the entry cannot serve requests, or an empty string
@@ -105,6 +113,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
+	case e.intake.Closed():
+		return string(shard.ReasonStopping)
 	case !e.follower.HasCatalog():
 		return "no source of the configuration has answered yet"
 	case time.Since(e.viewUpdatedAt) > cutOffDelay:
@@ -129,6 +139,8 @@
 func (e *Entry) init() {
 	e.initOnce.Do(func() {
 		e.view = newView()
+		e.refusing, e.refuse = context.WithCancel(context.Background())
+		e.answering, e.answerNow = context.WithCancel(context.Background())
 		e.reportCaches = make(map[string]*shardReportCache)
 		e.lastCrashAt = make(map[string]time.Time)
 		if e.AddressTTL == 0 {
--- a/internal/entry/httpapi.go
+++ b/internal/entry/httpapi.go
@@ -15,6 +15,7 @@
 
 	"github.com/foxtailshelf/foxtailshelf/internal/query"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
+	"github.com/foxtailshelf/foxtailshelf/internal/shard"
 )
 
 const (
@@ -32,8 +33,9 @@
 	Revision               uint64   `json:"revision"`
 }
 
-// An ErrorDocument is the JSON document of the answer to an invalid request, or to a
-// request for addresses while the entry is not ready.
+// An ErrorDocument is the JSON document of the answer to an invalid request, to a
+// request for addresses while the entry is not ready, or to a request that is not read
+// whole when the entry stops.
 type ErrorDocument struct {
 	Field   string `json:"field"`
 	Problem string `json:"problem"`
@@ -54,15 +56,24 @@
 	router := mux.NewRouter()
 	router.HandleFunc("/v1/addresses", e.handleAddresses).Methods(http.MethodGet)
 	router.HandleFunc("/v1/services/{service}/requests", e.handleRequest).Methods(http.MethodPost)
-	return router
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.intake.Closed() {
+			w.Header().Set("Connection", "close")
+		}
+		router.ServeHTTP(w, r)
+	})
 }
 
 // Serve runs one decoded request and returns its answer. While the entry is not
-// ready, the answer is a refusal. The error of an invalid request is an
-// *InvalidRequestError.
+// ready, or refuses requests because it stops, the answer is a refusal. The error of an
+// invalid request is an *InvalidRequestError.
 func (e *Entry) Serve(ctx context.Context, service string, d RequestDocument) (AnswerDocument, error) {
 	e.init()
-	defer e.inFlight.Begin()()
+	end, accepted := e.intake.Accept()
+	if !accepted {
+		return e.refuseNotReady(service, d, string(shard.ReasonStopping)), nil
+	}
+	defer end()
 	startedAt := time.Now()
 	if reason := e.NotReadyReason(); reason != "" {
 		return e.refuseNotReady(service, d, reason), nil
@@ -137,19 +148,35 @@
 func (e *Entry) handleAddresses(w http.ResponseWriter, r *http.Request) {
 	if reason := e.NotReadyReason(); reason != "" {
 		// The view may be out of date and hold addresses of lost hosts.
-		w.Header().Set("Retry-After", "1")
-		writeJSON(w, http.StatusServiceUnavailable, ErrorDocument{Field: "addresses", Problem: reason})
+		writeNotReady(w, "addresses", reason)
 		return
 	}
 	writeJSON(w, http.StatusOK, e.Addresses(r.URL.Query().Get("data-center")))
 }
 
+// readRequest reads a request; once the entry refuses requests, for at most
+// finishReadPeriod.
+func (e *Entry) readRequest(w http.ResponseWriter, r *http.Request) (RequestDocument, error) {
+	stopLimit := context.AfterFunc(e.refusing, func() {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(finishReadPeriod))
+	})
+	defer stopLimit()
+	return DecodeRequest(r.Body)
+}
+
 func (e *Entry) handleRequest(w http.ResponseWriter, r *http.Request) {
-	d, err := DecodeRequest(r.Body)
+	d, err := e.readRequest(w, r)
+	if err != nil && e.refusing.Err() != nil {
+		writeNotReady(w, "body", string(shard.ReasonStopping))
+		return
+	}
 	if err != nil {
 		writeError(w, err)
 		return
 	}
+	// The request is in flight until its answer is written.
+	end, _ := e.intake.Accept()
+	defer end()
 	answer, err := e.Serve(r.Context(), mux.Vars(r)["service"], d)
 	if err != nil {
 		writeError(w, err)
@@ -169,6 +196,12 @@
 	return 1
 }
 
+// writeNotReady answers a request that the entry cannot serve now and has not decoded.
+func writeNotReady(w http.ResponseWriter, field, problem string) {
+	w.Header().Set("Retry-After", "1")
+	writeJSON(w, http.StatusServiceUnavailable, ErrorDocument{Field: field, Problem: problem})
+}
+
 func writeError(w http.ResponseWriter, err error) {
 	var badRequest *InvalidRequestError
 	if !errors.As(err, &badRequest) {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -43,8 +43,11 @@
 }
 
 // runQuery runs a request and returns its answer, at the latest when the request's
-// deadline passes.
+// deadline passes or the stop of this entry cuts it short.
 func (e *Entry) runQuery(ctx context.Context, r *request) query.Answer {
+	if e.answering.Err() != nil {
+		return query.Answer{Status: query.NotRun, Reason: shard.ReasonStopping, RetryAfter: query.DefaultRetryAfter}
+	}
 	cache := e.reportCache(r.service.Name())
 	plan, refusal := e.planQuery(ctx, r, cache, snapshot.Version{})
 	if refusal != nil {
@@ -143,6 +146,8 @@
 		return query.Wake{}
 	case <-ctx.Done():
 		return query.CallerDisconnected{}
+	case <-qr.entry.answering.Done():
+		return query.Stopped{}
 	}
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -92,7 +92,9 @@
 	firstChangeNumber uint64
 	isolation         isolation
 
-	inFlight work.InFlight
+	// intake counts the Scatter calls and the bookings of lost entries, and closes when a
+	// stopping gate refuses further calls.
+	intake   work.Intake
 	initOnce sync.Once
 }
 
@@ -132,17 +134,22 @@
 }
 
 // Leave announces that the gate leaves the fleet and, for leavePeriod, keeps serving
-// entries whose view is out of date. It then returns when no request is in flight,
-// or when the context ends.
+// entries whose view is out of date. It then refuses requests, and returns when none is in
+// flight, as work.Intake.Drain does, or when the context ends.
 func (g *Gate) Leave(ctx context.Context) {
 	g.init()
 	g.Timeline.Add("leave", "", "gate leaves the fleet")
 	g.stepRoster(roster.Leave{})
 	g.announceSelf(ctx)
 	work.Sleep(ctx, leavePeriod)
-	select {
-	case <-g.inFlight.Idle():
-	case <-ctx.Done():
+	g.intake.Close()
+	g.intake.Drain(ctx, g.endJobs)
+}
+
+// endJobs ends all jobs of all groups. A job that no upstream has run can go to another gate.
+func (g *Gate) endJobs() {
+	for _, gr := range g.listRunners() {
+		gr.step(shard.Stop{RetryAfter: defaultRetryAfter})
 	}
 }
 
--- a/internal/gate/scatter.go
+++ b/internal/gate/scatter.go
@@ -33,7 +33,8 @@
 // Scatter implements peer.GateHandler.
 func (g *Gate) Scatter(ctx context.Context, request *wire.ScatterRequest, deliver func(*wire.ScatterReply) error) error {
 	g.init()
-	defer g.inFlight.Begin()()
+	end, _ := g.intake.Accept()
+	defer end()
 	g.Timeline.Observe(peer.DecodeStamp(request.GetStamp()))
 	replies := make(chan *wire.ScatterReply, len(request.GetShards()))
 	if err := deliver(&wire.ScatterReply{Accepted: true, Revision: g.follower.Current().Revision()}); err != nil {
@@ -144,9 +145,16 @@
 }
 
 func (g *Gate) submitAll(request *wire.ScatterRequest, deliver func(*wire.ScatterReply)) []func() {
-	if g.CutOff() {
+	reason, delay := shard.Reason(""), defaultRetryAfter
+	switch {
+	case g.intake.Closed():
+		reason = shard.ReasonStopping
+	case g.CutOff():
+		reason, delay = shard.ReasonCutOff, cutOffDelay
+	}
+	if reason != "" {
 		for _, path := range request.GetShards() {
-			deliver(newRefusal(request, path, shard.ReasonCutOff, cutOffDelay))
+			deliver(newRefusal(request, path, reason, delay))
 		}
 		return nil
 	}
--- a/internal/query/messages.go
+++ b/internal/query/messages.go
@@ -110,11 +110,15 @@
 // CallerDisconnected reports that the caller no longer waits for the answer.
 type CallerDisconnected struct{}
 
+// Stopped reports that the process stops and the query must end now.
+type Stopped struct{}
+
 func (ShardReplied) isEvent()       {}
 func (GateLost) isEvent()           {}
 func (Repinned) isEvent()           {}
 func (Wake) isEvent()               {}
 func (CallerDisconnected) isEvent() {}
+func (Stopped) isEvent()            {}
 
 // An Action is an operation that the driver must perform.
 type Action interface{ isAction() }
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -119,6 +119,8 @@
 		q.handleRepinned(e)
 	case CallerDisconnected:
 		q.finish(shard.ReasonWithdrawn)
+	case Stopped:
+		q.finish(shard.ReasonStopping)
 	case Wake:
 	}
 	q.checkDeadlines(now)
--- a/internal/shard/group.go
+++ b/internal/shard/group.go
@@ -111,7 +111,9 @@
 	case ProbeEnded:
 		g.handleProbeEnded(now, e)
 	case Quarantine:
-		g.handleQuarantine(e)
+		g.endJobs(ReasonQuarantined, e.RetryAfter, func(j *job) bool { return j.Fingerprint == e.Fingerprint })
+	case Stop:
+		g.endJobs(ReasonStopping, e.RetryAfter, func(*job) bool { return true })
 	case Reconfigure:
 		g.reconfigure(now, e.Definition)
 	case SlotsRestricted:
@@ -276,16 +278,17 @@
 	return ids
 }
 
-func (g *Group) handleQuarantine(q Quarantine) {
+// endJobs completes the selected jobs without an answer.
+func (g *Group) endJobs(reason Reason, retryAfter time.Duration, selects func(*job) bool) {
 	var ids []JobID
 	for id, j := range g.jobs {
-		if j.Fingerprint == q.Fingerprint {
+		if selects(j) {
 			ids = append(ids, id)
 		}
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		g.completeWithoutAnswer(g.jobs[id], ReasonQuarantined, q.RetryAfter)
+		g.completeWithoutAnswer(g.jobs[id], reason, retryAfter)
 	}
 }
 
--- a/internal/shard/messages.go
+++ b/internal/shard/messages.go
@@ -142,6 +142,9 @@
 	RetryAfter  time.Duration
 }
 
+// Stop ends all jobs, because the gate stops.
+type Stop struct{ RetryAfter time.Duration }
+
 // Reconfigure replaces the definition of the group.
 type Reconfigure struct{ Definition *catalog.Group }
 
@@ -159,6 +162,7 @@
 func (UpstreamReported) isEvent() {}
 func (ProbeEnded) isEvent()       {}
 func (Quarantine) isEvent()       {}
+func (Stop) isEvent()             {}
 func (Reconfigure) isEvent()      {}
 func (SlotsRestricted) isEvent()  {}
 func (Wake) isEvent()             {}
