A stopping gate waits for bookings whose entry was lost

A gate keeps the outcome of a booking whose entry was lost, by finalizing its claim. A gate that stopped meanwhile did not count that run: it ended 3 s after SIGTERM, dropped the outcome of a run of 20 s, and the caller got "unknown" each time it sent the booking again.

The run now counts as in flight until its claim is finalized.

TestStoppingGateKeepsOutcomeOfLostEntry before: "unknown" where "complete" is wanted. After: "complete", from the earlier run.

--- a/internal/fleettest/stop_test.go
+++ b/internal/fleettest/stop_test.go
@@ -135,3 +135,22 @@
 		})
 	}
 }
+
+// TestStoppingGateKeepsOutcomeOfLostEntry guards against a gate that ends while it runs a booking
+// whose entry was lost: the outcome would never be known.
+func TestStoppingGateKeepsOutcomeOfLostEntry(t *testing.T) {
+	withSlowFleet(t, 20*time.Second, func(c *qt.C, f *Fleet) {
+		caller, booking, hosts := f.NewCaller(), longBooking(f), f.Hosts()
+		f.Go(func() { caller.Send(hosts[1], booking) })
+		time.Sleep(time.Second)
+		hosts[1].Kill()
+		time.Sleep(time.Second)
+		stopWith(hosts[0].Gate.Leave)
+		hosts[0].Kill()
+		again := caller.Send(hosts[2], booking)
+		c.Check(again.Answer.Status, qt.Equals, "complete")
+		c.Check(again.Answer.FromEarlierRun, qt.IsTrue)
+		caller.CheckFinalState([]string{booking.RequestID})
+		c.Check(caller.Violations, qt.HasLen, 0)
+	})
+}
--- a/internal/gate/claims.go
+++ b/internal/gate/claims.go
@@ -17,7 +17,7 @@
 // finalizeClaim finalizes the claim of a booking whose entry was lost, once the run
 // has ended, so that a caller that sends the request again gets its outcome. If the
 // run does not end within the wait described at outcomeGracePeriod, the claim stays
-// as it is.
+// as it is. Until then the run counts as in flight, so that a stopping gate waits for it.
 func (g *Gate) finalizeClaim(request *wire.ScatterRequest, replies <-chan *wire.ScatterReply, outstanding int) {
 	if request.GetClaimKey() == "" || outstanding == 0 {
 		return
@@ -27,7 +27,9 @@
 		return
 	}
 	timeout := time.Duration(request.GetDeadlineMicros())*time.Microsecond + outcomeGracePeriod
-	g.tasks.Go(func() {
+	end := g.intake.Begin()
+	started := g.tasks.Go(func() {
+		defer end()
 		select {
 		case reply := <-replies:
 			finalized := claims.Finalize(g.Store, request.GetClaimKey(), finalRecord(claim, reply))
@@ -35,6 +37,9 @@
 		case <-time.After(timeout):
 		}
 	})
+	if !started {
+		end()
+	}
 }
 
 // finalRecord returns the claim record that states the outcome of the run.
