A stopping entry serves as long as callers may cache its address

A stop is limited to 2 minutes, but the setting address-time-to-live-milliseconds may be up to 10 minutes: an entry ended while callers still used its address, and what was in flight was cut. The limit of an entry's stop now follows from its time to live.

TestStoppingEntryServesWhileAddressesAreCached failed before: no limit of its own was set.

--- a/internal/command/entrycmd.go
+++ b/internal/command/entrycmd.go
@@ -50,15 +50,21 @@
 	if err := p.Init(); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
+	e := newEntry(s, p)
+	return p.Run(e.Run, process.HTTPTask(s.Listen, e.Handler()))
+}
+
+// newEntry returns the entry of a process and sets what the process does with it.
+func newEntry(s EntrySettings, p *process.Process) *entry.Entry {
 	e := &entry.Entry{
 		Host: s.Host, DataCenter: s.DataCenter, Address: s.Listen, LocalGateAddress: s.Gate,
 		Store: keyvalue.NewHTTPStore(s.Store), Hosts: hostlist.NewHTTPList(s.HostList), GateTransport: peer.NewGateClient(),
 		Recorder: p.Recorder(), Timeline: p.Timeline(), Metrics: entry.NewMetrics(p.Registry()), Log: p.Log(),
 		AddressTTL: time.Duration(s.AddressTimeToLiveMilliseconds) * time.Millisecond,
 	}
-	p.Shutdown = e.Leave
+	p.Shutdown, p.ShutdownTimeout = e.Leave, e.MaxLeaveDuration()
 	p.Revision = func() uint64 { return e.Catalog().Revision() }
 	p.NotReadyReason = e.NotReadyReason
 	p.State = func() any { return e.State() }
-	return p.Run(e.Run, process.HTTPTask(s.Listen, e.Handler()))
+	return e
 }
--- a/internal/command/process_test.go
+++ b/internal/command/process_test.go
@@ -18,6 +18,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/process"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
 
 // processFleet is a fleet of real processes that listen on loopback addresses.
@@ -227,6 +230,17 @@
 	c.Check(isBehind, qt.IsFalse)
 }
 
+// TestStoppingEntryServesWhileAddressesAreCached guards against an entry that ends while callers
+// may still use its address, because the limit of a stop is shorter than their time to live.
+func TestStoppingEntryServesWhileAddressesAreCached(t *testing.T) {
+	c := qt.New(t)
+	p := &process.Process{Name: "entry", LogLevel: "error"}
+	c.Assert(p.Init(), qt.IsNil)
+	const timeToLive = 10 * time.Minute
+	newEntry(EntrySettings{Store: "127.0.0.1:1", HostList: "127.0.0.1:1", AddressTimeToLiveMilliseconds: int(timeToLive.Milliseconds())}, p)
+	c.Check(p.ShutdownTimeout > timeToLive+work.MaxDrainDuration, qt.IsTrue, qt.Commentf("%s", p.ShutdownTimeout))
+}
+
 // TestRealEntryRefusesRequestsReadLate sends a report to a stopping entry and holds back half of
 // its body until the entry serves no more. Without a refusal the report would run longer than the
 // entry, and end without an answer.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -106,6 +106,12 @@
 	e.intake.Drain(ctx, e.answerNow)
 }
 
+// MaxLeaveDuration returns how long Leave takes at most.
+func (e *Entry) MaxLeaveDuration() time.Duration {
+	e.init()
+	return maxRefreshDuration + withdrawPeriod + e.AddressTTL + work.MaxDrainDuration
+}
+
 // NotReadyReason returns why the entry cannot serve requests, or an empty string
 // if it can.
 func (e *Entry) NotReadyReason() string {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -23,6 +23,8 @@
 	// failed request to the local gate. The first of them goes to the local gate
 	// again.
 	maxViewRequests = 3
+	// maxRefreshDuration is how long refreshView takes at most, which may request the host list.
+	maxRefreshDuration = (maxViewRequests + 2) * exchangeTimeout
 )
 
 // view is an entry's cached view of the fleet's members. It is safe for concurrent
--- a/internal/work/intake.go
+++ b/internal/work/intake.go
@@ -11,6 +11,9 @@
 	DrainPeriod = time.Minute
 	// AnswerPeriod is how long operations may take to end after they are cut short.
 	AnswerPeriod = 10 * time.Second
+	// MaxDrainDuration is how long an entry or a gate that stops has requests in flight
+	// once it accepts no more.
+	MaxDrainDuration = DrainPeriod + AnswerPeriod
 )
 
 // An Intake counts the operations that a process accepts, and accepts none once it is
