A test of stops reads an answer without a data race

TestStopAnswersLongRequests read the answer of a request that another goroutine writes. The race detector reported it; the check is the same, over a channel.

--- a/internal/fleettest/stop_test.go
+++ b/internal/fleettest/stop_test.go
@@ -120,11 +120,16 @@
 		t.Run(test.name, func(t *testing.T) {
 			withSlowFleet(t, 5*time.Minute, func(c *qt.C, f *Fleet) {
 				caller, booking, hosts := f.NewCaller(), longBooking(f), f.Hosts()
-				var answered Response
-				f.Go(func() { answered = caller.Send(hosts[1], booking) })
+				answers := make(chan Response, 1)
+				f.Go(func() { answers <- caller.Send(hosts[1], booking) })
 				time.Sleep(time.Second)
 				c.Check(stopWith(test.leave(hosts[test.host])) < maxStopDuration, qt.IsTrue)
 				time.Sleep(10 * time.Millisecond)
+				var answered Response
+				select {
+				case answered = <-answers:
+				default:
+				}
 				c.Check([]string{answered.Answer.Status, answered.Answer.Reason}, qt.DeepEquals, []string{"unknown", "stopping"})
 				hosts[test.host].Kill()
 				time.Sleep(5 * time.Minute)
