A host is not ready before it uses the upstreams of its first configuration

Callers of a host that had just become ready got 503 no-upstream.

Traced beside load with the host's lines: the odd answer is the first request, 0.2 ms after the host was ready, refused as no-upstream. A configuration was activated first; the list of hosts and the view of the fleet were applied before the upstreams of the same records, and requests were routed meanwhile. Hosts are applied first now, and the configuration and its upstreams under one lock.

--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -34,6 +34,13 @@
 	for _, r := range records {
 		cached[r.Key()] = h.decodeRecord(r)
 	}
+	for _, r := range records {
+		if d := cached[r.Key()]; d.PeerAddress != "" && d.PeerAddress != h.Self.GateAddress() {
+			peers = append(peers, d.peer)
+		}
+	}
+	h.fleet.HandleHostList(peers)
+	h.updateFleetView()
 	h.mu.Lock()
 	h.beginEra(now, revision)
 	h.upstreamSpecs, h.evacuatedRecords = h.upstreamSpecs[:0], h.evacuatedRecords[:0]
@@ -48,15 +55,11 @@
 		if d.EvacuatedDataCenter != "" {
 			h.evacuatedRecords = append(h.evacuatedRecords, d.EvacuatedDataCenter)
 		}
-		if d.PeerAddress != "" && d.PeerAddress != h.Self.GateAddress() {
-			peers = append(peers, d.peer)
-		}
 	}
+	// No request may be routed by a configuration before its upstreams can be used.
+	h.applyInventory(now)
 	h.mu.Unlock()
 	h.cachedRecords = cached
-	h.fleet.HandleHostList(peers)
-	h.updateFleetView()
-	h.updateInventory(now)
 	h.announceEntryAddress()
 	h.group.Go(func() { h.fleet.SendUpdates(context.Background()) })
 	h.Log.WithField("revision", revision.String()).Debug("store records applied")
--- a/internal/host/upstreams.go
+++ b/internal/host/upstreams.go
@@ -7,12 +7,17 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
 )
 
-// updateInventory applies the upstreams listed in the store to the inventory and to
-// the pools of the services that changed. It does nothing before the first
-// configuration.
+// updateInventory calls applyInventory.
 func (h *Host) updateInventory(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.applyInventory(now)
+}
+
+// applyInventory applies the upstreams listed in the store to the inventory and to
+// the pools of the services that changed. It does nothing before the first
+// configuration. The caller holds h.mu.
+func (h *Host) applyInventory(now time.Time) {
 	if h.table == nil {
 		return
 	}
