One item that cannot be read no longer keeps hosts from the store's list

If one item of a page has a value that is not base64, a field of another type, a revision out of range or broken JSON, the whole list failed, again and again: a host that starts has no configuration after 5 s, and a running one whose watch is cut learns nothing new.

If an item is unknown, List returns the others with a PartialListError: the follower adds them, removes nothing, lets peers remove nothing, watches from there, and lists again every 10 s. Keys that vanish while history is lost and a page is broken stay until a list is complete.

--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -131,3 +131,9 @@
 	}
 	return record
 }
+
+// recordPartialList records that keys of the store cannot be read.
+func (h *Host) recordPartialList(err *keyvalue.PartialListError) {
+	h.Metrics.badRecords.Inc()
+	h.Log.WithField("problem", err.Problem).Warn("keys of the store cannot be read; what was known of them holds")
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -135,7 +135,8 @@
 	h.fleet = &membership.Fleet{Self: h.Self, Seed: h.Seed, Exchange: h.exchangeGossip, OnChange: h.handleMemberChange, Tasks: &h.group}
 	h.fleet.Init()
 	h.follower = &mirror.Follower{
-		Feed: h.Feed, Fetch: h.fetchDifference, ShouldWatch: h.fleet.ShouldWatch, OnChange: h.handleRecords, Log: h.Log,
+		Feed: h.Feed, Fetch: h.fetchDifference, ShouldWatch: h.fleet.ShouldWatch, OnChange: h.handleRecords,
+		OnPartialList: h.recordPartialList, Log: h.Log,
 	}
 	h.follower.Init()
 	h.dispatcher = &dispatch.Dispatcher{
--- a/internal/keyvalue/feed.go
+++ b/internal/keyvalue/feed.go
@@ -20,7 +20,8 @@
 	// List returns the last write of each key with a prefix, and the store's revision
 	// when the first of these keys was read. Keys that are written while the list is
 	// read may have a higher revision. With allowStale, the keys and the revision may be
-	// some seconds old, but are consistent with each other.
+	// some seconds old, but are consistent with each other. With a *PartialListError it
+	// returns the keys that could be read.
 	List(ctx context.Context, prefix string, allowStale bool) ([]Change, Revision, error)
 	// WatchPrefix waits up to wait for changes after a revision. It returns the
 	// changes, possibly none, and the revision up to which they are complete. It
@@ -45,6 +46,12 @@
 // After.
 type HistoryLostError struct{ AfterRevision Revision }
 
+// A PartialListError means that some keys of a list could not be read. They may exist or not.
+type PartialListError struct {
+	// Problem is that of the first of these keys.
+	Problem string
+}
+
 // NewChange returns the Change that writes a key.
 func NewChange(key string, value []byte, revision Revision) Change {
 	return Change{key: key, value: value, revision: revision}
@@ -67,6 +74,11 @@
 // Value returns the value; it must not be changed.
 func (c Change) Value() []byte { return c.value }
 
+// Error implements error.
+func (e *PartialListError) Error() string {
+	return "some keys of the list could not be read: " + e.Problem
+}
+
 // Error implements error.
 func (e *HistoryLostError) Error() string {
 	return fmt.Sprintf("the store has discarded the changes after revision %v", e.AfterRevision)
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -37,6 +37,9 @@
 	// idleInterval is how often a host that does not watch the store checks whether
 	// ShouldWatch has become true.
 	idleInterval = 200 * time.Millisecond
+	// partialListInterval is how often the store is listed again while keys of the list cannot be
+	// read. Until then watches tell what changes.
+	partialListInterval = 10 * time.Second
 	// peerTimeout is the timeout of a call to a peer.
 	peerTimeout = 700 * time.Millisecond
 	// maxPendingHints bounds the queue of peers with a newer revision. Hints above the
@@ -68,7 +71,10 @@
 	// OnChange is called with all records after each change of the mirror, never
 	// concurrently.
 	OnChange func(records []keyvalue.Change, revision keyvalue.Revision)
-	Log      logrus.FieldLogger
+	// OnPartialList is called when keys of a list cannot be read, once as long as the problem is
+	// the same. It may be nil.
+	OnPartialList func(*keyvalue.PartialListError)
+	Log           logrus.FieldLogger
 
 	mu     sync.Mutex
 	mirror *Mirror
@@ -87,6 +93,10 @@
 	// hasCurrent is set once a list that was not stale, or a watch, has succeeded. Only
 	// followStore uses it.
 	hasCurrent bool
+	// listedAt is when the store was last listed, and listProblem why keys of that list could not
+	// be read; empty if all could. Only followStore uses them.
+	listedAt    time.Time
+	listProblem string
 	// applyMu ensures that OnChange receives the changes in order.
 	applyMu sync.Mutex
 	// hints holds the addresses of peers that have announced a newer revision.
@@ -244,7 +254,8 @@
 // without interruption since.
 func (f *Follower) syncOnce(ctx context.Context, inSync bool) error {
 	after := f.Revision()
-	if after == 0 || !inSync {
+	isPartialListDue := f.listProblem != "" && time.Since(f.listedAt) >= partialListInterval
+	if after == 0 || !inSync || isPartialListDue {
 		return f.list(ctx)
 	}
 	watchCtx, cancel := context.WithTimeout(ctx, watchWait+watchGracePeriod)
@@ -274,12 +285,18 @@
 	defer cancel()
 	allowStale := !f.hasListed
 	all, revision, err := f.Feed.List(listCtx, "", allowStale)
-	if err != nil {
+	var partial *keyvalue.PartialListError
+	if err != nil && !errors.As(err, &partial) {
 		return fmt.Errorf("read the store: %w", err)
 	}
+	f.recordList(partial)
+	apply := (*Mirror).Replace
+	if partial != nil {
+		apply = (*Mirror).Merge
+	}
 	f.hasListed = true
 	if allowStale {
-		f.update(staleListAge, func(m *Mirror) bool { return m.Replace(all, revision) })
+		f.update(staleListAge, func(m *Mirror) bool { return apply(m, all, revision) })
 		return nil
 	}
 	if own := f.Revision(); revision.Era() < own.Era() {
@@ -292,11 +309,25 @@
 			// The first list was stale, of before the store's return from a copy.
 			m.Reset()
 		}
-		return m.Replace(all, revision)
+		return apply(m, all, revision)
 	})
 	return nil
 }
 
+// recordList records that the store was listed, and whether keys could not be read. Only
+// followStore calls it.
+func (f *Follower) recordList(partial *keyvalue.PartialListError) {
+	before := f.listProblem
+	f.listedAt, f.listProblem = time.Now(), ""
+	if partial == nil {
+		return
+	}
+	f.listProblem = partial.Problem
+	if f.listProblem != before && f.OnPartialList != nil {
+		f.OnPartialList(partial)
+	}
+}
+
 // logReachability logs when the store becomes unreachable or reachable again, and when it has
 // discarded the changes after the mirror's revision.
 func (f *Follower) logReachability(err error) {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -26,6 +26,8 @@
 	// between the two revisions was neither in the mirror nor in the list.
 	gapFrom, gapTo keyvalue.Revision
 	revision       keyvalue.Revision
+	// isPartial is set if the last list lacked keys that may exist.
+	isPartial bool
 }
 
 // New returns an empty Mirror.
@@ -61,7 +63,7 @@
 
 // Difference returns the changes after haveRevision, in the order of revisions. If
 // haveRevision is zero or of another era, or the removals after it are incomplete,
-// Difference returns the records of all keys and full is set.
+// Difference returns the records of all keys and full is set, unless keys may be missing.
 func (m *Mirror) Difference(haveRevision keyvalue.Revision) (changes []keyvalue.Change, full bool) {
 	full = haveRevision < m.discardedRevision || haveRevision == 0 || haveRevision.Era() != m.revision.Era() ||
 		(haveRevision > m.gapFrom && haveRevision < m.gapTo)
@@ -78,7 +80,17 @@
 		}
 	}
 	slices.SortFunc(changes, func(a, b keyvalue.Change) int { return cmp.Compare(a.Revision(), b.Revision()) })
-	return changes, full
+	return changes, full && !m.isPartial
+}
+
+// Merge applies a list at a revision that may lack keys. It reports whether the mirror changed. No
+// key is removed.
+func (m *Mirror) Merge(some []keyvalue.Change, revision keyvalue.Revision) bool {
+	if revision >= m.revision {
+		m.recordGap(revision)
+		m.isPartial = true
+	}
+	return m.apply(some, revision)
 }
 
 // Records returns the records of all keys in unspecified order.
@@ -95,6 +107,7 @@
 		return m.Apply(all, revision)
 	}
 	m.recordGap(revision)
+	m.isPartial = false
 	listed := make(map[string]bool, len(all))
 	for _, c := range all {
 		listed[c.Key()] = true
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -159,6 +159,11 @@
 	failing     bool
 	historyLost bool
 	calls       int
+	lists       int
+	// partial is why keys of lists cannot be read; empty if all can. partialProblems holds what
+	// the follower has reported.
+	partial         string
+	partialProblems []string
 	// staleRecords and staleRevision are what a list that may be stale returns; if
 	// staleRevision is zero, such a list is current.
 	staleRecords  []keyvalue.Change
@@ -180,6 +185,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.calls++
+	f.lists++
 	if f.silent {
 		f.waitUnlocked(ctx)
 		return nil, 0, ctx.Err()
@@ -187,6 +193,9 @@
 	if f.failing {
 		return nil, 0, errStore
 	}
+	if f.partial != "" {
+		return f.store.Records(), f.store.Revision(), &keyvalue.PartialListError{Problem: f.partial}
+	}
 	if allowStale {
 		f.staleLists++
 	}
@@ -196,6 +205,18 @@
 	return f.store.Records(), f.store.Revision(), nil
 }
 
+func (f *fakeFeed) listCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lists
+}
+
+func (f *fakeFeed) problems() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.partialProblems)
+}
+
 func (f *fakeFeed) callCount() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -401,3 +422,59 @@
 		c.Check(feed.staleLists, qt.Equals, 1)
 	})
 }
+
+// TestPartialListRemovesNothing checks that a list without some keys leaves these in the mirror and in those of peers, and that a complete one removes them.
+func TestPartialListRemovesNothing(t *testing.T) {
+	c := qt.New(t)
+	m, behind := New(), New()
+	m.Replace([]keyvalue.Change{put("a", 1), put("b", 2)}, 2)
+	behind.Replace([]keyvalue.Change{put("a", 1), put("b", 2)}, 2)
+	c.Check(m.Merge([]keyvalue.Change{put("c", 4)}, 5), qt.IsTrue)
+	c.Check(formatKeys(m), qt.Equals, "a1 b2 c4 ")
+	c.Check(m.Revision(), qt.Equals, keyvalue.Revision(5))
+	restarted := New()
+	restarted.Merge([]keyvalue.Change{put("c", 4)}, 5)
+	changes, full := restarted.Difference(2)
+	c.Check(full, qt.IsFalse)
+	behind.Apply(changes, restarted.Revision())
+	c.Check(formatKeys(behind), qt.Equals, "a1 b2 c4 ")
+	c.Check(m.Replace([]keyvalue.Change{put("a", 1), put("c", 4)}, 6), qt.IsTrue)
+	c.Check(formatKeys(m), qt.Equals, "a1 c4 ")
+	_, full = m.Difference(3)
+	c.Check(full, qt.IsTrue)
+}
+
+// TestPartialListsAreFollowed guards against a host that does not watch the store because keys of its list cannot be read.
+func TestPartialListsAreFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		feed := &fakeFeed{store: New(), partial: "first"}
+		feed.write("a")
+		f := newTestFollower(feed)
+		f.OnPartialList = func(err *keyvalue.PartialListError) {
+			feed.configure(func(f *fakeFeed) { f.partialProblems = append(f.partialProblems, err.Problem) })
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		startInBubble(func() { done <- f.Run(ctx) })
+		time.Sleep(time.Second)
+		feed.write("b")
+		time.Sleep(300 * time.Millisecond)
+		c.Check(f.Revision(), qt.Equals, keyvalue.Revision(2))
+		c.Check(f.AppliedAge() < time.Second, qt.IsTrue)
+		time.Sleep(5 * partialListInterval)
+		c.Check(feed.problems(), qt.DeepEquals, []string{"first"})
+		lists := feed.listCount()
+		c.Check(lists >= 5 && lists <= 8, qt.IsTrue, qt.Commentf("%d lists", lists))
+		feed.configure(func(f *fakeFeed) { f.partial = "second" })
+		time.Sleep(partialListInterval + time.Second)
+		c.Check(feed.problems(), qt.DeepEquals, []string{"first", "second"})
+		feed.configure(func(f *fakeFeed) { f.partial = "" })
+		time.Sleep(partialListInterval + time.Second)
+		lists = feed.listCount()
+		time.Sleep(3 * partialListInterval)
+		c.Check(feed.listCount(), qt.Equals, lists)
+		cancel()
+		c.Check(<-done, qt.IsNil)
+	})
+}
