Entries that name the address of another upstream cost requests only once

If several entries name one address, all but one get 421 there. Each refused attempt counts as an extra one, as the upstream was asked, and each wrong entry was tried again every 1.6 s with a request of a caller. With ten wrong entries the extra attempts were used up, and requests ended with 503 (reason "failed", not run) although a sound upstream was free.

The entry whose upstream has responded at an address now gets all requests for it, as long as it is in service and not down. A wrong entry is tried again after 1.6 s and each time after twice as long, up to 30 s.

--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -83,6 +83,10 @@
 	// isUnreachable is set after no connection could be made, until one could: the member stays
 	// down after downUntil. isReconnecting is set while this host tries to make one.
 	isUnreachable, isReconnecting bool
+	// ownsAddress is set if the last response at the address was from the upstream. owner is
+	// another member for which it is set at this address, while it is not set here; nil if none.
+	ownsAddress bool
+	owner       *member
 	// restUntil is until when the upstream wants no requests of this host.
 	restUntil time.Time
 	// limit is the limit on requests that the upstream has stated; nil if none.
@@ -139,7 +143,7 @@
 // isDown reports whether the member gets no attempts, because no connection could be
 // made or another upstream has its address.
 func (m *member) isDown(now time.Time) bool {
-	return m.isUnreachable || now.Before(m.downUntil)
+	return m.isUnreachable || now.Before(m.downUntil) || m.isSuperseded(now)
 }
 
 // isResting reports whether the upstream wants no requests of this host.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -128,6 +128,7 @@
 		p.limitCold(now, old[i], wasCold)
 		p.members = append(p.members, old[i])
 	}
+	p.linkOwners()
 	p.detourCount, p.senderCount = 0, 0
 	for _, m := range p.members {
 		if m.upstream.IsColdSender() {
@@ -317,6 +318,7 @@
 	switch o.Result {
 	case upstream.Answered:
 		p.unanswered.answer(assignment)
+		p.setOwnsAddress(m, true)
 		m.recordReachable(now)
 		failed := o.Response.Status >= http.StatusInternalServerError
 		if !failed {
@@ -328,12 +330,13 @@
 			m.recordUnreachable(now)
 			break
 		}
+		p.setOwnsAddress(m, true)
 		m.recordReachable(now)
 		m.addSample(now, m.currentSlowness(now), true)
 	case upstream.Misdirected:
 		// Another upstream has the address now, and the entry of this upstream will be
-		// removed.
-		m.downUntil, m.downPeriod = now.Add(maxDownPeriod), maxDownPeriod
+		// removed unless it was never right.
+		p.recordMisdirected(now, m)
 		if !m.upstream.IsDraining() {
 			return p.unanswered.end(now, m.upstream)
 		}
