Lines about records that cannot be decoded are bounded

Each write of a record that cannot be decoded makes a line; with many odd entries that is many lines at once, while the host decodes: 200 lines for 200 entries at its start. These lines now count towards the bound of 40 a second that other lines about records have. The metric still counts all: 200 of 200.

--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -122,7 +122,9 @@
 	decoded, err := h.Decoder.DecodeRecord(r)
 	if err != nil {
 		h.Metrics.badRecords.Inc()
-		h.Log.WithError(err).WithField("key", r.Key()).Warn("store record skipped: cannot be decoded")
+		if h.requestLog.allowOrCountLine() {
+			h.Log.WithError(err).WithField("key", r.Key()).Warn("store record skipped: cannot be decoded")
+		}
 	}
 	h.recordIgnored(r.Key(), cached.Ignored, decoded.Ignored)
 	record := cachedRecord{revision: r.Revision(), DecodedRecord: decoded}
