Lists of many pages are read, however long all pages take together

A list had 1.5 s for all pages together and began anew after that. By reading, it would never get one from the store, and a few MB of odd entries or a large fleet make as many pages. A silent connection ends the list as early as before (TestWatchRecoveryTime).

--- a/internal/keyvalue/feed.go
+++ b/internal/keyvalue/feed.go
@@ -21,7 +21,7 @@
 	// when the first of these keys was read. Keys that are written while the list is
 	// read may have a higher revision. With allowStale, the keys and the revision may be
 	// some seconds old, but are consistent with each other. With a *PartialListError it
-	// returns the keys that could be read.
+	// returns the keys that could be read. List calls RecordProgress after each part.
 	List(ctx context.Context, prefix string, allowStale bool) ([]Change, Revision, error)
 	// WatchPrefix waits up to wait for changes after a revision. It returns the
 	// changes, possibly none, and the revision up to which they are complete. It
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -21,7 +21,8 @@
 	watchWait = 700 * time.Millisecond
 	// watchGracePeriod is added to the wait of a watch to give the timeout of the call.
 	watchGracePeriod = 300 * time.Millisecond
-	// listTimeout is the timeout for reading all keys.
+	// listTimeout is how long the next part of a list may take. A list of a large store has
+	// many parts.
 	listTimeout = 1500 * time.Millisecond
 	// staleListAge is the age of a list that may be stale. It makes ShouldWatch true on
 	// any host.
@@ -281,7 +282,7 @@
 // list reads all keys of the store and updates the mirror with them. Only followStore
 // calls it.
 func (f *Follower) list(ctx context.Context) error {
-	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
+	listCtx, cancel := keyvalue.WithProgress(ctx, listTimeout)
 	defer cancel()
 	allowStale := !f.hasListed
 	all, revision, err := f.Feed.List(listCtx, "", allowStale)
