--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -125,7 +125,9 @@
 	decoded, err := h.Decoder.DecodeRecord(r)
 	if err != nil {
 		h.Metrics.badRecords.Inc()
-		h.Log.WithError(err).WithField("key", r.Key()).Warn("store record skipped: cannot be decoded")
+		if h.requestLog.allowOrCountLine() {
+			h.Log.WithError(err).WithField("key", r.Key()).Warn("store record skipped: cannot be decoded")
+		}
 	}
 	h.recordIgnored(r.Key(), cached.Ignored, decoded.Ignored)
 	record := cachedRecord{revision: r.Revision(), DecodedRecord: decoded}
@@ -134,3 +136,9 @@
 	}
 	return record
 }
+
+// recordPartialList records that keys of the store cannot be read.
+func (h *Host) recordPartialList(err *keyvalue.PartialListError) {
+	h.Metrics.badRecords.Inc()
+	h.Log.WithField("problem", err.Problem).Warn("keys of the store cannot be read; what was known of them holds")
+}
