Logging never waits for standard output

Callers of a host whose standard output nobody read got no answers: logrus wrote each line in the goroutine that logged it and held the logger's lock meanwhile, so that one full pipe of 64 KiB stopped every request that logged a line. Such a host did not end at SIGTERM either, and was killed.

internal/logqueue is an io.Writer between logrus and standard output. Lines that do not fit are dropped until the output has taken those that wait; one line, "log lines dropped", stands in their place, and foxtailshelf_dropped_log_lines_total counts them. A process that ends gives its last lines 80 ms (200 ms if it panics in a task or ends by log.Fatal) and its error 40 ms, together less than a stop leaves after its last request.

A library was considered. The buffers of the known logging libraries either block the caller once they are full or cannot be closed within a bound, and, as documented, the ring of zerolog drops the oldest lines, which puts its notice out of place, counts lines and not bytes, polls, and waits without a bound when it is closed.

--- a/internal/command/hostcmd.go
+++ b/internal/command/hostcmd.go
@@ -56,5 +56,5 @@
 		_, err := fmt.Fprintf(out, "%s: settings of host %s are fine\n", path, s.Host)
 		return reportError(os.Stderr, name, err)
 	}
-	return reportError(os.Stderr, name, run(path, s))
+	return reportEnd(name, run(path, s))
 }
--- a/internal/command/main.go
+++ b/internal/command/main.go
@@ -5,10 +5,16 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/integrii/flaggy"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/logqueue"
 )
 
+// lastErrorTimeout limits how long the end of a process waits for its standard error.
+const lastErrorTimeout = 40 * time.Millisecond
+
 // Version is the version of the program. The build sets it.
 var Version = "development"
 
@@ -70,6 +76,14 @@
 	return ExitFailure
 }
 
+// reportEnd is reportError for a process that has run. It does not wait for a standard error that
+// nobody reads.
+func reportEnd(program string, err error) int {
+	q := &logqueue.Queue{Output: os.Stderr, Notice: func(int) []byte { return nil }}
+	defer q.Flush(lastErrorTimeout)
+	return reportError(q, program, err)
+}
+
 // runDaemon parses the arguments of a daemon and runs it.
 func runDaemon(name, description, help string, arguments []string, run func(settingsPath string) error) int {
 	flags := settingsFlag{}
@@ -81,5 +95,5 @@
 	if flags.path == "" {
 		return reportError(os.Stderr, name, &ExitError{Code: ExitUsage, Err: fmt.Errorf("--settings must be given; see %s --help", name)})
 	}
-	return reportError(os.Stderr, name, run(flags.path))
+	return reportEnd(name, run(flags.path))
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -25,6 +25,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
+	"github.com/foxtailshelf/foxtailshelf/internal/logqueue"
 	"github.com/foxtailshelf/foxtailshelf/internal/timeline"
 )
 
@@ -40,6 +41,11 @@
 	// flight after the tasks have been cancelled.
 	defaultCloseTimeout = 2 * time.Second
 	maxHeaderBytes      = 64 << 10
+	// stopFlushTimeout limits how long a process that ends waits for its standard output. It is part
+	// of the grace of a stop.
+	stopFlushTimeout = 80 * time.Millisecond
+	// crashFlushTimeout is the limit for a process that ends without a stop.
+	crashFlushTimeout = 200 * time.Millisecond
 )
 
 // A Process runs the tasks of one program. Name, Host and LogLevel must be set before
@@ -72,6 +78,7 @@
 	HandleHangup func()
 
 	log      *logrus.Logger
+	logQueue *logqueue.Queue
 	registry *prometheus.Registry
 	timeline *timeline.Ring
 	recorder *invariant.Recorder
@@ -82,7 +89,13 @@
 
 // Init creates the log, the metrics, the timeline and the recorder of violations.
 func (p *Process) Init() error {
+	p.logQueue = &logqueue.Queue{Output: os.Stdout, Notice: p.droppedLinesNotice}
 	p.log = logrus.New()
+	p.log.SetOutput(p.logQueue)
+	p.log.ExitFunc = func(code int) {
+		p.logQueue.Flush(crashFlushTimeout)
+		os.Exit(code)
+	}
 	p.log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	level, err := logrus.ParseLevel(p.LogLevel)
 	if err != nil {
@@ -91,6 +104,9 @@
 	p.log.SetLevel(level)
 	p.registry = prometheus.NewRegistry()
 	p.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	p.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "foxtailshelf_dropped_log_lines_total", Help: "Log lines that standard output did not take.",
+	}, func() float64 { return float64(p.logQueue.Dropped()) }))
 	p.timeline = &timeline.Ring{Host: p.Host, Process: p.Name, Capacity: timelineCapacity}
 	violations := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "foxtailshelf_invariant_violations_total", Help: "Broken promises by rule.",
@@ -104,11 +120,22 @@
 	return nil
 }
 
-// Log returns a logger that adds host and process to each line.
-func (p *Process) Log() logrus.FieldLogger {
+// Log returns a logger that adds host and process to each line. It never waits for standard output.
+func (p *Process) Log() logrus.FieldLogger { return p.entry() }
+
+func (p *Process) entry() *logrus.Entry {
 	return p.log.WithFields(logrus.Fields{"host": p.Host, "process": p.Name})
 }
 
+// droppedLinesNotice returns the line that is written in place of n lines.
+func (p *Process) droppedLinesNotice(n int) []byte {
+	e := p.entry().WithField("lines", n)
+	e.Time, e.Level, e.Message = time.Now(), logrus.WarnLevel, "log lines dropped"
+	// The formatter fails only for fields that JSON cannot represent.
+	line, _ := e.Bytes()
+	return line
+}
+
 // Recorder returns the recorder of invariant violations. Each violation is counted, logged
 // and added to the timeline.
 func (p *Process) Recorder() *invariant.Recorder { return p.recorder }
@@ -119,8 +146,10 @@
 func (p *Process) Timeline() *timeline.Ring { return p.timeline }
 
 // Run runs the tasks until one of them fails, or until SIGINT or SIGTERM requests a
-// graceful stop.
+// graceful stop. Before it returns, the lines that were logged are written, as far as standard
+// output takes them within stopFlushTimeout.
 func (p *Process) Run(tasks ...Task) error {
+	defer p.logQueue.Flush(stopFlushTimeout)
 	signals, stopSignals := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stopSignals()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -133,7 +162,7 @@
 		}, func() float64 { return float64(p.Revision()) }))
 	}
 	for _, task := range tasks {
-		group.Go(func() error { return task(ctx) })
+		group.Go(func() error { return p.runTask(ctx, task) })
 	}
 	group.Go(func() error {
 		select {
@@ -154,6 +183,19 @@
 	return nil
 }
 
+// runTask runs a task. If the task panics, the last lines are written before the process ends.
+func (p *Process) runTask(ctx context.Context, task Task) error {
+	panics := true
+	defer func() {
+		if panics {
+			p.logQueue.Flush(crashFlushTimeout)
+		}
+	}()
+	err := task(ctx)
+	panics = false
+	return err
+}
+
 // handleHangups calls HandleHangup on SIGHUP. If HandleHangup is nil, it ignores the
 // signal, because an unhandled SIGHUP ends the process.
 func (p *Process) handleHangups(ctx context.Context) error {
