A closed standard output does not end a process

When the reader of a host's standard output ended, the next log line ended the host by SIGPIPE, with all its requests in flight: the runtime keeps that default for standard output and standard error.

A process ignores SIGPIPE now. Lines that cannot be written are counted as dropped, and stated when a write succeeds again.

--- a/internal/process/lastlines_test.go
+++ b/internal/process/lastlines_test.go
@@ -98,3 +98,18 @@
 		})
 	}
 }
+
+// TestProcessOutlivesItsLogReader guards against a process that the signal of a closed pipe ends.
+func TestProcessOutlivesItsLogReader(t *testing.T) {
+	c := qt.New(t)
+	reader, writer, err := os.Pipe()
+	c.Assert(err, qt.IsNil)
+	defer writer.Close()
+	c.Assert(reader.Close(), qt.IsNil)
+	command := endingCommand("error", readLines)
+	command.Stdout = writer
+	var exit *exec.ExitError
+	c.Assert(errors.As(command.Run(), &exit), qt.IsTrue)
+	// The exit code is -1 after a signal.
+	c.Check(exit.ExitCode(), qt.Equals, 1)
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -89,6 +89,8 @@
 
 // Init creates the log, the metrics, the timeline and the recorder of violations.
 func (p *Process) Init() error {
+	// The default action ends the process when a pipe that it writes its lines to is closed.
+	signal.Ignore(syscall.SIGPIPE)
 	p.logQueue = &logqueue.Queue{Output: os.Stdout, Notice: p.droppedLinesNotice}
 	p.log = logrus.New()
 	p.log.SetOutput(p.logQueue)
