Errors of libraries go through the log

net/http writes to the standard logger, and so to standard error, when it cannot accept a connection, when a handler panics, and when an upstream or the store sends a response that nobody asked for. If nobody reads standard error, the goroutine that accepts connections waits for it, and all others that have something to write.

The standard logger of a process writes "library reports an error" to the log now, with the text as `error`. Such lines are JSON, like all others, and never wait.

--- a/internal/process/lastlines_test.go
+++ b/internal/process/lastlines_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"log"
 	"os"
 	"os/exec"
 	"strconv"
@@ -39,6 +40,10 @@
 	}
 	err = p.Run(func(context.Context) error {
 		for i := range lineCount {
+			if ending == "library" {
+				log.Printf("library %d %s", i, strings.Repeat("x", 200))
+				continue
+			}
 			p.Log().WithField("filler", strings.Repeat("x", 200)).Infof("line %d", i)
 		}
 		switch ending {
@@ -113,3 +118,22 @@
 	// The exit code is -1 after a signal.
 	c.Check(exit.ExitCode(), qt.Equals, 1)
 }
+
+// TestLibrariesLogWithoutWaiting guards against goroutines of libraries, such as those that accept connections, that
+// wait for a standard error that nobody reads.
+func TestLibrariesLogWithoutWaiting(t *testing.T) {
+	c := qt.New(t)
+	reader, writer, err := os.Pipe()
+	c.Assert(err, qt.IsNil)
+	defer reader.Close()
+	defer writer.Close()
+	var out bytes.Buffer
+	command := endingCommand("library", unreadLines)
+	command.Stdout, command.Stderr = &out, writer
+	c.Assert(command.Start(), qt.IsNil)
+	kill := time.AfterFunc(10*time.Second, func() { _ = command.Process.Kill() })
+	var exit *exec.ExitError
+	c.Assert(errors.As(command.Wait(), &exit), qt.IsTrue)
+	c.Check(kill.Stop(), qt.IsTrue)
+	c.Check(out.String(), qt.Matches, `(?s).*"error":"library 0 x+","host":"h","level":"warning",.*`)
+}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -8,11 +8,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 	"net/http/pprof"
 	"os"
 	"os/signal"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -84,6 +86,15 @@
 	recorder *invariant.Recorder
 }
 
+// A libraryLog logs what libraries write to the standard logger.
+type libraryLog struct{ process *Process }
+
+// Write implements io.Writer.
+func (l libraryLog) Write(text []byte) (int, error) {
+	l.process.Log().WithField("error", strings.TrimSpace(string(text))).Warn("library reports an error")
+	return len(text), nil
+}
+
 // A Task runs until its context is cancelled or it fails.
 type Task func(context.Context) error
 
@@ -104,6 +115,8 @@
 		return fmt.Errorf("log level: %w", err)
 	}
 	p.log.SetLevel(level)
+	log.SetFlags(0)
+	log.SetOutput(libraryLog{p})
 	p.registry = prometheus.NewRegistry()
 	p.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	p.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
