Responses of the operations endpoint are given up after two minutes

Metrics, events and state are complete in memory before the first byte is written and hold no lock then, so that a slow reader delays no request. But a reader that kept its connection and read nothing held its response, some megabytes for all events, without end.

A request to the operations endpoint may take two minutes now, from its head to the end of its response. CPU profiles of up to two minutes still work; net/http/pprof refuses longer ones.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -43,6 +43,8 @@
 	// flight after the tasks have been cancelled.
 	defaultCloseTimeout = 2 * time.Second
 	maxHeaderBytes      = 64 << 10
+	// operationsTimeout limits the requests to the operations endpoint, CPU profiles included.
+	operationsTimeout = 2 * time.Minute
 	// stopFlushTimeout limits how long a process that ends waits for its standard output. It is part
 	// of the grace of a stop.
 	stopFlushTimeout = 80 * time.Millisecond
@@ -170,7 +172,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	tasks = append(tasks, (&Server{Address: p.OperationsAddress, Handler: p.operationsHandler(), CloseTimeout: p.CloseTimeout}).Run)
+	operations := &Server{Address: p.OperationsAddress, Handler: p.operationsHandler(), CloseTimeout: p.CloseTimeout, WriteTimeout: operationsTimeout}
+	tasks = append(tasks, operations.Run)
 	if p.Revision != nil {
 		p.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "foxtailshelf_revision", Help: "Revision of the configuration in force.",
@@ -271,6 +274,9 @@
 	// CloseTimeout is how long requests in flight may take once the context has ended; zero for
 	// defaultCloseTimeout.
 	CloseTimeout time.Duration
+	// WriteTimeout is how long a request may take from its head to the end of its response; zero for
+	// no limit.
+	WriteTimeout time.Duration
 }
 
 // HTTPTask returns a task that listens on an address and serves a handler.
@@ -309,7 +315,7 @@
 		s.Handler.ServeHTTP(w, r)
 	})
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, WriteTimeout: s.WriteTimeout,
 		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
 			return context.WithValue(ctx, connectionUsedKey{}, &atomic.Bool{})
 		},
