A reply that its host does not read is given up

A host or gate that answered a call of another one wrote the reply without a deadline. If the other process was frozen, its kernel kept the connection open, and the reply, of up to 4 MB, and its goroutine stayed for as long as it was frozen, one for each call that it had made. Nothing else waited for them: calls hold no lock while they reply, and a stop waits for replies for 100 ms.

A write to a peer has to be read within 10 s; then its connection is closed.

--- a/internal/peer/hosts.go
+++ b/internal/peer/hosts.go
@@ -125,7 +125,7 @@
 		case <-timer.C:
 		}
 	})()
-	if err := drpcserver.New(counted).Serve(serving, listener); err != nil {
+	if err := drpcserver.New(counted).Serve(serving, &boundedListener{Listener: listener, writeTimeout: writeTimeout}); err != nil {
 		return fmt.Errorf("serve host calls: %w", err)
 	}
 	return nil
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -22,7 +22,7 @@
 	if err := wire.DRPCRegisterGate(mux, &server{handler: handler}); err != nil {
 		return fmt.Errorf("register gate calls: %w", err)
 	}
-	if err := drpcserver.New(mux).Serve(ctx, listener); err != nil {
+	if err := drpcserver.New(mux).Serve(ctx, &boundedListener{Listener: listener, writeTimeout: writeTimeout}); err != nil {
 		return fmt.Errorf("serve gate calls: %w", err)
 	}
 	return nil
