Attempts at upstreams that read nothing have a test

The deadline of an attempt and its context already bound the write of a request. No test covered a write that blocks, as all requests of the tests fit into the buffers of a connection.

--- a/internal/upstream/connectionpool_test.go
+++ b/internal/upstream/connectionpool_test.go
@@ -187,6 +187,29 @@
 	c.Check(outcome.ConnectionRefused, qt.IsTrue)
 }
 
+// TestExchangeWithUpstreamThatReadsNothingEnds guards against attempts that wait beyond their deadline or their context until
+// an upstream reads the request.
+func TestExchangeWithUpstreamThatReadsNothingEnds(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	const timeout = 200 * time.Millisecond
+	for _, deadline := range []time.Duration{timeout, time.Minute} {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		pool := &ConnectionPool{Protocol: plainProtocol{}}
+		startedAt := time.Now()
+		outcome := pool.Exchange(ctx, &Attempt{
+			Method: http.MethodPost, Target: "/", Host: "h.example", RequestID: "r", UpstreamID: "u", Address: listener.Addr().String(),
+			Body: make([]byte, 32<<20), Deadline: startedAt.Add(deadline),
+		})
+		cancel()
+		c.Check(outcome.Result, qt.Equals, Aborted, qt.Commentf("%v", outcome.Err))
+		c.Check(outcome.Err, qt.ErrorMatches, "send request: .*")
+		c.Check(time.Since(startedAt) < timeout+2*time.Second, qt.IsTrue)
+	}
+}
+
 // TestRequireNewConnection checks that attempts with RequireNewConnection neither
 // reuse an idle connection nor leave their own idle, where it would only count
 // against the upstream's connection limit.
