A panic does not wait for a standard error that nobody reads

The runtime writes the trace of a panic to standard error while all goroutines stand still. If standard error was a full pipe, as it is when it shares an unread pipe with standard output, the process neither answered nor ended, with its connections open, until it was killed.

A process opens such a pipe again at its start, with O_NONBLOCK, so that what does not fit is lost and the process ends. The flag belongs to the new opening: standard output and other processes that write to the pipe are not affected.

--- a/internal/process/lastlines_test.go
+++ b/internal/process/lastlines_test.go
@@ -83,7 +83,8 @@
 	}
 }
 
-// TestFailedProcessEndsWithUnreadOutput guards against a process that has failed and waits for a pipe that nobody reads.
+// TestFailedProcessEndsWithUnreadOutput guards against a process that has failed and waits for a pipe that nobody reads,
+// be it for its last lines or for the trace of a panic.
 func TestFailedProcessEndsWithUnreadOutput(t *testing.T) {
 	for _, ending := range []string{"error", "panic", "fatal"} {
 		t.Run(ending, func(t *testing.T) {
@@ -93,7 +94,7 @@
 			defer reader.Close()
 			defer writer.Close()
 			command := endingCommand(ending, unreadLines)
-			command.Stdout = writer
+			command.Stdout, command.Stderr = writer, writer
 			c.Assert(command.Start(), qt.IsNil)
 			kill := time.AfterFunc(10*time.Second, func() { _ = command.Process.Kill() })
 			var exit *exec.ExitError
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -117,6 +117,9 @@
 		return fmt.Errorf("log level: %w", err)
 	}
 	p.log.SetLevel(level)
+	if err := unblockStandardError(); err != nil {
+		p.Log().WithError(err).Warn("a panic may wait for standard error")
+	}
 	log.SetFlags(0)
 	log.SetOutput(libraryLog{p})
 	p.registry = prometheus.NewRegistry()
