--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -8,11 +8,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log"
 	"net"
 	"net/http"
 	"net/http/pprof"
 	"os"
 	"os/signal"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -25,6 +27,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
+	"github.com/foxtailshelf/foxtailshelf/internal/logqueue"
 	"github.com/foxtailshelf/foxtailshelf/internal/timeline"
 )
 
@@ -40,6 +43,13 @@
 	// flight after the tasks have been cancelled.
 	defaultCloseTimeout = 2 * time.Second
 	maxHeaderBytes      = 64 << 10
+	// operationsTimeout limits the requests to the operations endpoint, CPU profiles included.
+	operationsTimeout = 2 * time.Minute
+	// stopFlushTimeout limits how long a process that ends waits for its standard output. It is part
+	// of the grace of a stop.
+	stopFlushTimeout = 80 * time.Millisecond
+	// crashFlushTimeout is the limit for a process that ends without a stop.
+	crashFlushTimeout = 200 * time.Millisecond
 )
 
 // A Process runs the tasks of one program. Name, Host and LogLevel must be set before
@@ -72,25 +82,51 @@
 	HandleHangup func()
 
 	log      *logrus.Logger
+	logQueue *logqueue.Queue
 	registry *prometheus.Registry
 	timeline *timeline.Ring
 	recorder *invariant.Recorder
 }
 
+// A libraryLog logs what libraries write to the standard logger.
+type libraryLog struct{ process *Process }
+
+// Write implements io.Writer.
+func (l libraryLog) Write(text []byte) (int, error) {
+	l.process.Log().WithField("error", strings.TrimSpace(string(text))).Warn("library reports an error")
+	return len(text), nil
+}
+
 // A Task runs until its context is cancelled or it fails.
 type Task func(context.Context) error
 
 // Init creates the log, the metrics, the timeline and the recorder of violations.
 func (p *Process) Init() error {
+	// The default action ends the process when a pipe that it writes its lines to is closed.
+	signal.Ignore(syscall.SIGPIPE)
+	p.logQueue = &logqueue.Queue{Output: os.Stdout, Notice: p.droppedLinesNotice}
 	p.log = logrus.New()
+	p.log.SetOutput(p.logQueue)
+	p.log.ExitFunc = func(code int) {
+		p.logQueue.Flush(crashFlushTimeout)
+		os.Exit(code)
+	}
 	p.log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	level, err := logrus.ParseLevel(p.LogLevel)
 	if err != nil {
 		return fmt.Errorf("log level: %w", err)
 	}
 	p.log.SetLevel(level)
+	if err := unblockStandardError(); err != nil {
+		p.Log().WithError(err).Warn("a panic may wait for standard error")
+	}
+	log.SetFlags(0)
+	log.SetOutput(libraryLog{p})
 	p.registry = prometheus.NewRegistry()
 	p.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	p.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "foxtailshelf_dropped_log_lines_total", Help: "Log lines that standard output did not take.",
+	}, func() float64 { return float64(p.logQueue.Dropped()) }))
 	p.timeline = &timeline.Ring{Host: p.Host, Process: p.Name, Capacity: timelineCapacity}
 	violations := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "foxtailshelf_invariant_violations_total", Help: "Broken promises by rule.",
@@ -104,11 +140,22 @@
 	return nil
 }
 
-// Log returns a logger that adds host and process to each line.
-func (p *Process) Log() logrus.FieldLogger {
+// Log returns a logger that adds host and process to each line. It never waits for standard output.
+func (p *Process) Log() logrus.FieldLogger { return p.entry() }
+
+func (p *Process) entry() *logrus.Entry {
 	return p.log.WithFields(logrus.Fields{"host": p.Host, "process": p.Name})
 }
 
+// droppedLinesNotice returns the line that is written in place of n lines.
+func (p *Process) droppedLinesNotice(n int) []byte {
+	e := p.entry().WithField("lines", n)
+	e.Time, e.Level, e.Message = time.Now(), logrus.WarnLevel, "log lines dropped"
+	// The formatter fails only for fields that JSON cannot represent.
+	line, _ := e.Bytes()
+	return line
+}
+
 // Recorder returns the recorder of invariant violations. Each violation is counted, logged
 // and added to the timeline.
 func (p *Process) Recorder() *invariant.Recorder { return p.recorder }
@@ -119,21 +166,24 @@
 func (p *Process) Timeline() *timeline.Ring { return p.timeline }
 
 // Run runs the tasks until one of them fails, or until SIGINT or SIGTERM requests a
-// graceful stop.
+// graceful stop. Before it returns, the lines that were logged are written, as far as standard
+// output takes them within stopFlushTimeout.
 func (p *Process) Run(tasks ...Task) error {
+	defer p.logQueue.Flush(stopFlushTimeout)
 	signals, stopSignals := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stopSignals()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	tasks = append(tasks, (&Server{Address: p.OperationsAddress, Handler: p.operationsHandler(), CloseTimeout: p.CloseTimeout}).Run)
+	operations := &Server{Address: p.OperationsAddress, Handler: p.operationsHandler(), CloseTimeout: p.CloseTimeout, WriteTimeout: operationsTimeout}
+	tasks = append(tasks, operations.Run)
 	if p.Revision != nil {
 		p.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "foxtailshelf_revision", Help: "Revision of the configuration in force.",
 		}, func() float64 { return float64(p.Revision()) }))
 	}
 	for _, task := range tasks {
-		group.Go(func() error { return task(ctx) })
+		group.Go(func() error { return p.runTask(ctx, task) })
 	}
 	group.Go(func() error {
 		select {
@@ -154,6 +204,19 @@
 	return nil
 }
 
+// runTask runs a task. If the task panics, the last lines are written before the process ends.
+func (p *Process) runTask(ctx context.Context, task Task) error {
+	panics := true
+	defer func() {
+		if panics {
+			p.logQueue.Flush(crashFlushTimeout)
+		}
+	}()
+	err := task(ctx)
+	panics = false
+	return err
+}
+
 // handleHangups calls HandleHangup on SIGHUP. If HandleHangup is nil, it ignores the
 // signal, because an unhandled SIGHUP ends the process.
 func (p *Process) handleHangups(ctx context.Context) error {
@@ -214,6 +277,9 @@
 	// CloseTimeout is how long requests in flight may take once the context has ended; zero for
 	// defaultCloseTimeout.
 	CloseTimeout time.Duration
+	// WriteTimeout is how long a request may take from its head to the end of its response; zero for
+	// no limit.
+	WriteTimeout time.Duration
 }
 
 // HTTPTask returns a task that listens on an address and serves a handler.
@@ -252,7 +318,7 @@
 		s.Handler.ServeHTTP(w, r)
 	})
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, WriteTimeout: s.WriteTimeout,
 		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
 			return context.WithValue(ctx, connectionUsedKey{}, &atomic.Bool{})
 		},
