Gates report replies above the bound as broken instead of cutting them

A reply of an upstream of more than 16 MiB was cut at that length, and the gate passed on the first 16 MiB as the complete result of its shard. HTTPClient stopped reading at the bound without an error. It now returns a BrokenError with a TooLargeError, as the ConnectionPool does.

After: BrokenError; a reply of exactly 16 MiB is still passed on whole.

--- a/internal/upstream/cutresponse_test.go
+++ b/internal/upstream/cutresponse_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -167,3 +169,22 @@
 		})
 	}
 }
+
+// TestTooLongReplyIsNoReply guards against replies that are cut at the bound on bodies and count as whole.
+func TestTooLongReplyIsNoReply(t *testing.T) {
+	c := qt.New(t)
+	for _, length := range []int{maxResponseBytes, maxResponseBytes + 1} {
+		var next atomic.Pointer[cut]
+		next.Store(&cut{text: fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: a\r\n%s: 1\r\n%s: m\r\nContent-Length: %d\r\n\r\n", HeaderAttempt, HeaderVersion, HeaderMap, length) + strings.Repeat("x", length)})
+		client := NewHTTPClient(startCuttingServer(t, &next), 4, 8)
+		reply, err := client.Run(context.Background(), Call{AttemptID: "a", Idempotent: true})
+		client.Close()
+		if length <= maxResponseBytes {
+			c.Check(err, qt.IsNil)
+			c.Check(len(reply.Body), qt.Equals, length)
+			continue
+		}
+		var broken *BrokenError
+		c.Check(err, qt.ErrorAs, &broken, qt.Commentf("%d of %d bytes", len(reply.Body), length))
+	}
+}
--- a/internal/upstream/httpclient.go
+++ b/internal/upstream/httpclient.go
@@ -158,7 +158,7 @@
 		return Report{}, &UnreachableError{Err: err}
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := readReply(response)
 	if err != nil {
 		return Report{}, &BrokenError{Err: err}
 	}
@@ -197,13 +197,25 @@
 		return Reply{}, classifyRunError(ctx, err, connected.Load())
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := readReply(response)
 	if err != nil {
 		return Reply{}, classifyRunError(ctx, err, true)
 	}
 	return decodeReply(response, call, body)
 }
 
+// readReply returns the complete body of a response.
+func readReply(response *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("read body: %w", err)
+	}
+	if len(body) > maxResponseBytes {
+		return nil, &TooLargeError{What: "body", Bound: maxResponseBytes}
+	}
+	return body, nil
+}
+
 func decodeReply(response *http.Response, call Call, body []byte) (Reply, error) {
 	h := response.Header
 	if reason := h.Get(HeaderNotRun); reason != "" {
