Half-closed callers get the answer to a request that must not run twice

If a caller disconnects, the attempts of a request that must not run twice continue to their end; only the host stopped waiting for them, so that a caller that had closed only its sending side lost the answer to a booking that ran. The host now waits for the attempts in flight and answers. That costs upstreams nothing: no attempt begins, and none lasts longer, than before. What must not be repeated and has no attempt in flight still ends without an answer, as does all that may be repeated. The host keeps such a request until its attempt or its timeout ends.

TestCallerDisconnected required that a request that must not run twice ends with its caller's disconnection; this was the fault. It now requires the answer at the time of the response, and for the others their reason too. TestRequestOfDisconnectedCallerStartsNothing: with retries after the disconnection, a trial, three attempts arrive instead of one.

--- a/internal/dispatch/crashing.go
+++ b/internal/dispatch/crashing.go
@@ -83,16 +83,16 @@
 	return f.verdict.Decision != quarantine.Allowed
 }
 
-// abandonUnstarted abandons all parts without an attempt in flight, and makes no more
-// hedges.
-func (f *inFlightRequest) abandonUnstarted() {
+// abandonUnstarted abandons all parts without an attempt in flight for a reason, and makes no
+// more hedges.
+func (f *inFlightRequest) abandonUnstarted(reason Reason) {
 	for _, p := range f.parts {
 		if p.isAssigned() {
 			p.pool.Unassign(p.assignment)
 			p.assignment = nil
 		}
 		if !p.isDone() && p.needsAttempt {
-			p.abandon(ReasonQuarantined)
+			p.abandon(reason)
 		}
 		p.hedgeAt = f.deadline
 	}
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -195,24 +195,35 @@
 	}
 }
 
-// TestCallerDisconnected checks that a request ends when its caller disconnects, and
-// that its attempts are then canceled at once, unless the request must not run twice.
+// TestCallerDisconnected checks that a request ends without an answer when its caller disconnects,
+// and that its attempts are then canceled at once, unless the request must not run twice: it ends
+// with its answer.
 func TestCallerDisconnected(t *testing.T) {
+	const left, responded = 10 * time.Millisecond, 20 * time.Millisecond
 	for _, test := range []struct {
 		spec     routing.RouteSpec
 		canceled int
-	}{{gatherRoute(1), 4}, {singleRoute(true), 1}, {singleRoute(false), 0}} {
+		elapsed  time.Duration
+		status   int
+		reason   Reason
+	}{
+		{gatherRoute(1), 4, left, http.StatusServiceUnavailable, ReasonCallerDisconnected},
+		{singleRoute(true), 1, left, http.StatusServiceUnavailable, ReasonCallerDisconnected},
+		{singleRoute(false), 0, responded, http.StatusOK, ReasonNone},
+	} {
 		synctest.Test(t, func(t *testing.T) {
 			c := qt.New(t)
 			d := newTestDispatcher(test.spec, func(id string, _ int, _ *upstream.Attempt) reaction {
 				r := responds(id)
-				r.delay = 20 * time.Millisecond
+				r.delay = responded
 				return r
 			})
-			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+			ctx, cancel := context.WithTimeout(context.Background(), left)
 			defer cancel()
-			_, elapsed := d.runRequest(ctx)
-			c.Check(elapsed, qt.Equals, 10*time.Millisecond)
+			a, elapsed := d.runRequest(ctx)
+			c.Check(elapsed, qt.Equals, test.elapsed)
+			c.Check(a.Status, qt.Equals, test.status)
+			c.Check(a.Reason, qt.Equals, test.reason)
 			synctest.Wait()
 			c.Check(d.upstreams.canceled, qt.Equals, test.canceled)
 			d.Group.Wait()
@@ -220,6 +231,25 @@
 	}
 }
 
+// TestRequestOfDisconnectedCallerStartsNothing guards against attempts that begin after a caller has disconnected.
+func TestRequestOfDisconnectedCallerStartsNothing(t *testing.T) {
+	for _, result := range []upstream.Result{upstream.Refused, upstream.Unreachable, upstream.Broken} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			d := newTestDispatcher(singleRoute(false), func(string, int, *upstream.Attempt) reaction {
+				return reaction{delay: 20 * time.Millisecond, outcome: upstream.Outcome{Result: result}}
+			})
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+			defer cancel()
+			a, elapsed := d.runRequest(ctx)
+			c.Check(elapsed, qt.Equals, 20*time.Millisecond)
+			c.Check(a.NotRun, qt.Equals, result != upstream.Broken)
+			c.Check(d.upstreams.attemptOrder, qt.HasLen, 1)
+			d.Group.Wait()
+		})
+	}
+}
+
 // TestUnneededAttemptsAreCanceled checks that an attempt still in flight is canceled
 // when unneededGracePeriod has passed since the answer.
 func TestUnneededAttemptsAreCanceled(t *testing.T) {
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -102,9 +102,14 @@
 	timer := time.NewTimer(time.Until(f.deadline))
 	defer timer.Stop()
 	linksChanged := f.dispatcher.Links.Changed()
+	disconnected, hasCallerLeft := ctx.Done(), false
 	for {
 		now := time.Now()
-		f.startDueAttempts(attemptsCtx, now)
+		if hasCallerLeft {
+			f.abandonUnstarted(ReasonFailed)
+		} else {
+			f.startDueAttempts(attemptsCtx, now)
+		}
 		if answer, ok := f.tryAnswer(now); ok {
 			f.recordKnown(answer)
 			return answer
@@ -125,8 +130,12 @@
 			f.handleLinkChange()
 		case <-f.wake:
 		case <-timer.C:
-		case <-ctx.Done():
-			return Answer{Status: http.StatusServiceUnavailable, Reason: ReasonCallerDisconnected}
+		case <-disconnected:
+			if f.route.Idempotent() || f.runningCount() == 0 {
+				return Answer{Status: http.StatusServiceUnavailable, Reason: ReasonCallerDisconnected}
+			}
+			// The attempts continue in any case, and the caller may have closed only its sending side.
+			disconnected, hasCallerLeft = nil, true
 		}
 	}
 }
@@ -147,12 +156,8 @@
 // has disconnected, otherwise after unneededGracePeriod, in which most of them end by
 // themselves. Attempts of a request that must not run twice continue until the deadline.
 func (f *inFlightRequest) cancelUnneeded(ctx context.Context, cancel context.CancelFunc) {
-	running := 0
-	for _, p := range f.parts {
-		running += p.running
-	}
 	switch {
-	case running == 0 || (ctx.Err() != nil && f.route.Idempotent()):
+	case f.runningCount() == 0 || (ctx.Err() != nil && f.route.Idempotent()):
 		cancel()
 	case f.route.Idempotent():
 		time.AfterFunc(unneededGracePeriod, cancel)
@@ -161,6 +166,15 @@
 	}
 }
 
+// runningCount returns the number of attempts in flight.
+func (f *inFlightRequest) runningCount() int {
+	running := 0
+	for _, p := range f.parts {
+		running += p.running
+	}
+	return running
+}
+
 // runAttempt runs an attempt and sends its result. Each call has its own goroutine.
 func (f *inFlightRequest) runAttempt(ctx context.Context, p *part, assignment *pool.Assignment, a *upstream.Attempt, isExtra bool) {
 	outcome := f.dispatcher.RunAttempt(ctx, p.pool, assignment, a)
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -20,7 +20,7 @@
 // route that gathers, it starts the first ones only once assignFirst reports true.
 func (f *inFlightRequest) startDueAttempts(ctx context.Context, now time.Time) {
 	if f.isBarred() {
-		f.abandonUnstarted()
+		f.abandonUnstarted(ReasonQuarantined)
 		return
 	}
 	if !f.mayTryFirst(now) {
