HEAD is answered with the response of the upstream

Callers of HEAD got a 502 after the upstreams had run the request, also one that must not run twice, whenever the response stated the length that the body of a GET would have: the host waited for that body and took its absence for a lost connection. readBody now expects no body where http.ReadResponse finds none: for HEAD, 204, 304 and interim responses.

Connections stay open after a HEAD whose response states no length: its end is known. If an upstream sends a body all the same, the connection is closed.

Responses to HEAD that stop in their head are Broken, as TestCutResponseIsNoAnswer now checks too.

--- a/internal/upstream/bounds.go
+++ b/internal/upstream/bounds.go
@@ -106,6 +106,10 @@
 // readBody returns the complete body of a response. While it is being read, what exceeds
 // one block is taken from the budget.
 func readBody(response *http.Response, budget *byteBudget) ([]byte, error) {
+	if response.Body == http.NoBody {
+		// The stated length of a response to HEAD is not that of a body to come.
+		return []byte{}, nil
+	}
 	length := response.ContentLength
 	if length > maxResponseBytes {
 		return nil, &TooLargeError{What: "body", Bound: maxResponseBytes}
--- a/internal/upstream/connectionpool.go
+++ b/internal/upstream/connectionpool.go
@@ -357,7 +357,8 @@
 // keepAlivePeriod returns how long the connection may stay open after a response; it
 // must be closed if the period is zero or negative.
 func keepAlivePeriod(response *http.Response) time.Duration {
-	if response.Close || (response.ContentLength < 0 && len(response.TransferEncoding) == 0) {
+	isUnframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
+	if response.Close || isUnframed {
 		return 0
 	}
 	for field := range strings.SplitSeq(response.Header.Get("Keep-Alive"), ",") {
--- a/internal/upstream/connectionpool_test.go
+++ b/internal/upstream/connectionpool_test.go
@@ -133,6 +133,54 @@
 	}
 }
 
+// TestResponsesWithoutBody guards against waiting for the body of a response that has none.
+func TestResponsesWithoutBody(t *testing.T) {
+	for _, test := range []struct {
+		name, method, status, fields string
+		idle                         int
+	}{
+		{"HEAD with length", http.MethodHead, "200 OK", "Content-Length: 12\r\n", 1},
+		{"HEAD with a length above the bound", http.MethodHead, "200 OK", "Content-Length: 99999999999\r\n", 1},
+		{"HEAD with chunks", http.MethodHead, "200 OK", "Transfer-Encoding: chunked\r\n", 1},
+		{"HEAD without length", http.MethodHead, "200 OK", "", 1},
+		{"HEAD with a closed connection", http.MethodHead, "200 OK", "Connection: close\r\nContent-Length: 12\r\n", 0},
+		{"failed HEAD", http.MethodHead, "500 Failed", "Content-Length: 12\r\n", 1},
+		{"HEAD after an interim response", http.MethodHead, "103 Early Hints\r\n\r\nHTTP/1.1 200 OK", "Content-Length: 12\r\n", 1},
+		{"no content", http.MethodGet, "204 No Content", "", 1},
+		{"no content with length", http.MethodGet, "204 No Content", "Content-Length: 12\r\n", 1},
+		{"not modified", http.MethodGet, "304 Not Modified", "", 1},
+		{"not modified with length", http.MethodGet, "304 Not Modified", "Content-Length: 12\r\n", 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			address, accepted := startServer(t, func(_ int64, id string) string {
+				return "HTTP/1.1 " + test.status + "\r\nRequest: " + id + "\r\nSignature: s\r\n" + test.fields + "\r\n"
+			})
+			p := &ConnectionPool{Protocol: plainProtocol{}}
+			defer p.CloseIdleConnections("u")
+			for i := range 3 {
+				o := p.Exchange(context.Background(), &Attempt{
+					Method: test.method, Target: "/", Host: "h", RequestID: fmt.Sprint(i), UpstreamID: "u", Address: address, Deadline: time.Now().Add(time.Second),
+				})
+				c.Assert(o.Result, qt.Equals, Answered, qt.Commentf("%v", o.Err))
+				c.Check(o.Response.Body, qt.HasLen, 0)
+				c.Check(p.IdleCount("u"), qt.Equals, test.idle)
+			}
+			c.Check(accepted.Load(), qt.Equals, int64(3-2*test.idle))
+		})
+	}
+	t.Run("HEAD with a body", func(t *testing.T) {
+		c := qt.New(t)
+		address, _ := startServer(t, func(_ int64, id string) string { return okResponse(id, "body") })
+		p := &ConnectionPool{Protocol: plainProtocol{}}
+		o := p.Exchange(context.Background(), &Attempt{
+			Method: http.MethodHead, Target: "/", Host: "h", RequestID: "r", UpstreamID: "u", Address: address, Deadline: time.Now().Add(time.Second),
+		})
+		c.Check(o.Result, qt.Equals, Answered, qt.Commentf("%v", o.Err))
+		c.Check(p.IdleCount("u"), qt.Equals, 0)
+	})
+}
+
 // TestIdleConnectionIsReusedAfterPreviousDeadline guards against taking an idle
 // connection for closed because the previous request's deadline, which is still set
 // on the connection, has passed.
--- a/internal/upstream/cutresponse_test.go
+++ b/internal/upstream/cutresponse_test.go
@@ -113,8 +113,11 @@
 				c.Assert(ask("r", method).Result, qt.Equals, Answered)
 			}
 			for n := range whole {
-				for i, method := range []string{http.MethodGet, http.MethodGet, http.MethodPost} {
+				for i, method := range []string{http.MethodGet, http.MethodGet, http.MethodPost, http.MethodHead} {
 					for _, reset := range []bool{false, true} {
+						if method == http.MethodHead && n >= len(test.head) {
+							continue
+						}
 						if test.isUnframed && n >= len(test.head) && !reset {
 							// Nothing tells such a body from a whole one.
 							continue
