Upstreams that switch protocols unasked have no answer

A response with status 101 counted as a complete one: it was passed on, so that callers took their connection for one of another protocol, and the connection to the upstream was kept for the next request. Attempts never ask for another protocol. Such a response is Broken now, and its connection is closed.

TestExchangeOutcomes/switched_protocols before: answered, after: broken.

--- a/internal/upstream/connectionpool.go
+++ b/internal/upstream/connectionpool.go
@@ -344,6 +344,8 @@
 	switch {
 	case metadata.RequestID != a.RequestID && (metadata.RequestID != "" || !metadata.NotRun):
 		return Outcome{Result: Broken, Err: fmt.Errorf("response states request id %q instead of the attempt's", metadata.RequestID)}
+	case response.StatusCode < http.StatusOK:
+		return Outcome{Result: Broken, Err: fmt.Errorf("response has status %d, which no attempt asks for", response.StatusCode)}
 	case metadata.Misdirected:
 		outcome.Result = Misdirected
 	case metadata.NotRun:
--- a/internal/upstream/connectionpool_test.go
+++ b/internal/upstream/connectionpool_test.go
@@ -117,6 +117,9 @@
 			return "HTTP/1.1 421 Misdirected\r\nNot-Run: 1\r\nRequest: " + id + "\r\nContent-Length: 0\r\n\r\n"
 		}, Misdirected, 1},
 		{"informational response first", func(id string) string { return "HTTP/1.1 100 Continue\r\n\r\n" + okResponse(id, "b") }, Answered, 1},
+		{"switched protocols", func(id string) string {
+			return "HTTP/1.1 101 Switching Protocols\r\nRequest: " + id + "\r\nSignature: s\r\n\r\n"
+		}, Broken, 0},
 		{"body ends with the connection", func(id string) string {
 			return "HTTP/1.1 200 OK\r\nConnection: close\r\nRequest: " + id + "\r\nSignature: s\r\n\r\nbody"
 		}, Answered, 0},
