--- a/internal/dispatch/crashing.go
+++ b/internal/dispatch/crashing.go
@@ -83,8 +83,8 @@
 	return f.verdict.Decision != quarantine.Allowed
 }
 
-// abandonUnstarted abandons all parts without an attempt in flight, and makes no more
-// hedges.
+// abandonUnstarted abandons all parts without an attempt in flight for a reason, and makes no
+// more hedges.
 func (f *inFlightRequest) abandonUnstarted(reason Reason) {
 	for _, p := range f.parts {
 		if p.isAssigned() {
--- a/internal/upstream/connectionpool.go
+++ b/internal/upstream/connectionpool.go
@@ -344,6 +344,8 @@
 	switch {
 	case metadata.RequestID != a.RequestID && (metadata.RequestID != "" || !metadata.NotRun):
 		return Outcome{Result: Broken, Err: fmt.Errorf("response states request id %q instead of the attempt's", metadata.RequestID)}
+	case response.StatusCode < http.StatusOK:
+		return Outcome{Result: Broken, Err: fmt.Errorf("response has status %d, which no attempt asks for", response.StatusCode)}
 	case metadata.Misdirected:
 		outcome.Result = Misdirected
 	case metadata.NotRun:
@@ -357,7 +359,8 @@
 // keepAlivePeriod returns how long the connection may stay open after a response; it
 // must be closed if the period is zero or negative.
 func keepAlivePeriod(response *http.Response) time.Duration {
-	if response.Close || (response.ContentLength < 0 && len(response.TransferEncoding) == 0) {
+	isUnframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody
+	if response.Close || isUnframed {
 		return 0
 	}
 	for field := range strings.SplitSeq(response.Header.Get("Keep-Alive"), ",") {
