A search that wakes up late loses no assignment

A search of an account that had waited too long by the time its goroutine ran was refused: all its parts were left out. As its answer was overdue, tryGatherAnswer resumed one part with an assignment although no attempt had been made. startDueAttempts then assigned all parts again and replaced the assignment, which no one gave back: it counted as an attempt in flight for as long as the upstream lived.

The assignment of a first attempt now has one owner, heldAssignment, until the attempt starts. It does not take a second one, and it gives back what it holds when its part is abandoned and when its request ends, whatever the path. A search of which nothing was sent is no longer resumed after its answer is due: it is refused as the others are, which are told when to come back. A pool counts the assignments that have not ended; one that is ended twice has no effect the second time.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -40,14 +40,14 @@
 	return false
 }
 
-// assignParts assigns the first attempts of all parts that are not abandoned to upstreams. It
-// returns the parts with an assignment, and those that wait for one.
+// assignParts assigns the first attempts of all parts that are not abandoned and not assigned yet
+// to upstreams. It returns the parts with an assignment, and those that wait for one.
 func (f *inFlightRequest) assignParts(now time.Time, relay pool.ColdRelay) (assigned, waiting []*part) {
 	for _, p := range f.partsByRoom(now) {
 		r := f.requirements(p, 0)
 		r.ColdRelay = relay
 		r.IsSpare = len(assigned) >= f.route.MinParts() && p.pool.IsScarce(now)
-		if p.assignment = p.pool.Assign(now, r); p.assignment != nil {
+		if p.held.assign(now, r) {
 			assigned = append(assigned, p)
 			continue
 		}
@@ -91,11 +91,10 @@
 	return others >= f.route.MinParts()
 }
 
-// unassign cancels the assignments of parts.
+// unassign cancels the assignments of parts whose attempts have not started.
 func unassign(parts []*part) {
 	for _, p := range parts {
-		p.pool.Unassign(p.assignment)
-		p.assignment = nil
+		p.held.giveBack()
 	}
 }
 
@@ -110,7 +109,7 @@
 		if !p.wasLeftOut() || len(resumed) == count {
 			continue
 		}
-		if p.assignment = p.pool.Assign(now, f.requirements(p, 0)); p.assignment != nil {
+		if p.held.assign(now, f.requirements(p, 0)) {
 			resumed = append(resumed, p)
 		}
 	}
--- /dev/null
+++ b/internal/dispatch/assignments_test.go
@@ -0,0 +1,67 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/account"
+	"github.com/foxtailshelf/foxtailshelf/internal/pool"
+	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
+)
+
+// held returns the number of assignments of all pools that have not ended.
+func (t *testDispatcher) held() int {
+	held := 0
+	for _, p := range t.pools {
+		held += p.Held()
+	}
+	return held
+}
+
+// fill takes all room at a service, and returns the function that gives it back.
+func (t *testDispatcher) fill(service string) (empty func()) {
+	p := t.pools[service]
+	var taken []*pool.Assignment
+	for {
+		a := p.Assign(time.Now(), pool.Requirements{LatencyStats: t.LatencyStats(t.route)})
+		if a == nil {
+			break
+		}
+		taken = append(taken, a)
+	}
+	return func() {
+		for _, a := range taken {
+			p.Unassign(a)
+		}
+	}
+}
+
+// TestSearchThatWakesUpLateLosesNoAssignment guards against upstreams that get no more requests:
+// a search that was refused when it had waited too long, and ran late, left out all of its parts,
+// resumed one of them and then assigned it a second time.
+func TestSearchThatWakesUpLateLosesNoAssignment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		d := newTestDispatcher(gatherRoute(1), func(id string, _ int, _ *upstream.Attempt) reaction { return responds(id) })
+		empty := d.fill("s0")
+		a := account.NewDirectory([]account.Spec{{Name: "a"}}).ByName("a")
+		var requests work.Group
+		requests.Go(func() {
+			d.Run(context.Background(), &Request{ID: "first", Method: http.MethodGet, Target: "/x", Host: "h", Account: a}, d.route, 1)
+		})
+		time.Sleep(time.Millisecond)
+		answer := d.Run(context.Background(), &Request{ID: "late", Method: http.MethodGet, Target: "/x", Host: "h", Account: a, ArrivedAt: time.Now().Add(-2 * target)}, d.route, 1)
+		c.Check(answer.Status, qt.Equals, http.StatusServiceUnavailable)
+		c.Check(answer.NotRun, qt.IsTrue)
+		requests.Wait()
+		d.Group.Wait()
+		empty()
+		c.Check(d.held(), qt.Equals, 0)
+	})
+}
--- a/internal/dispatch/conclude.go
+++ b/internal/dispatch/conclude.go
@@ -41,7 +41,8 @@
 //     passed.
 //
 // Before it fails a request that has started, it resumes parts that were left out. From answerDueAt
-// on it also does so while parts are pending, because these may never respond.
+// on it also does so while parts are pending, because these may never respond. A request that has not
+// started by then runs late, and its parts were left out together.
 func (f *inFlightRequest) tryGatherAnswer(now time.Time) (Answer, bool) {
 	answered, pending := 0, 0
 	reason := f.deadlineReason()
@@ -63,7 +64,7 @@
 		return f.mergedAnswer(), true
 	case answered+pending < required && f.attempts > 0 && f.resumeLeftOut(now, required-answered-pending):
 		return Answer{}, false
-	case answered < required && !now.Before(f.answerDueAt) && f.resumeLeftOut(now, 1):
+	case f.attempts > 0 && answered < required && !now.Before(f.answerDueAt) && f.resumeLeftOut(now, 1):
 		return Answer{}, false
 	case answered+pending < required:
 		return f.failureAnswer(reason), true
--- a/internal/dispatch/crashing.go
+++ b/internal/dispatch/crashing.go
@@ -87,10 +87,7 @@
 // hedges.
 func (f *inFlightRequest) abandonUnstarted(reason Reason) {
 	for _, p := range f.parts {
-		if p.isAssigned() {
-			p.pool.Unassign(p.assignment)
-			p.assignment = nil
-		}
+		p.held.giveBack()
 		if !p.isDone() && p.needsAttempt {
 			p.abandon(reason)
 		}
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -70,7 +70,7 @@
 	f.stopBegun = d.stopBegun()
 	f.limitToStop()
 	for _, s := range route.NextServices() {
-		f.parts = append(f.parts, &part{service: s, pool: d.Pool(s)})
+		f.parts = append(f.parts, newPart(s, d.Pool(s)))
 	}
 	f.results = make(chan *attemptResult, len(f.parts)*maxAttemptsPerPart)
 	f.cancelAttempt = make(map[*pool.Assignment]context.CancelFunc)
@@ -93,6 +93,7 @@
 	attemptsCtx, cancel := context.WithCancel(f.dispatcher.stopContext())
 	defer func() { f.cancelUnneeded(ctx, cancel) }()
 	defer func() { f.finishWaiting(ctx.Err() != nil) }()
+	defer unassign(f.parts)
 	for _, p := range f.parts {
 		p.pool.RecordRequest(f.startedAt)
 		p.needsAttempt = true
--- a/internal/dispatch/part.go
+++ b/internal/dispatch/part.go
@@ -36,8 +36,8 @@
 	crashes    []pool.Crash
 	// hasLostUpstream is set once the upstream of an attempt is known to have ended.
 	hasLostUpstream bool
-	// assignment is set while the first attempt is assigned and has not started.
-	assignment *pool.Assignment
+	// held is the assignment of the first attempt until it starts.
+	held heldAssignment
 	// wasPassedOver is set once no upstream accepted the first attempt.
 	wasPassedOver bool
 	// needsAttempt is set while the part needs an attempt and has none in flight.
@@ -53,8 +53,13 @@
 	reason Reason
 }
 
+func newPart(service string, p *pool.Pool) *part {
+	return &part{service: service, pool: p, held: heldAssignment{pool: p}}
+}
+
 // abandon ends a part without a response.
 func (p *part) abandon(reason Reason) {
+	p.held.giveBack()
 	p.reason = reason
 	p.needsAttempt = false
 }
@@ -87,7 +92,7 @@
 }
 
 // isAssigned reports whether the first attempt is assigned and has not started.
-func (p *part) isAssigned() bool { return p.assignment != nil }
+func (p *part) isAssigned() bool { return p.held.isAssigned() }
 
 // isDone reports whether the part has a response or was abandoned.
 func (p *part) isDone() bool {
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -216,8 +216,7 @@
 // upstream was found.
 func (f *inFlightRequest) startAttempt(ctx context.Context, now time.Time, p *part, isExtra bool, maxDuration time.Duration) bool {
 	requirements := f.requirements(p, maxDuration)
-	assignment := p.assignment
-	p.assignment = nil
+	assignment := p.held.take()
 	if assignment == nil {
 		requirements.IsSpare = f.isSpare(now, p)
 		assignment = p.pool.Assign(now, requirements)
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -37,6 +37,8 @@
 	// StateChart requires that the state of a claim or query accepts each event of
 	// its state chart that is fired.
 	StateChart Rule = "state-chart"
+	// EndedOnce requires that what was taken for a request is given back once.
+	EndedOnce Rule = "ended-once"
 )
 
 // A Violation is a failed check of an invariant.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/budget"
+	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 )
@@ -66,9 +67,13 @@
 	// none any more or, with an error, an implausible one. It must not call methods of the
 	// Pool. It may be nil.
 	OnLimit func(u inventory.Upstream, limit float64, at time.Time, err error)
+	// Recorder records assignments that are ended twice. It may be nil.
+	Recorder *invariant.Recorder
 
 	mu     sync.Mutex
 	policy Policy
+	// held counts the assignments that have not ended, also those at upstreams that are gone.
+	held int
 	// members are the upstreams and the dialling hosts, followed by the detours and the hosts
 	// that send to cold upstreams.
 	members                  []*member
@@ -217,7 +222,7 @@
 
 // Assign assigns an attempt to the upstream with the lowest expected cost. It returns
 // nil if no upstream accepts the attempt, or if MaxDuration is below the expected
-// latency at that upstream.
+// latency at that upstream. The caller ends the assignment once, with Unassign or RecordOutcome.
 func (p *Pool) Assign(now time.Time, r Requirements) *Assignment {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -234,15 +239,36 @@
 	assignment := &Assignment{Upstream: best.upstream, member: best, latencyStats: r.LatencyStats, typicalLatency: typical, startedAt: now, fingerprint: r.Fingerprint, waitsInOrder: r.WaitsInOrder}
 	best.running = append(best.running, assignment)
 	best.takeTurn(now)
+	p.held++
 	return assignment
 }
 
+// Held returns the number of assignments that have not ended.
+func (p *Pool) Held() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held
+}
+
+// end ends an assignment. It reports false if the assignment has ended before.
+func (p *Pool) end(a *Assignment) bool {
+	p.Recorder.Check(!a.hasEnded, invariant.EndedOnce, "assignment at upstream %s", a.Upstream.ID())
+	if a.hasEnded {
+		return false
+	}
+	a.hasEnded = true
+	p.held--
+	a.member.remove(a)
+	return true
+}
+
 // Unassign cancels an assignment whose attempt has not started.
 func (p *Pool) Unassign(assignment *Assignment) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	assignment.member.remove(assignment)
-	assignment.member.giveBackTurn()
+	if p.end(assignment) {
+		assignment.member.giveBackTurn()
+	}
 }
 
 // RecordEnd records that an upstream has ended without notice. It returns the recent
@@ -268,8 +294,10 @@
 func (p *Pool) RecordOutcome(now time.Time, assignment *Assignment, o upstream.Outcome) []Crash {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if !p.end(assignment) {
+		return nil
+	}
 	m := assignment.member
-	m.remove(assignment)
 	if o.ConnectDuration > 0 {
 		p.connectDuration += time.Duration(connectWeight * float64(o.ConnectDuration-p.connectDuration))
 	}
