Attempts that a stopped group refuses give back their assignments

Found while listing what is taken for requests. An attempt for which the group of a stopping process starts no goroutine was reported to its request as unreachable, but its assignment was never ended: one more attempt in flight at the upstream for each try, until the upstream takes no more of this host. The process ends soon after that, so callers saw nothing of it.

--- a/internal/dispatch/assignments_test.go
+++ b/internal/dispatch/assignments_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/foxtailshelf/foxtailshelf/internal/account"
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
+	"github.com/foxtailshelf/foxtailshelf/internal/routing"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 	"github.com/foxtailshelf/foxtailshelf/internal/work"
 )
@@ -65,3 +66,21 @@
 		c.Check(d.held(), qt.Equals, 0)
 	})
 }
+
+// TestAttemptThatTheStoppedGroupRefusesGivesItsAssignmentBack guards against assignments that are
+// lost when no goroutine starts for them.
+func TestAttemptThatTheStoppedGroupRefusesGivesItsAssignmentBack(t *testing.T) {
+	for _, spec := range []routing.RouteSpec{gatherRoute(1), singleRoute(false)} {
+		t.Run(spec.Name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				d := newTestDispatcher(spec, func(id string, _ int, _ *upstream.Attempt) reaction { return responds(id) })
+				d.Group.Wait()
+				answer, _ := d.runRequest(context.Background())
+				c.Check(answer.Status, qt.Equals, http.StatusServiceUnavailable)
+				c.Check(d.upstreams.attemptOrder, qt.HasLen, 0)
+				c.Check(d.held(), qt.Equals, 0)
+			})
+		})
+	}
+}
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -261,6 +261,7 @@
 	started := f.dispatcher.Group.Go(func() { f.runAttempt(ctx, p, assignment, attempt, isExtra) })
 	if !started {
 		cancel()
+		p.pool.Unassign(assignment)
 		// The group has been stopped: the attempt is not sent, and its outcome is
 		// Unreachable.
 		f.results <- &attemptResult{part: p, assignment: assignment, outcome: upstream.Outcome{Result: upstream.Unreachable}, isExtra: isExtra}
