Attempts give back the turns that they have taken, and no others

An attempt that reached no upstream gave back a turn at whatever limits its upstream had by then. One that was assigned before the upstream stated its limit had taken none: the host then sent one request more than its share allows for each such attempt. A turn now holds the limits that it was taken from. In TestTurnsThatWereNotTakenAreNotGivenBack 6 turns were there instead of 5; now 5.

--- a/internal/pool/assignment.go
+++ b/internal/pool/assignment.go
@@ -80,6 +80,7 @@
 	// fingerprint identifies the request, to find requests that crash upstreams.
 	fingerprint  uint64
 	waitsInOrder bool
+	turn         turn
 	// hasEnded is set once the assignment was given back.
 	hasEnded bool
 	// isConnectionLost is set once the connection of the attempt is lost.
--- a/internal/pool/cold.go
+++ b/internal/pool/cold.go
@@ -55,19 +55,27 @@
 	return max(delay, min(m.cold.turnDelay(now, isOptional), m.upstream.ColdUntil().Sub(now)))
 }
 
-// takeTurn takes a turn for an attempt, giveBackTurn gives it back if it reached no upstream.
-func (m *member) takeTurn(now time.Time) {
-	m.limit.take()
+// A turn is what one attempt has taken of the limits at its upstream; nil for those that did not
+// apply.
+type turn struct{ limit, cold *requestLimit }
+
+// takeTurn takes a turn for an attempt.
+func (m *member) takeTurn(now time.Time) turn {
+	t := turn{limit: m.limit.take()}
 	if m.isCold(now) {
-		m.cold.take()
+		t.cold = m.cold.take()
 	}
+	return t
 }
 
-func (m *member) giveBackTurn() {
-	m.limit.giveBack()
-	if m.cold != nil && m.cold.rate > 0 {
-		m.cold.giveBack()
+// giveBack gives back the turn of an attempt that reached no upstream. It has no effect the second
+// time.
+func (t *turn) giveBack() {
+	t.limit.giveBack()
+	if t.cold != nil && t.cold.rate > 0 {
+		t.cold.giveBack()
 	}
+	*t = turn{}
 }
 
 // turnRate returns how many turns per second this host has at a member; zero if there is no
@@ -158,7 +166,7 @@
 }
 
 // A ReservedTurn is a turn at a cold upstream that is kept for one attempt.
-type ReservedTurn struct{ member *member }
+type ReservedTurn struct{ turn turn }
 
 // ReserveTurn reserves a turn for an attempt that will be assigned soon. It returns nil if the
 // attempt needs none, and false if an upstream is cold and none has a turn.
@@ -172,8 +180,7 @@
 	case m.cold == nil || !m.isCold(now):
 		return nil, true
 	default:
-		m.takeTurn(now)
-		return &ReservedTurn{member: m}, true
+		return &ReservedTurn{turn: m.takeTurn(now)}, true
 	}
 }
 
@@ -185,8 +192,7 @@
 }
 
 func (t *ReservedTurn) release() {
-	if t != nil && t.member != nil {
-		t.member.giveBackTurn()
-		t.member = nil
+	if t != nil {
+		t.turn.giveBack()
 	}
 }
--- a/internal/pool/limit.go
+++ b/internal/pool/limit.go
@@ -195,11 +195,13 @@
 	return min(maxTurnDelay, time.Duration((needed-l.turns)/max(l.rate, 1/maxTurnDelay.Seconds())*float64(time.Second))+time.Microsecond)
 }
 
-// take takes a turn for an attempt.
-func (l *requestLimit) take() {
-	if l != nil && l.stated > 0 {
-		l.turns--
+// take takes a turn for an attempt. It returns the limit, or nil if none applies.
+func (l *requestLimit) take() *requestLimit {
+	if l == nil || l.stated == 0 {
+		return nil
 	}
+	l.turns--
+	return l
 }
 
 // giveBack gives back the turn of an attempt that reached no upstream.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -238,7 +238,7 @@
 	}
 	assignment := &Assignment{Upstream: best.upstream, member: best, latencyStats: r.LatencyStats, typicalLatency: typical, startedAt: now, fingerprint: r.Fingerprint, waitsInOrder: r.WaitsInOrder}
 	best.running = append(best.running, assignment)
-	best.takeTurn(now)
+	assignment.turn = best.takeTurn(now)
 	p.held++
 	return assignment
 }
@@ -267,7 +267,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.end(assignment) {
-		assignment.member.giveBackTurn()
+		assignment.turn.giveBack()
 	}
 }
 
@@ -366,7 +366,7 @@
 			return p.unanswered.end(now, m.upstream)
 		}
 	case upstream.Unreachable:
-		m.giveBackTurn()
+		assignment.turn.giveBack()
 		if !o.AtConnectionLimit && !o.ConnectAborted && !m.isUnreachable {
 			m.recordUnreachable(now)
 		}
