An idle host checks that it holds nothing

A host that lost an assignment had no sign of it until an upstream took no more of its requests. Each second the maintenance of a host now looks whether it has been without requests and attempts for 5 s. If so, it must hold no assignment, reserved turn, place among waiting requests, canary site, permit for a test run, call for tokens, opening connection or byte of a long body. What it holds is counted in foxtailshelf_invariant_violations_total under the rule idle-holds-nothing and logged with the services concerned, again only when it has grown. An assignment that is ended a second time is counted under the rule ended-once and has no effect.

The check counts the requests that have begun, so that one that begins and ends between two checks or during a check is no false alarm, and starts anew after a pause of the process. An attempt costs two atomic additions more; the rest runs only on idle hosts. The hosts of the fleet tests fail on any violation; TestLapsedEntryIsNoEnd, which holds an assignment, does so within a request now.

--- a/internal/admission/lines.go
+++ b/internal/admission/lines.go
@@ -53,6 +53,19 @@
 	return &Lines[R, K, V]{byResource: make(map[R]*line[R, K, V])}
 }
 
+// Len returns the number of waiting requests.
+func (l *Lines[R, K, V]) Len() int {
+	count := 0
+	counted := make(map[*line[R, K, V]]bool)
+	for _, n := range l.byResource {
+		if !counted[n] {
+			counted[n] = true
+			count += n.queue.Len()
+		}
+	}
+	return count
+}
+
 // Arrive reports whether a new request may be tried at once. Otherwise it waits: w is its
 // place, nil if too many requests wait already.
 func (l *Lines[R, K, V]) Arrive(now time.Time, c Claim[R, K], value V) (w *Waiting[R, K, V], mayTry bool) {
--- a/internal/allowance/holder.go
+++ b/internal/allowance/holder.go
@@ -263,6 +263,19 @@
 	return list
 }
 
+// Calls returns the number of outstanding calls to issuers.
+func (h *Holder) Calls() int {
+	calls := 0
+	for _, k := range h.holdings {
+		for _, s := range k.issuers {
+			if !s.calledAt.IsZero() {
+				calls++
+			}
+		}
+	}
+	return calls
+}
+
 // Len returns the number of accounts in use.
 func (h *Holder) Len() int { return len(h.holdings) }
 
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -86,6 +86,8 @@
 	// recordCount is the number of records, so that requests are checked without the lock
 	// while there are none.
 	recordCount atomic.Int64
+	// permits counts the permits of this host's test runs that have not ended.
+	permits atomic.Int64
 	// pushing is set while strong evidence waits to be sent.
 	pushing atomic.Bool
 
@@ -179,6 +181,9 @@
 	}
 }
 
+// Permits returns the number of permits for test runs of this host that have not ended.
+func (g *Guard) Permits() int { return int(g.permits.Load()) }
+
 // LacksNotices reports whether this host may lack notices that the others have.
 func (g *Guard) LacksNotices() bool {
 	now := time.Now()
--- a/internal/crashguard/testrun.go
+++ b/internal/crashguard/testrun.go
@@ -33,16 +33,23 @@
 			continue
 		}
 		g.ApplyNotice(m.Host(), reply.GetNotice())
-		v := g.verdictOf(fingerprint, reply)
-		return v, func(result quarantine.TestResult) { g.endTestRun(m, fingerprint, result) }
+		return g.beginTestRun(m, fingerprint, g.verdictOf(fingerprint, reply))
 	}
-	v := g.permit(fingerprint)
-	return v, func(result quarantine.TestResult) { g.endTestRun(g.Self, fingerprint, result) }
+	return g.beginTestRun(g.Self, fingerprint, g.permit(fingerprint))
+}
+
+// beginTestRun returns the result of BeginTestRun for the verdict of an examiner.
+func (g *Guard) beginTestRun(examiner roster.Member, fingerprint uint64, v quarantine.Verdict) (quarantine.Verdict, func(quarantine.TestResult)) {
+	if v.Decision == quarantine.Suspect {
+		g.permits.Add(1)
+	}
+	return v, func(result quarantine.TestResult) { g.endTestRun(examiner, fingerprint, result) }
 }
 
 // endTestRun clears the evidence after an answer, and reports the end of a test run to
 // the examiner that permitted it.
 func (g *Guard) endTestRun(examiner roster.Member, fingerprint uint64, result quarantine.TestResult) {
+	g.permits.Add(-1)
 	g.Metrics.testRuns.WithLabelValues(result.String()).Inc()
 	g.Log.WithFields(map[string]any{"fingerprint": quarantine.FormatFingerprint(fingerprint), "result": result.String()}).Info("test run of suspect request ended")
 	event := wire.TestRunEvent_TEST_RUN_EVENT_UNANSWERED
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/admission"
+	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
 	"github.com/foxtailshelf/foxtailshelf/internal/reachability"
@@ -96,12 +100,27 @@
 	// callerTimeouts holds the estimates by route name.
 	callerTimeouts map[string]*callerTimeout
 	canarySites    canarySites
+	// running counts the attempts that have begun and not ended, also those for other hosts.
+	running atomic.Int64
+}
+
+// Running returns the number of attempts that have not ended.
+func (d *Dispatcher) Running() int { return int(d.running.Load()) }
+
+// Holdings returns what requests have taken and not given back, besides assignments.
+func (d *Dispatcher) Holdings() []invariant.Holding {
+	places := 0
+	d.waiting.withLines(func(l *admission.Lines[string, string, chan struct{}]) { places = l.Len() })
+	sites := d.canarySites.ids()
+	return []invariant.Holding{{What: "places among waiting requests", Count: places}, {What: "canary sites", Count: len(sites), Detail: strings.Join(sites, ", ")}}
 }
 
 // RunAttempt runs one attempt at the upstream of an assignment and reports its outcome
 // to the pool. It closes the idle connections to the upstream if a connection broke or
 // was refused, or if another upstream has the address.
 func (d *Dispatcher) RunAttempt(ctx context.Context, p *pool.Pool, assignment *pool.Assignment, a *upstream.Attempt) upstream.Outcome {
+	d.running.Add(1)
+	defer d.running.Add(-1)
 	outcome := d.Exchanger.Exchange(ctx, a)
 	if a.Relay == nil {
 		d.Links.RecordOutcome(assignment.Upstream, assignment.StartedAt(), outcome)
--- a/internal/host/allowance.go
+++ b/internal/host/allowance.go
@@ -117,6 +117,14 @@
 	a.holder.GiveBack(time.Now(), t)
 }
 
+// held returns the number of calls for tokens that have not ended, and of accounts whose requests
+// wait for one.
+func (a *allowances) held() (calls, waited int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.holder.Calls(), len(a.ended)
+}
+
 func (a *allowances) maintain(now time.Time) {
 	if t := a.host.Table(); t == nil || t.Accounts().Len() == 0 {
 		return
--- a/internal/host/allowance_test.go
+++ b/internal/host/allowance_test.go
@@ -310,6 +310,7 @@
 	if table == nil {
 		return dispatch.Answer{Status: 503}, false
 	}
+	defer p.host.EndRequest(p.host.BeginRequest("r"))
 	request := &dispatch.Request{ID: "r", Account: table.Accounts().ByName(name)}
 	_, refusal := p.host.allowances.Admit(context.Background(), request, table.Version(), false)
 	if refusal != nil {
--- a/internal/host/crashing_test.go
+++ b/internal/host/crashing_test.go
@@ -143,6 +143,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	defer r.host.EndRequest(r.host.BeginRequest(id))
 	return r.host.Answer(ctx, &dispatch.Request{ID: id, Method: "GET", Target: target, Host: crashTestHost, Remaining: timeout})
 }
 
--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/foxtailshelf/foxtailshelf/internal/account"
 	"github.com/foxtailshelf/foxtailshelf/internal/dialling"
+	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
 	"github.com/foxtailshelf/foxtailshelf/internal/peer"
@@ -80,6 +81,8 @@
 	logCounts map[string]map[string]int
 	// upstreams are the simulated upstreams; nil if the test sends no requests.
 	upstreams *simulatedUpstreams
+	// recorder records violations; if it is nil, a violation fails the test.
+	recorder *invariant.Recorder
 }
 
 // A hostProcess is one lifetime of one host.
@@ -233,7 +236,10 @@
 			GraceSeconds: 6, AccountWindowSeconds: 5, AccountTolerance: 0.1, AccountSlack: 20,
 		},
 		Self: roster.NewMember(address, f.dataCenterOf(address), address, "", incarnation, roster.Alive).WithCapacity(f.capacityOf(address)), Feed: p, LeaseStore: p, HostTransport: p, Decoder: testDecoder{routes: f.routes, services: f.services, accounts: f.accountsOf},
-		Upstreams: f.upstreamTransport(address), Metrics: NewMetrics(prometheus.NewRegistry()), Log: log, Seed: incarnation,
+		Upstreams: f.upstreamTransport(address), Metrics: NewMetrics(prometheus.NewRegistry()), Log: log, Seed: incarnation, Recorder: f.recorder,
+	}
+	if h.Recorder == nil {
+		h.Recorder = &invariant.Recorder{OnViolation: func(v invariant.Violation) { panic(fmt.Sprintf("%s: %s", address, v.Error())) }}
 	}
 	h.Init()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -14,6 +14,7 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/crashguard"
 	"github.com/foxtailshelf/foxtailshelf/internal/dialling"
 	"github.com/foxtailshelf/foxtailshelf/internal/dispatch"
+	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
 	"github.com/foxtailshelf/foxtailshelf/internal/linkcheck"
@@ -49,8 +50,10 @@
 	Decoder       RecordDecoder
 	Upstreams     UpstreamTransport
 	Metrics       *Metrics
-	Log           logrus.FieldLogger
-	Seed          uint64
+	// Recorder records violations of invariants. It may be nil.
+	Recorder *invariant.Recorder
+	Log      logrus.FieldLogger
+	Seed     uint64
 
 	group      work.Group
 	stop       *stop
@@ -178,6 +181,7 @@
 func (h *Host) runMaintenance(ctx context.Context) {
 	ticker := time.NewTicker(maintenanceInterval)
 	defer ticker.Stop()
+	idle := h.newIdleCheck()
 	for {
 		select {
 		case now := <-ticker.C:
@@ -192,6 +196,7 @@
 			h.guard.Maintain(now)
 			h.allowances.maintain(now)
 			h.alerts.Maintain(now)
+			idle.Run(time.Now())
 		case <-ctx.Done():
 			return
 		}
--- /dev/null
+++ b/internal/host/idle_test.go
@@ -0,0 +1,37 @@
+package host
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
+	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
+	"github.com/foxtailshelf/foxtailshelf/internal/pool"
+)
+
+// TestIdleHostReportsWhatItHolds guards against losses that no one notices until an upstream gets no
+// more requests.
+func TestIdleHostReportsWhatItHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newTestFleet()
+		f.recorder = &invariant.Recorder{}
+		f.start("host", nil)
+		h := f.hosts["host"].host
+		p := h.pool("s")
+		inv := inventory.New()
+		inv.Update(time.Now(), []inventory.UpstreamSpec{{ID: "u", Service: "s", Address: "u", DataCenter: "z", Slots: 4}})
+		p.Configure(time.Now(), inv.ForService("s"), pool.Policy{Window: time.Second, LoadShare: 1, MaxConcurrent: 4})
+		request := h.BeginRequest("r")
+		c.Assert(p.Assign(time.Now(), pool.Requirements{LatencyStats: pool.NewLatencyStats(time.Second, false)}), qt.IsNotNil)
+		time.Sleep(2 * idlePeriod)
+		c.Check(f.recorder.Count(), qt.Equals, 0)
+		h.EndRequest(request)
+		time.Sleep(2 * idlePeriod)
+		c.Check(f.recorder.Violations(), qt.DeepEquals, []invariant.Violation{{Rule: invariant.IdleHoldsNothing, Detail: "1 assignments held after 5s without a request (s: 1)"}})
+		f.stopAll()
+	})
+}
--- a/internal/host/lapse_test.go
+++ b/internal/host/lapse_test.go
@@ -23,6 +23,7 @@
 				f, addresses := startSearchFleet(7, closesConnections, false)
 				defer f.stopAll()
 				h := f.hosts[addresses[0]].host
+				defer h.EndRequest(h.BeginRequest("r"))
 				p, now := h.pool("letters"), time.Now()
 				a := p.Assign(now, pool.Requirements{LatencyStats: pool.NewLatencyStats(crashTestTarget, false)})
 				p.RecordUnanswered(now, a, false)
--- a/internal/host/pools.go
+++ b/internal/host/pools.go
@@ -89,7 +89,7 @@
 
 // newPool returns a configured pool for a service. The caller holds h.mu.
 func (h *Host) newPool(service string) *pool.Pool {
-	p := &pool.Pool{DataCenter: h.Settings.DataCenter, Seed: h.Seed ^ xxhash.Sum64String(h.Self.Host()), IdleCount: h.Upstreams.IdleCount, Links: h.links, OnLimit: h.recordLimit}
+	p := &pool.Pool{DataCenter: h.Settings.DataCenter, Seed: h.Seed ^ xxhash.Sum64String(h.Self.Host()), IdleCount: h.Upstreams.IdleCount, Links: h.links, OnLimit: h.recordLimit, Recorder: h.Recorder}
 	h.configurePool(time.Now(), p, service)
 	return p
 }
--- a/internal/host/transport.go
+++ b/internal/host/transport.go
@@ -19,6 +19,9 @@
 	NotifySlowDials(onSlowDial func(upstreamID string, startedAt time.Time))
 	// AbortDials gives up all connections that are being opened. Their attempts are not sent.
 	AbortDials()
+	// Held returns how many connections are being opened, and how many bytes of long bodies are
+	// being read.
+	Held() (dials int, bodyBytes int64)
 	// CloseExpired closes the idle connections that have expired.
 	CloseExpired(now time.Time)
 }
--- a/internal/host/upstreams_test.go
+++ b/internal/host/upstreams_test.go
@@ -301,6 +301,8 @@
 	t.aborted = make(chan struct{})
 }
 
+func (t *simulatedTransport) Held() (dials int, bodyBytes int64) { return 0, 0 }
+
 func (t *simulatedTransport) NotifySlowDials(onSlowDial func(upstreamID string, startedAt time.Time)) {
 	t.onSlowDial = onSlowDial
 }
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -37,6 +37,9 @@
 	// StateChart requires that the state of a claim or query accepts each event of
 	// its state chart that is fired.
 	StateChart Rule = "state-chart"
+	// IdleHoldsNothing requires that a process without requests holds nothing that it takes for
+	// them.
+	IdleHoldsNothing Rule = "idle-holds-nothing"
 	// EndedOnce requires that what was taken for a request is given back once.
 	EndedOnce Rule = "ended-once"
 )
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -250,9 +250,8 @@
 	return p.held
 }
 
-// end ends an assignment. It reports false if the assignment has ended before.
+// end ends an assignment. It reports false if the assignment has ended before. The caller holds p.mu.
 func (p *Pool) end(a *Assignment) bool {
-	p.Recorder.Check(!a.hasEnded, invariant.EndedOnce, "assignment at upstream %s", a.Upstream.ID())
 	if a.hasEnded {
 		return false
 	}
@@ -265,10 +264,21 @@
 // Unassign cancels an assignment whose attempt has not started.
 func (p *Pool) Unassign(assignment *Assignment) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.end(assignment) {
+	isFirst := p.end(assignment)
+	if isFirst {
 		assignment.turn.giveBack()
 	}
+	p.mu.Unlock()
+	p.checkEnd(assignment, isFirst)
+}
+
+// checkEnd records a violation if an assignment had ended before. The caller does not hold p.mu: the
+// Recorder may block.
+func (p *Pool) checkEnd(a *Assignment, isFirst bool) {
+	if isFirst {
+		return
+	}
+	p.Recorder.Check(false, invariant.EndedOnce, "assignment at upstream %s", a.Upstream.ID())
 }
 
 // RecordEnd records that an upstream has ended without notice. It returns the recent
@@ -293,10 +303,17 @@
 // upstream has ended, it returns the same as RecordEnd.
 func (p *Pool) RecordOutcome(now time.Time, assignment *Assignment, o upstream.Outcome) []Crash {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.end(assignment) {
-		return nil
+	isFirst := p.end(assignment)
+	var crashes []Crash
+	if isFirst {
+		crashes = p.recordOutcome(now, assignment, o)
 	}
+	p.mu.Unlock()
+	p.checkEnd(assignment, isFirst)
+	return crashes
+}
+
+func (p *Pool) recordOutcome(now time.Time, assignment *Assignment, o upstream.Outcome) []Crash {
 	m := assignment.member
 	if o.ConnectDuration > 0 {
 		p.connectDuration += time.Duration(connectWeight * float64(o.ConnectDuration-p.connectDuration))
--- a/internal/pool/reservations.go
+++ b/internal/pool/reservations.go
@@ -56,6 +56,18 @@
 	return reserved.turn, ok
 }
 
+// Held returns how many turns are reserved. It gives back those of searches whose period has ended.
+func (t *Reservations) Held(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	held := 0
+	for _, s := range t.searches {
+		held += len(s.turns)
+	}
+	return held
+}
+
 // reserveAll reserves turns at shards, or none if fewer than required have one.
 func reserveAll(now time.Time, shards map[string]*Pool, required int, r Requirements) map[string]reservedTurn {
 	turns := make(map[string]reservedTurn, len(shards))
--- a/internal/upstream/connectionpool.go
+++ b/internal/upstream/connectionpool.go
@@ -95,6 +95,14 @@
 	return outcome
 }
 
+// Held returns how many connections are being opened, and how many bytes of long bodies are being
+// read.
+func (c *ConnectionPool) Held() (dials int, bodyBytes int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.dials), c.longBodies.used.Load()
+}
+
 // AbortDials gives up all connections that are being opened. Their attempts are not sent.
 func (c *ConnectionPool) AbortDials() {
 	c.mu.Lock()
--- a/internal/work/registry.go
+++ b/internal/work/registry.go
@@ -9,6 +9,7 @@
 
 	mu         sync.Mutex
 	operations map[*T]struct{}
+	added      uint64
 }
 
 // Add adds an operation that is not in the set. The caller calls Remove once when the operation
@@ -21,6 +22,14 @@
 		r.operations = make(map[*T]struct{})
 	}
 	r.operations[operation] = struct{}{}
+	r.added++
+}
+
+// Counts returns how many operations were added so far, and how many are in the set.
+func (r *Registry[T]) Counts() (added uint64, count int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.added, len(r.operations)
 }
 
 // Idle returns a channel that is closed as soon as the set is empty; it is already closed if the
