Accounts whose tokens a host issues itself leave no entry behind

Found while listing what is taken for requests. Before a host asked for tokens it made the channel on which other requests of the account wait for the end of the call. If it was itself the issuer there was no call, so the entry stayed until one for the same account ended: memory for each account that is not used again; callers saw nothing. The entry is now made only for calls. In TestAccountOfOwnTokensHoldsNothing one entry was left, now none.

--- a/internal/host/allowance.go
+++ b/internal/host/allowance.go
@@ -80,12 +80,12 @@
 		a.mu.Lock()
 		view := a.currentView(now)
 		d := a.holder.Take(now, r, view, arrived)
-		ended := a.callEnd(r.Account, d)
 		if d.Kind == allowance.Ask && d.Issuer.Host == a.host.Self.Host() {
 			a.issueToSelf(now, r, d.Wanted)
 			a.mu.Unlock()
 			continue
 		}
+		ended := a.callEnd(r.Account, d)
 		a.mu.Unlock()
 		switch d.Kind {
 		case allowance.Admitted, allowance.Refused:
--- a/internal/host/idle_test.go
+++ b/internal/host/idle_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/account"
 	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
@@ -35,3 +36,24 @@
 		f.stopAll()
 	})
 }
+
+// TestAccountOfOwnTokensHoldsNothing guards against an entry for each account whose tokens this host
+// issues to itself: no call ends that could remove it.
+func TestAccountOfOwnTokensHoldsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newTestFleet()
+		f.accounts = func(uint64) []account.Spec {
+			return []account.Spec{{Name: "a", Limit: account.Limit{RatePerSecond: 100, Burst: 10}}}
+		}
+		f.put(tableKey, "1")
+		f.start("host", nil)
+		time.Sleep(time.Second)
+		answer, admitted := f.admit("host", "a")
+		c.Check(admitted, qt.IsTrue, qt.Commentf("%v", answer))
+		calls, waited := f.hosts["host"].host.allowances.held()
+		c.Check(calls, qt.Equals, 0)
+		c.Check(waited, qt.Equals, 0)
+		f.stopAll()
+	})
+}
