Turns reserved for parts that never come return within a second

Found while listing what is taken for requests. A host that sends to cold upstreams for others reserves a turn for each part of a search with the first part. Turns of parts that did not come within 50 ms were given back when the next search was forwarded to the host; until then its own searches lacked them. Maintenance now gives them back. In TestReservedTurnsComeBackWithoutAnotherSearch the turn was still reserved after 2 s; now it is back.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -196,6 +196,7 @@
 			h.guard.Maintain(now)
 			h.allowances.maintain(now)
 			h.alerts.Maintain(now)
+			h.turns.Maintain(now)
 			idle.Run(time.Now())
 		case <-ctx.Done():
 			return
--- a/internal/host/idle.go
+++ b/internal/host/idle.go
@@ -27,12 +27,12 @@
 }
 
 // holdings returns all that this host takes for requests and gives back after them.
-func (h *Host) holdings(now time.Time) []invariant.Holding {
+func (h *Host) holdings() []invariant.Holding {
 	calls, waited := h.allowances.held()
 	dials, bodyBytes := h.Upstreams.Held()
 	return append(
 		h.dispatcher.Holdings(), h.assignments(),
-		invariant.Holding{What: "reserved turns", Count: h.turns.Held(now)}, invariant.Holding{What: "permits for test runs", Count: h.guard.Permits()},
+		invariant.Holding{What: "reserved turns", Count: h.turns.Held()}, invariant.Holding{What: "permits for test runs", Count: h.guard.Permits()},
 		invariant.Holding{What: "calls for tokens", Count: calls}, invariant.Holding{What: "accounts with waiting requests", Count: waited},
 		invariant.Holding{What: "opening connections", Count: dials}, invariant.Holding{What: "bytes of long bodies", Count: int(bodyBytes)},
 	)
--- a/internal/host/idle_test.go
+++ b/internal/host/idle_test.go
@@ -57,3 +57,31 @@
 		f.stopAll()
 	})
 }
+
+// TestReservedTurnsComeBackWithoutAnotherSearch guards against turns at cold upstreams that stay
+// reserved for the parts of a search that never come, as long as no other search is forwarded.
+func TestReservedTurnsComeBackWithoutAnotherSearch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newTestFleet()
+		f.start("host", nil)
+		h := f.hosts["host"].host
+		defer f.stopAll()
+		defer h.EndRequest(h.BeginRequest("r"))
+		inv := inventory.New()
+		inv.Update(time.Now(), []inventory.UpstreamSpec{{ID: "u", Service: "s", Address: "u", DataCenter: "z", Slots: 4, ColdRemaining: time.Minute, Sequence: 1}})
+		p := &pool.Pool{DataCenter: "z", IdleCount: func(string) int { return 1 }}
+		configure := func(rate float64) {
+			p.Configure(time.Now(), inv.ForService("s"), pool.Policy{Window: time.Second, LoadShare: 1, MaxConcurrent: 4, ColdLimit: &pool.ColdLimit{Rate: rate, Burst: 1}})
+		}
+		configure(1)
+		time.Sleep(time.Second)
+		configure(0.001)
+		r := pool.Requirements{LatencyStats: pool.NewLatencyStats(time.Second, true)}
+		_, ok := h.turns.Take(time.Now(), "search", "another", map[string]*pool.Pool{"s": p}, 1, r)
+		c.Check(ok, qt.IsFalse)
+		c.Check(p.TurnDelay(time.Now(), r) > 0, qt.IsTrue)
+		time.Sleep(2 * time.Second)
+		c.Check(p.TurnDelay(time.Now(), r), qt.Equals, time.Duration(0))
+	})
+}
--- a/internal/invariant/idle.go
+++ b/internal/invariant/idle.go
@@ -31,7 +31,7 @@
 	// Activity returns the current activity.
 	Activity func() Activity
 	// Holdings returns what the process holds. It is called while the process is idle.
-	Holdings func(now time.Time) []Holding
+	Holdings func() []Holding
 
 	begun            uint64
 	ranAt, idleSince time.Time
@@ -52,7 +52,7 @@
 	if idle < c.Period {
 		return
 	}
-	holdings := c.Holdings(now)
+	holdings := c.Holdings()
 	if c.Activity() != a {
 		// A request has begun while the holdings were counted.
 		return
--- a/internal/invariant/idle_test.go
+++ b/internal/invariant/idle_test.go
@@ -34,7 +34,7 @@
 			r := &Recorder{}
 			check := &IdleCheck{
 				Recorder: r, Period: period, MaxGap: 3 * time.Second, Activity: func() Activity { return test.activities[n] },
-				Holdings: func(time.Time) []Holding {
+				Holdings: func() []Holding {
 					return []Holding{{What: "turns", Count: test.held[min(n, len(test.held)-1)], Detail: "x"}, {What: "places"}}
 				},
 			}
@@ -58,7 +58,7 @@
 	c := qt.New(t)
 	now, activity := time.Unix(1_000_000, 0), Activity{}
 	r := &Recorder{}
-	check := &IdleCheck{Recorder: r, MaxGap: 3 * time.Second, Activity: func() Activity { return activity }, Holdings: func(time.Time) []Holding {
+	check := &IdleCheck{Recorder: r, MaxGap: 3 * time.Second, Activity: func() Activity { return activity }, Holdings: func() []Holding {
 		activity.Begun++
 		return []Holding{{What: "turns", Count: 1}}
 	}}
--- a/internal/pool/reservations.go
+++ b/internal/pool/reservations.go
@@ -56,11 +56,17 @@
 	return reserved.turn, ok
 }
 
-// Held returns how many turns are reserved. It gives back those of searches whose period has ended.
-func (t *Reservations) Held(now time.Time) int {
+// Maintain gives back the turns of searches whose period has ended.
+func (t *Reservations) Maintain(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
+}
+
+// Held returns how many turns are reserved.
+func (t *Reservations) Held() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	held := 0
 	for _, s := range t.searches {
 		held += len(s.turns)
