Refunds of extra attempts count for the time at which they were spent

Found while listing what is taken for requests. A hedge or retry that reached no upstream was given back to the budget only if another one had been counted in the same twentieth of the window; otherwise it stayed used for the rest of the window, 10 s on the users' platform. A refund now names the time at which the extra attempt was counted. TestRefundCountsForTheTimeOfTheSpending failed on the code before.

--- a/internal/budget/window.go
+++ b/internal/budget/window.go
@@ -47,11 +47,15 @@
 	return 1 - float64(w.extraSum)/maxExtras
 }
 
-// Refund removes an extra attempt that was counted but not made. It has no effect if
-// the current slot counts no extra attempt.
-func (w *Window) Refund(now time.Time) {
+// Refund removes an extra attempt that was counted at spentAt but not made. It has no
+// effect if no extra attempt of that slot is counted any more.
+func (w *Window) Refund(now, spentAt time.Time) {
 	w.advance(now)
-	if i := w.index(w.currentSlot); w.extras[i] > 0 {
+	slot := int64(spentAt.Sub(w.createdAt) / w.slotDuration)
+	if slot < 0 || slot > w.currentSlot || w.currentSlot-slot >= int64(len(w.extras)) {
+		return
+	}
+	if i := w.index(slot); w.extras[i] > 0 {
 		w.extras[i]--
 		w.extraSum--
 	}
--- a/internal/budget/window_test.go
+++ b/internal/budget/window_test.go
@@ -27,7 +27,7 @@
 	}
 	c.Check(spent, qt.Equals, 180)
 	c.Check(w.RemainingRatio(start.Add(9*time.Second)), qt.Equals, 0.0)
-	w.Refund(start.Add(9 * time.Second))
+	w.Refund(start.Add(9*time.Second), start.Add(9*time.Second))
 	c.Check(w.Spend(start.Add(9*time.Second)), qt.IsTrue)
 	c.Check(w.Spend(start.Add(time.Hour)), qt.IsFalse, qt.Commentf("all requests are out of the window"))
 }
@@ -78,3 +78,23 @@
 		c.Assert(float64(sum(extras, to-stepsPerWindow, to)) <= allowed, qt.IsTrue, qt.Commentf("window ending at step %d", to))
 	}
 }
+
+// TestRefundCountsForTheTimeOfTheSpending guards against extra attempts that are lost to the budget
+// when it is found out later that they reached no upstream.
+func TestRefundCountsForTheTimeOfTheSpending(t *testing.T) {
+	c := qt.New(t)
+	w := NewWindow(start, windowDuration, 0.2, 0)
+	for range 10 {
+		w.RecordRequest(start)
+	}
+	c.Check(w.Spend(start), qt.IsTrue)
+	c.Check(w.Spend(start.Add(windowDuration/4)), qt.IsTrue)
+	c.Check(w.Spend(start.Add(windowDuration/2)), qt.IsFalse)
+	w.Refund(start.Add(windowDuration/2), start)
+	c.Check(w.Spend(start.Add(windowDuration/2)), qt.IsTrue)
+	// Nothing that was not spent is refunded, nor twice, nor after the window.
+	w.Refund(start.Add(windowDuration/2), start)
+	w.Refund(start.Add(windowDuration/2), start.Add(-time.Hour))
+	w.Refund(start.Add(windowDuration/2), start.Add(time.Hour))
+	c.Check(w.Spend(start.Add(windowDuration/2)), qt.IsFalse)
+}
--- a/internal/dispatch/extras.go
+++ b/internal/dispatch/extras.go
@@ -48,9 +48,9 @@
 	return f.maySpend(now, p) && p.pool.SpendHedge(now) && f.recordExtra(now, 1)
 }
 
-// refundExtra gives back an extra attempt that reached no upstream.
-func (f *inFlightRequest) refundExtra(now time.Time, p *part) {
-	p.pool.Refund(now)
+// refundExtra gives back an extra attempt of spentAt that reached no upstream.
+func (f *inFlightRequest) refundExtra(now, spentAt time.Time, p *part) {
+	p.pool.Refund(now, spentAt)
 	f.recordExtra(now, -1)
 }
 
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -227,7 +227,7 @@
 func (f *inFlightRequest) undoArrival(result *attemptResult) {
 	result.part.arrived--
 	if result.isExtra {
-		f.refundExtra(time.Now(), result.part)
+		f.refundExtra(time.Now(), result.assignment.StartedAt(), result.part)
 	}
 }
 
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -207,7 +207,7 @@
 		return true
 	}
 	if isExtra {
-		f.refundExtra(now, p)
+		f.refundExtra(now, now, p)
 	}
 	return false
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -213,11 +213,11 @@
 	return p.extra.Spend(now)
 }
 
-// Refund removes an extra attempt that was counted, but reached no upstream.
-func (p *Pool) Refund(now time.Time) {
+// Refund removes an extra attempt that was counted at spentAt, but reached no upstream.
+func (p *Pool) Refund(now, spentAt time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.extra.Refund(now)
+	p.extra.Refund(now, spentAt)
 }
 
 // Assign assigns an attempt to the upstream with the lowest expected cost. It returns
