Hedges that reach no upstream are refunded after the answer as well

Found while listing what is taken for requests. An extra attempt that reached no upstream was given back to the budget of its service, and to the share of its account, by the request when it handled the result. A request that had been answered or whose caller had left handled none, so the extra attempt stayed used for a window, most of all for hedges whose slow dial was given up because the answer had come. The goroutine of the attempt now gives it back.

--- a/internal/dispatch/extras_test.go
+++ b/internal/dispatch/extras_test.go
@@ -1,14 +1,17 @@
 package dispatch
 
 import (
+	"context"
 	"hash/fnv"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/pool"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 )
 
@@ -33,3 +36,28 @@
 	c.Check(now.share() >= 0.98, qt.IsTrue, qt.Commentf("%.3f", now.share()))
 	c.Check(now.share() > before.share(), qt.IsTrue)
 }
+
+// TestHedgeThatReachedNoUpstreamIsRefundedAfterTheAnswer guards against budgets that lose the hedges
+// whose connection is given up because the answer has come.
+func TestHedgeThatReachedNoUpstreamIsRefundedAfterTheAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		policy := pool.Policy{ExtraRatio: 0.2, Window: 10 * time.Second, MaxConcurrent: 3}
+		attempts := 0
+		d := newTestDispatcherWithPolicy(singleRoute(true), policy, func(id string, _ int, _ *upstream.Attempt) reaction {
+			if attempts++; attempts == 1 {
+				r := responds(id)
+				r.delay = 3 * target / 4
+				return r
+			}
+			return reaction{delay: 5 * target / 8, outcome: upstream.Outcome{Result: upstream.Unreachable, ConnectAborted: true}}
+		})
+		a, _ := d.runRequest(context.Background())
+		c.Check(a.Status, qt.Equals, http.StatusOK)
+		c.Check(d.summaries[0].Hedges, qt.Equals, 1)
+		c.Check(d.pools["s0"].RemainingExtraRatio(time.Now()) < 1, qt.IsTrue)
+		time.Sleep(timeout)
+		d.Group.Wait()
+		c.Check(d.pools["s0"].RemainingExtraRatio(time.Now()), qt.Equals, 1.0)
+	})
+}
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -50,7 +50,6 @@
 	part       *part
 	assignment *pool.Assignment
 	outcome    upstream.Outcome
-	isExtra    bool
 }
 
 func newInFlightRequest(d *Dispatcher, request *Request, route *routing.Route) *inFlightRequest {
@@ -170,11 +169,15 @@
 	}
 }
 
-// runAttempt runs an attempt and sends its result. Each call has its own goroutine.
+// runAttempt runs an attempt and sends its result. It refunds an extra attempt that reached no
+// upstream to the budget of the pool, also if the request has ended. Each call has its own goroutine.
 func (f *inFlightRequest) runAttempt(ctx context.Context, p *part, assignment *pool.Assignment, a *upstream.Attempt, isExtra bool) {
 	outcome := f.dispatcher.RunAttempt(ctx, p.pool, assignment, a)
+	if isExtra && !f.mayHaveArrived(outcome) {
+		f.refundExtra(time.Now(), assignment.StartedAt(), p)
+	}
 	f.dispatcher.waiting.notify(p.service)
-	f.results <- &attemptResult{part: p, assignment: assignment, outcome: outcome, isExtra: isExtra}
+	f.results <- &attemptResult{part: p, assignment: assignment, outcome: outcome}
 }
 
 // handleResult updates the part of an attempt that has ended, and the last failure.
@@ -194,6 +197,9 @@
 	if result.outcome.ForwardedTo != "" {
 		p.tried = append(p.tried, result.outcome.ForwardedTo)
 	}
+	if !f.mayHaveArrived(result.outcome) {
+		p.arrived--
+	}
 	switch result.outcome.Result {
 	case upstream.Answered:
 		f.handleResponse(p, result.outcome.Response)
@@ -203,31 +209,29 @@
 			p.noRouteAt = time.Now()
 		}
 		if result.outcome.NotForwarded {
-			f.undoArrival(result)
 			f.recordColdRefusal(result)
 			break
 		}
 		f.lastFailure = fmt.Sprintf("upstream refused the attempt with status %d", result.outcome.Response.Status)
 	case upstream.Unreachable:
 		p.ran--
-		f.undoArrival(result)
 		f.undoTry(result)
 		f.recordColdRefusal(result)
-	case upstream.Broken, upstream.Aborted:
-		if result.outcome.LinkLost && f.route.Idempotent() {
-			f.undoArrival(result)
-		}
 	}
 	p.needsAttempt = !p.isDone() && p.running == 0
 }
 
-// undoArrival removes an attempt that certainly reached no upstream from the part's
-// count of arrived attempts. If it was an extra attempt, undoArrival also refunds it to
-// the budget of the pool.
-func (f *inFlightRequest) undoArrival(result *attemptResult) {
-	result.part.arrived--
-	if result.isExtra {
-		f.refundExtra(time.Now(), result.assignment.StartedAt(), result.part)
+// mayHaveArrived reports whether an attempt may have reached an upstream.
+func (f *inFlightRequest) mayHaveArrived(o upstream.Outcome) bool {
+	switch o.Result {
+	case upstream.Refused, upstream.Misdirected:
+		return !o.NotForwarded
+	case upstream.Unreachable:
+		return false
+	case upstream.Broken, upstream.Aborted:
+		return !o.LinkLost || !f.route.Idempotent()
+	default:
+		return true
 	}
 }
 
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -262,8 +262,11 @@
 	if !started {
 		cancel()
 		p.pool.Unassign(assignment)
+		if isExtra {
+			f.refundExtra(now, now, p)
+		}
 		// The group has been stopped: the attempt is not sent, and its outcome is
 		// Unreachable.
-		f.results <- &attemptResult{part: p, assignment: assignment, outcome: upstream.Outcome{Result: upstream.Unreachable}, isExtra: isExtra}
+		f.results <- &attemptResult{part: p, assignment: assignment, outcome: upstream.Outcome{Result: upstream.Unreachable}}
 	}
 }
