Callers that leave before their requests ran use no token of their account

Found while listing what is taken for requests. A request whose caller left while it waited for room counted as one that may have run, so its account lost the token: an account whose callers do not wait is refused below its limit. Such a request now counts as not run if no attempt of it may have run. TestCallerThatLeavesBeforeItsRequestRanHasNotRun failed in the two cases of a request that waits for room. TestNotRunInvariant now also requires that nothing ran of a request that counts as not run, whatever its reason.

--- a/internal/dispatch/assignments_test.go
+++ b/internal/dispatch/assignments_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/foxtailshelf/foxtailshelf/internal/account"
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
+	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
 	"github.com/foxtailshelf/foxtailshelf/internal/routing"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 	"github.com/foxtailshelf/foxtailshelf/internal/work"
@@ -84,3 +85,44 @@
 		})
 	}
 }
+
+// TestCallerThatLeavesBeforeItsRequestRanHasNotRun guards against tokens of accounts that are used up
+// by requests that reached no upstream.
+func TestCallerThatLeavesBeforeItsRequestRanHasNotRun(t *testing.T) {
+	const leavesAfter = 5 * time.Millisecond
+	for _, test := range []struct {
+		name              string
+		isFull, isAlerted bool
+		isSuspect         bool
+		notRun            bool
+	}{
+		{name: "waits for room", isFull: true, notRun: true},
+		{name: "waits for room for its canary", isFull: true, isAlerted: true, notRun: true},
+		{name: "waits for its response"},
+		{name: "waits for the response of its canary", isAlerted: true},
+		{name: "waits for the response of its test run", isSuspect: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				d := newTestDispatcher(gatherRoute(1), func(string, int, *upstream.Attempt) reaction { return reaction{isSilent: true} })
+				d.Alerts = &fakeAlerts{holds: test.isAlerted}
+				if test.isSuspect {
+					d.Guard = &fakeGuard{verdict: quarantine.Verdict{Decision: quarantine.Suspect}, testRunDecision: quarantine.Suspect}
+				}
+				if test.isFull {
+					for s := range d.pools {
+						defer d.fill(s)()
+					}
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), leavesAfter)
+				defer cancel()
+				answer, _ := d.runRequest(ctx)
+				c.Check(answer.Reason, qt.Equals, ReasonCallerDisconnected)
+				c.Check(answer.NotRun, qt.Equals, test.notRun)
+				time.Sleep(2 * timeout)
+				d.Group.Wait()
+			})
+		})
+	}
+}
--- a/internal/dispatch/canary.go
+++ b/internal/dispatch/canary.go
@@ -8,7 +8,6 @@
 import (
 	"cmp"
 	"context"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -221,7 +220,7 @@
 	f.dispatcher.Alerts.RecordCanary(f.fingerprint, service, result)
 	switch {
 	case ctx.Err() != nil:
-		return Answer{Status: http.StatusServiceUnavailable, Reason: ReasonCallerDisconnected}, true
+		return f.callerLeftAnswer(), true
 	case result == CanaryEnded:
 		return f.failureAnswer(ReasonCrashSuspected), true
 	case result == CanaryNotRun:
--- a/internal/dispatch/conclude.go
+++ b/internal/dispatch/conclude.go
@@ -173,10 +173,6 @@
 // implies that the request was not run only if no upstream has run it and none may
 // still run it.
 func (f *inFlightRequest) failureAnswer(reason Reason) Answer {
-	ran := 0
-	for _, p := range f.parts {
-		ran += p.ran
-	}
 	answer := Answer{Status: http.StatusServiceUnavailable, Reason: reason, MissingParts: len(f.parts), RetryAfter: failureRetryDelay}
 	switch {
 	case reason == ReasonNoUpstream:
@@ -189,7 +185,7 @@
 		answer.RetryAfter = f.retryDelayInOrder()
 	}
 	switch {
-	case ran == 0:
+	case f.ranCount() == 0:
 		answer.NotRun = true
 	case reason == ReasonDeadline, reason == ReasonStopping:
 		answer.Status = http.StatusGatewayTimeout
@@ -198,3 +194,17 @@
 	}
 	return answer
 }
+
+// callerLeftAnswer returns the answer to a request whose caller has left, which no one reads.
+func (f *inFlightRequest) callerLeftAnswer() Answer {
+	return Answer{Status: http.StatusServiceUnavailable, Reason: ReasonCallerDisconnected, NotRun: f.ranCount() == 0}
+}
+
+// ranCount returns the number of attempts that an upstream may have run.
+func (f *inFlightRequest) ranCount() int {
+	ran := 0
+	for _, p := range f.parts {
+		ran += p.ran
+	}
+	return ran
+}
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -134,7 +134,7 @@
 		case <-f.wake:
 		case <-timer.C:
 		case <-ctx.Done():
-			return Answer{Status: http.StatusServiceUnavailable, Reason: ReasonCallerDisconnected}
+			return f.callerLeftAnswer()
 		}
 	}
 }
--- a/internal/dispatch/invariant_test.go
+++ b/internal/dispatch/invariant_test.go
@@ -75,6 +75,9 @@
 		if impliesNotRun(a.Status) && a.Reason != ReasonCallerDisconnected {
 			c.Check(ran, qt.Equals, 0, comment)
 		}
+		if a.NotRun {
+			c.Check(ran, qt.Equals, 0, comment)
+		}
 		if !idempotent {
 			c.Check(ran <= 1, qt.IsTrue, comment)
 		}
--- a/internal/dispatch/testrun.go
+++ b/internal/dispatch/testrun.go
@@ -27,7 +27,7 @@
 	switch {
 	case verdict.Decision == quarantine.Suspect && ctx.Err() != nil:
 		end(quarantine.TestNotRun)
-		return Answer{Status: http.StatusServiceUnavailable, Reason: ReasonCallerDisconnected}, true
+		return f.callerLeftAnswer(), true
 	case verdict.Decision == quarantine.Suspect:
 		return f.runTest(ctx, attemptsCtx, verdict, end)
 	}
@@ -84,7 +84,7 @@
 	f.reportCrashes(ctx)
 	end(quarantine.TestUnanswered)
 	if ctx.Err() != nil {
-		return Answer{Status: http.StatusServiceUnavailable, Reason: ReasonCallerDisconnected}, true
+		return f.callerLeftAnswer(), true
 	}
 	return f.failureAnswer(ReasonCrashSuspected), true
 }
