Tokens of issuers that do not answer are given back as well

Found while listing what is taken for requests. While issuers do not answer, a host admits requests out of its part of their tokens. Those that had not run did not return it; the host looked for an own use at the same time instead, and found none, or that of another request. The ticket now says where its token comes from. In TestTokensOfFailedIssuersAreGivenBack the next request was refused; now it is admitted.

--- a/internal/allowance/holder.go
+++ b/internal/allowance/holder.go
@@ -82,6 +82,8 @@
 	Issuer  string
 	expires time.Time
 	at      time.Time
+	// isMissing is set for a token of the part of issuers that have not answered.
+	isMissing bool
 }
 
 // A Holder spends the tokens of accounts on one host. It is not safe for concurrent use.
@@ -169,6 +171,7 @@
 	}
 	if k.missing.tokens >= 1 {
 		k.missing.tokens--
+		admitted.Ticket.isMissing = true
 		return admitted
 	}
 	return d
@@ -223,6 +226,8 @@
 	case k == nil:
 	case t.Issuer != "" && now.Before(t.expires):
 		k.grants = append(k.grants, grant{issuer: t.Issuer, count: 1, expires: t.expires})
+	case t.isMissing:
+		k.missing.tokens = min(k.missing.capacity, k.missing.tokens+1)
 	case t.Issuer == "":
 		for n, at := range k.ownUses {
 			if at.Equal(t.at) {
