Test runs that are not permitted use no permit of their alert

Found while listing what is taken for requests. While a crash alert holds, one test run is permitted in 5 s for all suspect requests of its services. A request whose own test runs pause, for 30 s after two without an answer, took that permit and then was not tested: while its callers repeated it, other suspect requests could remain untested, and their callers got 503, until the alert ended. The permit of the alert is now asked for last. In TestTestRunThatIsNotPermittedUsesNoPermitOfItsAlert the other request had to wait; now it is permitted.

--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/dispatch"
 	"github.com/foxtailshelf/foxtailshelf/internal/quarantine"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
@@ -61,3 +62,34 @@
 		tasks.Wait()
 	})
 }
+
+// suspect adds evidence that makes requests suspect, and an alert for their service.
+func suspect(g *Guard, fingerprints ...uint64) {
+	for _, f := range fingerprints {
+		g.ApplyNotice("peer", &wire.Notice{Fingerprint: f, Crashes: []*wire.Crash{{Upstream: 10 * f, Service: dispatch.ServiceKey("s")}, {Upstream: 10*f + 1, Service: dispatch.ServiceKey("s")}}})
+	}
+}
+
+// TestTestRunThatIsNotPermittedUsesNoPermitOfItsAlert guards against requests whose test runs pause and
+// that take the permit of each interval from the other requests of services with an alert.
+func TestTestRunThatIsNotPermittedUsesNoPermitOfItsAlert(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		tasks := &work.Group{}
+		g := newTestGuard(tasks)
+		suspect(g, 1, 2)
+		for range 2 {
+			g.Alerts.Raise(1, []string{"s"})
+			c.Assert(g.permit(1).Decision, qt.Equals, quarantine.Suspect)
+			g.applyTestResult(1, quarantine.TestUnanswered)
+			time.Sleep(6 * time.Second)
+		}
+		g.Alerts.Raise(1, []string{"s"})
+		c.Check(g.permit(1).Decision, qt.Equals, quarantine.AwaitingTest)
+		c.Check(g.permit(2).Decision, qt.Equals, quarantine.Suspect)
+		c.Check(g.permit(2).Decision, qt.Equals, quarantine.AwaitingTest)
+		g.applyTestResult(2, quarantine.TestNotRun)
+		c.Check(g.permit(2).Wait > 4*time.Second, qt.IsTrue)
+		tasks.Wait()
+	})
+}
--- a/internal/crashguard/testrun.go
+++ b/internal/crashguard/testrun.go
@@ -148,13 +148,13 @@
 	if v.Decision != quarantine.Suspect {
 		return v
 	}
-	if g.Alerts.HoldsFor(v.Service) {
-		if wait := g.Alerts.permitTestRun(now); wait > 0 {
-			v.Decision, v.Wait = quarantine.AwaitingTest, wait
-			return v
+	wait := g.testRuns.Begin(now, fingerprint)
+	if wait == 0 && g.Alerts.HoldsFor(v.Service) {
+		if wait = g.Alerts.permitTestRun(now); wait > 0 {
+			g.testRuns.End(now, fingerprint, quarantine.TestNotRun)
 		}
 	}
-	if wait := g.testRuns.Begin(now, fingerprint); wait > 0 {
+	if wait > 0 {
 		v.Decision, v.Wait = quarantine.AwaitingTest, wait
 	}
 	return v
