A caller that leaves does not lose a permit for a test run

Found while listing what is taken for requests. If the caller of a suspect request left during the call for the permit of its test run, the call was given up, and a permit that the examiner had given was never ended: after 2.5 s it counted as a test run without an answer, and two of these pause the test runs of the request for 30 s. The call now goes on for its 250 ms at the longest, and the permit is ended as not run. In TestPermitIsGivenBackIfTheCallerLeaves one permit was left; now none.

--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -93,3 +93,43 @@
 		tasks.Wait()
 	})
 }
+
+// lostCallerPeers are an examiner that permits test runs after the caller of the request has left.
+type lostCallerPeers struct{ permits int }
+
+func (p *lostCallerPeers) TestRun(ctx context.Context, _ string, r *wire.TestRunRequest) (*wire.TestRunReply, error) {
+	if r.GetEvent() != wire.TestRunEvent_TEST_RUN_EVENT_BEGIN {
+		p.permits--
+		return &wire.TestRunReply{}, nil
+	}
+	p.permits++
+	select {
+	case <-time.After(50 * time.Millisecond):
+		return &wire.TestRunReply{Decision: wire.TestRunDecision_TEST_RUN_DECISION_PERMITTED}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// TestPermitIsGivenBackIfTheCallerLeaves guards against permits for test runs that their examiner takes
+// for unanswered test runs, because the caller left during the call for the permit.
+func TestPermitIsGivenBackIfTheCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		tasks := &work.Group{}
+		g := newTestGuard(tasks)
+		peers := &lostCallerPeers{}
+		g.Peers = peers
+		examiner := roster.NewMember("examiner", "z", "examiner", "", 1, roster.Alive)
+		g.Members = func() []roster.Member { return []roster.Member{examiner} }
+		suspect(g, 1)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		defer cancel()
+		v, end := g.BeginTestRun(ctx, 1)
+		c.Check(v.Decision, qt.Equals, quarantine.Suspect)
+		end(quarantine.TestNotRun)
+		tasks.Wait()
+		c.Check(peers.permits, qt.Equals, 0)
+		c.Check(g.Permits(), qt.Equals, 0)
+	})
+}
--- a/internal/crashguard/testrun.go
+++ b/internal/crashguard/testrun.go
@@ -25,7 +25,8 @@
 		if m.Host() == g.Self.Host() {
 			break
 		}
-		callCtx, cancel := context.WithTimeout(ctx, testRunCallTimeout)
+		// An answer that comes after the caller has left may hold a permit that must be ended.
+		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), testRunCallTimeout)
 		reply, err := g.Peers.TestRun(callCtx, m.GateAddress(), request)
 		cancel()
 		if err != nil {
