--- a/internal/host/allowance.go
+++ b/internal/host/allowance.go
@@ -33,8 +33,7 @@
 	viewAt time.Time
 	// isOutdated is set after a change of the members.
 	isOutdated bool
-	// suspectedAt holds when hosts that are suspected now were first seen so.
-	suspectedAt map[string]time.Time
+	suspects   dialling.Suspects
 	// ended holds, by account, a channel that is closed at the end of the next call for its
 	// tokens.
 	ended map[string]chan struct{}
@@ -46,7 +45,7 @@
 		Window: time.Duration(s.AccountWindowSeconds * float64(time.Second)), Tolerance: s.AccountTolerance, Slack: s.AccountSlack,
 	}
 	return &allowances{
-		host: h, issuer: allowance.Issuer{Margin: m}, holder: allowance.Holder{Margin: m}, isOutdated: true, ended: make(map[string]chan struct{}), suspectedAt: make(map[string]time.Time),
+		host: h, issuer: allowance.Issuer{Margin: m}, holder: allowance.Holder{Margin: m}, isOutdated: true, ended: make(map[string]chan struct{}),
 	}
 }
 
@@ -155,35 +154,14 @@
 	if a.view == nil || (a.isOutdated && now.Sub(a.viewAt) >= minAllowanceViewAge) {
 		members := a.host.fleet.Members()
 		// Time alone changes the view while hosts are suspected.
-		a.isOutdated, a.viewAt = a.recordSuspects(now, members), now
-		mayIssue := func(m roster.Member) bool {
-			return m.State() == roster.Alive || (m.State() == roster.Suspect && now.Sub(a.suspectedAt[m.Host()]) < allowance.TakeoverDelay)
-		}
+		a.isOutdated, a.viewAt = a.suspects.Record(now, members), now
+		mayIssue := func(m roster.Member) bool { return a.suspects.MayIssue(now, m) }
 		a.view = dialling.NewAllowanceView(a.host.Self.Host(), members, mayIssue)
 		a.issuer.SetView(now, a.view)
 	}
 	return a.view
 }
 
-// recordSuspects records which hosts are suspected, and reports whether one became so less than
-// TakeoverDelay ago.
-func (a *allowances) recordSuspects(now time.Time, members []roster.Member) bool {
-	isRecent := false
-	for _, m := range members {
-		at, ok := a.suspectedAt[m.Host()]
-		switch {
-		case m.State() != roster.Suspect:
-			delete(a.suspectedAt, m.Host())
-		case !ok:
-			a.suspectedAt[m.Host()] = now
-			isRecent = true
-		case now.Sub(at) < allowance.TakeoverDelay:
-			isRecent = true
-		}
-	}
-	return isRecent
-}
-
 // logRefusal logs a request that was refused because of the limit of its account.
 func (a *allowances) logRefusal(request *dispatch.Request, r allowance.Request, d allowance.Decision) {
 	if !a.host.requestLog.allowLine() {
--- a/internal/host/idle.go
+++ b/internal/host/idle.go
@@ -1,21 +1,15 @@
 package host
 
 import (
-	"fmt"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
+	"github.com/foxtailshelf/foxtailshelf/internal/pool"
 )
 
-const (
-	// idlePeriod is how long a host must have been without requests to be checked. Calls for tokens
-	// and reservations of turns end earlier.
-	idlePeriod = 5 * time.Second
-	// maxHeldServices bounds the services that are named in a violation.
-	maxHeldServices = 8
-)
+// idlePeriod is how long a host must have been without requests to be checked. Calls for tokens and
+// reservations of turns end earlier.
+const idlePeriod = 5 * time.Second
 
 func (h *Host) newIdleCheck() *invariant.IdleCheck {
 	return &invariant.IdleCheck{Recorder: h.Recorder, Period: idlePeriod, MaxGap: 3 * maintenanceInterval, Activity: h.activity, Holdings: h.holdings}
@@ -30,27 +24,13 @@
 func (h *Host) holdings() []invariant.Holding {
 	calls, waited := h.allowances.held()
 	dials, bodyBytes := h.Upstreams.Held()
+	h.mu.RLock()
+	assignments := pool.HeldAssignments(h.pools)
+	h.mu.RUnlock()
 	return append(
-		h.dispatcher.Holdings(), h.assignments(),
+		h.dispatcher.Holdings(), assignments,
 		invariant.Holding{What: "reserved turns", Count: h.turns.Held()}, invariant.Holding{What: "permits for test runs", Count: h.guard.Permits()},
 		invariant.Holding{What: "calls for tokens", Count: calls}, invariant.Holding{What: "accounts with waiting requests", Count: waited},
 		invariant.Holding{What: "opening connections", Count: dials}, invariant.Holding{What: "bytes of long bodies", Count: int(bodyBytes)},
 	)
 }
-
-// assignments returns the assignments of all pools.
-func (h *Host) assignments() invariant.Holding {
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	held := invariant.Holding{What: "assignments"}
-	var services []string
-	for s, p := range h.pools {
-		if count := p.Held(); count > 0 {
-			held.Count += count
-			services = append(services, fmt.Sprintf("%s: %d", s, count))
-		}
-	}
-	slices.Sort(services)
-	held.Detail = strings.Join(services[:min(len(services), maxHeldServices)], ", ")
-	return held
-}
