--- a/internal/dispatch/conclude.go
+++ b/internal/dispatch/conclude.go
@@ -41,7 +41,8 @@
 //     passed.
 //
 // Before it fails a request that has started, it resumes parts that were left out. From answerDueAt
-// on it also does so while parts are pending, because these may never respond.
+// on it also does so while parts are pending, because these may never respond. A request that has not
+// started by then runs late, and its parts were left out together.
 func (f *inFlightRequest) tryGatherAnswer(now time.Time) (Answer, bool) {
 	answered, pending := 0, 0
 	reason := f.deadlineReason()
@@ -63,7 +64,7 @@
 		return f.mergedAnswer(), true
 	case answered+pending < required && f.attempts > 0 && f.resumeLeftOut(now, required-answered-pending):
 		return Answer{}, false
-	case answered < required && !now.Before(f.answerDueAt) && f.resumeLeftOut(now, 1):
+	case f.attempts > 0 && answered < required && !now.Before(f.answerDueAt) && f.resumeLeftOut(now, 1):
 		return Answer{}, false
 	case answered+pending < required:
 		return f.failureAnswer(reason), true
@@ -172,10 +173,6 @@
 // implies that the request was not run only if no upstream has run it and none may
 // still run it.
 func (f *inFlightRequest) failureAnswer(reason Reason) Answer {
-	ran := 0
-	for _, p := range f.parts {
-		ran += p.ran
-	}
 	answer := Answer{Status: http.StatusServiceUnavailable, Reason: reason, MissingParts: len(f.parts), RetryAfter: failureRetryDelay}
 	switch {
 	case reason == ReasonNoUpstream:
@@ -188,7 +185,7 @@
 		answer.RetryAfter = f.retryDelayInOrder()
 	}
 	switch {
-	case ran == 0:
+	case f.ranCount() == 0:
 		answer.NotRun = true
 	case reason == ReasonDeadline, reason == ReasonStopping:
 		answer.Status = http.StatusGatewayTimeout
@@ -197,3 +194,17 @@
 	}
 	return answer
 }
+
+// callerLeftAnswer returns the answer to a request whose caller has left, which no one reads.
+func (f *inFlightRequest) callerLeftAnswer() Answer {
+	return Answer{Status: http.StatusServiceUnavailable, Reason: ReasonCallerDisconnected, NotRun: f.ranCount() == 0}
+}
+
+// ranCount returns the number of attempts that an upstream may have run.
+func (f *inFlightRequest) ranCount() int {
+	ran := 0
+	for _, p := range f.parts {
+		ran += p.ran
+	}
+	return ran
+}
--- a/internal/dispatch/inflight.go
+++ b/internal/dispatch/inflight.go
@@ -50,7 +50,6 @@
 	part       *part
 	assignment *pool.Assignment
 	outcome    upstream.Outcome
-	isExtra    bool
 }
 
 func newInFlightRequest(d *Dispatcher, request *Request, route *routing.Route) *inFlightRequest {
@@ -70,7 +69,7 @@
 	f.stopBegun = d.stopBegun()
 	f.limitToStop()
 	for _, s := range route.NextServices() {
-		f.parts = append(f.parts, &part{service: s, pool: d.Pool(s)})
+		f.parts = append(f.parts, newPart(s, d.Pool(s)))
 	}
 	f.results = make(chan *attemptResult, len(f.parts)*maxAttemptsPerPart)
 	f.cancelAttempt = make(map[*pool.Assignment]context.CancelFunc)
@@ -93,6 +92,7 @@
 	attemptsCtx, cancel := context.WithCancel(f.dispatcher.stopContext())
 	defer func() { f.cancelUnneeded(ctx, cancel) }()
 	defer func() { f.finishWaiting(ctx.Err() != nil) }()
+	defer unassign(f.parts)
 	for _, p := range f.parts {
 		p.pool.RecordRequest(f.startedAt)
 		p.needsAttempt = true
@@ -140,7 +140,7 @@
 		case <-timer.C:
 		case <-disconnected:
 			if f.route.Idempotent() || f.runningCount() == 0 {
-				return Answer{Status: http.StatusServiceUnavailable, Reason: ReasonCallerDisconnected}
+				return f.callerLeftAnswer()
 			}
 			// The attempts continue in any case, and the caller may have closed only its sending side.
 			disconnected, hasCallerLeft = nil, true
@@ -183,11 +183,15 @@
 	return running
 }
 
-// runAttempt runs an attempt and sends its result. Each call has its own goroutine.
+// runAttempt runs an attempt and sends its result. It refunds an extra attempt that reached no
+// upstream to the budget of the pool, also if the request has ended. Each call has its own goroutine.
 func (f *inFlightRequest) runAttempt(ctx context.Context, p *part, assignment *pool.Assignment, a *upstream.Attempt, isExtra bool) {
 	outcome := f.dispatcher.RunAttempt(ctx, p.pool, assignment, a)
+	if isExtra && !f.mayHaveArrived(outcome) {
+		f.refundExtra(time.Now(), assignment.StartedAt(), p)
+	}
 	f.dispatcher.waiting.notify(p.service)
-	f.results <- &attemptResult{part: p, assignment: assignment, outcome: outcome, isExtra: isExtra}
+	f.results <- &attemptResult{part: p, assignment: assignment, outcome: outcome}
 }
 
 // handleResult updates the part of an attempt that has ended, and the last failure.
@@ -207,6 +211,9 @@
 	if result.outcome.ForwardedTo != "" {
 		p.tried = append(p.tried, result.outcome.ForwardedTo)
 	}
+	if !f.mayHaveArrived(result.outcome) {
+		p.arrived--
+	}
 	switch result.outcome.Result {
 	case upstream.Answered:
 		f.handleResponse(p, result.outcome.Response)
@@ -216,31 +223,29 @@
 			p.noRouteAt = time.Now()
 		}
 		if result.outcome.NotForwarded {
-			f.undoArrival(result)
 			f.recordColdRefusal(result)
 			break
 		}
 		f.lastFailure = fmt.Sprintf("upstream refused the attempt with status %d", result.outcome.Response.Status)
 	case upstream.Unreachable:
 		p.ran--
-		f.undoArrival(result)
 		f.undoTry(result)
 		f.recordColdRefusal(result)
-	case upstream.Broken, upstream.Aborted:
-		if result.outcome.LinkLost && f.route.Idempotent() {
-			f.undoArrival(result)
-		}
 	}
 	p.needsAttempt = !p.isDone() && p.running == 0
 }
 
-// undoArrival removes an attempt that certainly reached no upstream from the part's
-// count of arrived attempts. If it was an extra attempt, undoArrival also refunds it to
-// the budget of the pool.
-func (f *inFlightRequest) undoArrival(result *attemptResult) {
-	result.part.arrived--
-	if result.isExtra {
-		f.refundExtra(time.Now(), result.part)
+// mayHaveArrived reports whether an attempt may have reached an upstream.
+func (f *inFlightRequest) mayHaveArrived(o upstream.Outcome) bool {
+	switch o.Result {
+	case upstream.Refused, upstream.Misdirected:
+		return !o.NotForwarded
+	case upstream.Unreachable:
+		return false
+	case upstream.Broken, upstream.Aborted:
+		return !o.LinkLost || !f.route.Idempotent()
+	default:
+		return true
 	}
 }
 
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -207,7 +207,7 @@
 		return true
 	}
 	if isExtra {
-		f.refundExtra(now, p)
+		f.refundExtra(now, now, p)
 	}
 	return false
 }
@@ -216,8 +216,7 @@
 // upstream was found.
 func (f *inFlightRequest) startAttempt(ctx context.Context, now time.Time, p *part, isExtra bool, maxDuration time.Duration) bool {
 	requirements := f.requirements(p, maxDuration)
-	assignment := p.assignment
-	p.assignment = nil
+	assignment := p.held.take()
 	if assignment == nil {
 		requirements.IsSpare = f.isSpare(now, p)
 		assignment = p.pool.Assign(now, requirements)
@@ -262,8 +261,12 @@
 	started := f.dispatcher.Group.Go(func() { f.runAttempt(ctx, p, assignment, attempt, isExtra) })
 	if !started {
 		cancel()
+		p.pool.Unassign(assignment)
+		if isExtra {
+			f.refundExtra(now, now, p)
+		}
 		// The group has been stopped: the attempt is not sent, and its outcome is
 		// Unreachable.
-		f.results <- &attemptResult{part: p, assignment: assignment, outcome: upstream.Outcome{Result: upstream.Unreachable}, isExtra: isExtra}
+		f.results <- &attemptResult{part: p, assignment: assignment, outcome: upstream.Outcome{Result: upstream.Unreachable}}
 	}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/budget"
+	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 )
@@ -66,9 +67,13 @@
 	// none any more or, with an error, an implausible one. It must not call methods of the
 	// Pool. It may be nil.
 	OnLimit func(u inventory.Upstream, limit float64, at time.Time, err error)
+	// Recorder records assignments that are ended twice. It may be nil.
+	Recorder *invariant.Recorder
 
 	mu     sync.Mutex
 	policy Policy
+	// held counts the assignments that have not ended, also those at upstreams that are gone.
+	held int
 	// members are the upstreams and the dialling hosts, followed by the detours and the hosts
 	// that send to cold upstreams.
 	members                  []*member
@@ -209,16 +214,16 @@
 	return p.extra.Spend(now)
 }
 
-// Refund removes an extra attempt that was counted, but reached no upstream.
-func (p *Pool) Refund(now time.Time) {
+// Refund removes an extra attempt that was counted at spentAt, but reached no upstream.
+func (p *Pool) Refund(now, spentAt time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.extra.Refund(now)
+	p.extra.Refund(now, spentAt)
 }
 
 // Assign assigns an attempt to the upstream with the lowest expected cost. It returns
 // nil if no upstream accepts the attempt, or if MaxDuration is below the expected
-// latency at that upstream.
+// latency at that upstream. The caller ends the assignment once, with Unassign or RecordOutcome.
 func (p *Pool) Assign(now time.Time, r Requirements) *Assignment {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -234,16 +239,47 @@
 	}
 	assignment := &Assignment{Upstream: best.upstream, member: best, latencyStats: r.LatencyStats, typicalLatency: typical, startedAt: now, fingerprint: r.Fingerprint, waitsInOrder: r.WaitsInOrder}
 	best.running = append(best.running, assignment)
-	best.takeTurn(now)
+	assignment.turn = best.takeTurn(now)
+	p.held++
 	return assignment
 }
 
+// Held returns the number of assignments that have not ended.
+func (p *Pool) Held() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held
+}
+
+// end ends an assignment. It reports false if the assignment has ended before. The caller holds p.mu.
+func (p *Pool) end(a *Assignment) bool {
+	if a.hasEnded {
+		return false
+	}
+	a.hasEnded = true
+	p.held--
+	a.member.remove(a)
+	return true
+}
+
 // Unassign cancels an assignment whose attempt has not started.
 func (p *Pool) Unassign(assignment *Assignment) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	assignment.member.remove(assignment)
-	assignment.member.giveBackTurn()
+	isFirst := p.end(assignment)
+	if isFirst {
+		assignment.turn.giveBack()
+	}
+	p.mu.Unlock()
+	p.checkEnd(assignment, isFirst)
+}
+
+// checkEnd records a violation if an assignment had ended before. The caller does not hold p.mu: the
+// Recorder may block.
+func (p *Pool) checkEnd(a *Assignment, isFirst bool) {
+	if isFirst {
+		return
+	}
+	p.Recorder.Check(false, invariant.EndedOnce, "assignment at upstream %s", a.Upstream.ID())
 }
 
 // RecordEnd records that an upstream has ended without notice. It returns the recent
@@ -268,9 +304,18 @@
 // upstream has ended, it returns the same as RecordEnd.
 func (p *Pool) RecordOutcome(now time.Time, assignment *Assignment, o upstream.Outcome) []Crash {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	isFirst := p.end(assignment)
+	var crashes []Crash
+	if isFirst {
+		crashes = p.recordOutcome(now, assignment, o)
+	}
+	p.mu.Unlock()
+	p.checkEnd(assignment, isFirst)
+	return crashes
+}
+
+func (p *Pool) recordOutcome(now time.Time, assignment *Assignment, o upstream.Outcome) []Crash {
 	m := assignment.member
-	m.remove(assignment)
 	if o.ConnectDuration > 0 {
 		p.connectDuration += time.Duration(connectWeight * float64(o.ConnectDuration-p.connectDuration))
 	}
@@ -341,7 +386,7 @@
 			return p.unanswered.end(now, m.upstream)
 		}
 	case upstream.Unreachable:
-		m.giveBackTurn()
+		assignment.turn.giveBack()
 		if !o.AtConnectionLimit && !o.ConnectAborted && !m.isUnreachable {
 			m.recordUnreachable(now)
 		}
--- a/internal/pool/reservations.go
+++ b/internal/pool/reservations.go
@@ -56,6 +56,24 @@
 	return reserved.turn, ok
 }
 
+// Maintain gives back the turns of searches whose period has ended.
+func (t *Reservations) Maintain(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+}
+
+// Held returns how many turns are reserved.
+func (t *Reservations) Held() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	held := 0
+	for _, s := range t.searches {
+		held += len(s.turns)
+	}
+	return held
+}
+
 // reserveAll reserves turns at shards, or none if fewer than required have one.
 func reserveAll(now time.Time, shards map[string]*Pool, required int, r Requirements) map[string]reservedTurn {
 	turns := make(map[string]reservedTurn, len(shards))
