--- a/internal/dispatch/stop_test.go
+++ b/internal/dispatch/stop_test.go
@@ -126,7 +126,9 @@
 				if test.answeredAfter >= 0 {
 					c.Check(took, qt.Equals, test.answeredAfter)
 				}
+				d.upstreams.mu.Lock()
 				c.Check(len(d.upstreams.attemptOrder) > 0, qt.Equals, test.arrives)
+				d.upstreams.mu.Unlock()
 				if test.suspect {
 					c.Check(guard.testResults, qt.DeepEquals, []quarantine.TestResult{quarantine.TestNotRun})
 				}
