A reply of a host that ends right after it is not lost

Cause: at the host that asks, not at the one that stops. drpc closes a call once it has the reply; if the connection ends in that moment, the close fails with "context canceled" and the call with it, and the reply that was received is thrown away. Evidence: with times written at each step, the stopping host had sent the reply without an error 30 us before its context ended, in the play that failed (1 of 72).

Ruled out: that the stopping host cancels before drpc has sent the reply (what the list suspected: the reply was flushed by then), its 100 ms limit for replies (not reached), unread bytes that reset the connection.

Change: a call whose reply was decoded has succeeded; a connection that ended meanwhile is not kept.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -263,7 +263,8 @@
 	if err != nil {
 		return zero, &CallError{Address: address, Err: err}
 	}
-	reply, err := call(ctx, conn)
+	replies := &replyConn{Conn: conn}
+	reply, err := call(ctx, replies)
 	if err != nil {
 		_ = conn.Close()
 		// A call that the caller cancelled says nothing about the other connections.
@@ -272,6 +273,10 @@
 		}
 		return zero, &CallError{Address: address, Sent: true, Err: err}
 	}
+	if replies.hasEnded {
+		_ = conn.Close()
+		return reply, nil
+	}
 	c.release(address, conn)
 	return reply, nil
 }
