One request that hangs does not have others refused in a stop

Callers saw: for a whole stop all requests of a route refused (503, not run) if one request of the route had run into its timeout in the last 10 to 20 s, or was still unanswered, however many others were served meanwhile. True refusals, but each costs its caller one of few tries.

Cause: how long a request is expected to take was the longest time to any answer, also to "no answer", and the age of the oldest request in flight. A request that hangs says nothing of how long others take, and would hang at any host.

While upstreams are silent, none is: new requests are refused as before. A longest answer that was served still counts for all, as a request that must not run twice would be cut.

Evidence: TestOneHangingRequestRefusesNoOthersInAStop fails before in three of its six checks. Ruled out: a quantile in place of the longest answer: one order in twenty would be cut after it has run, to save the others a try.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -156,7 +156,7 @@
 func (d *Dispatcher) Run(ctx context.Context, request *Request, route *routing.Route, version uint64) Answer {
 	f := newInFlightRequest(d, request, route)
 	answer := f.run(ctx)
-	if !answer.NotRun {
+	if answer.Reason == ReasonNone {
 		f.latencyStats.RecordAnswer(time.Now(), time.Since(f.startedAt), f.queueWait)
 	}
 	d.OnFinish(Summary{
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -14,6 +14,11 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 )
 
+// minAnswersPerOverdue is how many requests of a route must have been answered since for each one in
+// flight that is overdue, so that others are not expected to take as long. One that hangs would do so at
+// any host.
+const minAnswersPerOverdue = 20
+
 // A Stop tells when the host stops. It is safe for concurrent use.
 type Stop interface {
 	// Begun returns a channel that is closed when the stop begins.
@@ -22,9 +27,9 @@
 	Schedule() (shutdown.Schedule, bool)
 	// Context returns a context that ends when what is in flight is cancelled.
 	Context() context.Context
-	// OldestAge returns for how long the oldest request of a route has been in flight, without waits
-	// at upstreams.
-	OldestAge(now time.Time, route *routing.Route) time.Duration
+	// Overdue returns how many requests of a route have been in flight for longer than expected, without
+	// waits at upstreams, and for how long the oldest one has.
+	Overdue(now time.Time, route *routing.Route, expected time.Duration) (count int, oldest time.Duration)
 }
 
 // A StopEstimate is what decides whether a request can be answered before its host has stopped.
@@ -61,8 +66,8 @@
 
 // expectedDuration returns how long a request of a route takes. A request that may be repeated is
 // expected to take as long as most attempts: if it does not end, its caller sends it elsewhere. Any
-// other takes as long as the longest recent one, or as the operator allows if there was none. While
-// upstreams are silent, requests in flight show it; a search is answered without these.
+// other takes as long as the longest recent one that was served, or as the operator allows if there was
+// none. While upstreams are silent, requests in flight show it; a search is answered without these.
 func (d *Dispatcher) expectedDuration(now time.Time, route *routing.Route) time.Duration {
 	stats := d.LatencyStats(route)
 	expected := stats.HighLatency()
@@ -75,7 +80,11 @@
 	if route.Gathers() {
 		return expected
 	}
-	return max(expected, d.Stop.OldestAge(now, route))
+	count, oldest := d.Stop.Overdue(now, route, expected)
+	if stats.AnswersAfter(now, now.Add(-oldest)) >= minAnswersPerOverdue*count {
+		return expected
+	}
+	return oldest
 }
 
 func (d *Dispatcher) schedule() (shutdown.Schedule, bool) {
--- a/internal/dispatch/stop_test.go
+++ b/internal/dispatch/stop_test.go
@@ -32,7 +32,12 @@
 
 func (s *fakeStop) Context() context.Context { return s.ctx }
 
-func (s *fakeStop) OldestAge(time.Time, *routing.Route) time.Duration { return s.oldest }
+func (s *fakeStop) Overdue(_ time.Time, _ *routing.Route, expected time.Duration) (count int, oldest time.Duration) {
+	if s.oldest <= expected {
+		return 0, 0
+	}
+	return 1, s.oldest
+}
 
 func (s *fakeStop) Schedule() (shutdown.Schedule, bool) {
 	select {
@@ -163,3 +168,38 @@
 		}
 	})
 }
+
+// TestOneHangingRequestRefusesNoOthersInAStop guards against a stopping host that refuses all requests of a
+// route because one is not answered.
+func TestOneHangingRequestRefusesNoOthersInAStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, idempotent := range []bool{true, false} {
+			c := qt.New(t)
+			hangs := false
+			d := newTestDispatcher(singleRoute(idempotent), func(id string, _ int, _ *upstream.Attempt) reaction {
+				r := responds(id)
+				r.isSilent = hangs
+				return r
+			})
+			s := d.stopAfter(time.Hour)
+			serve := func(count int) {
+				for range count {
+					d.runRequest(context.Background())
+					time.Sleep(runDuration)
+				}
+			}
+			serve(100)
+			hangs = true
+			answer, _ := d.runRequest(context.Background())
+			c.Check(answer.Status, qt.Equals, http.StatusGatewayTimeout)
+			c.Check(d.expectedDuration(time.Now(), d.route) <= 2*runDuration, qt.IsTrue, qt.Commentf("after a request without an answer"))
+			// One that is still in flight, first while others are answered, then while none is.
+			hangs, s.oldest = false, 3*time.Second
+			serve(300)
+			c.Check(d.expectedDuration(time.Now(), d.route) <= 2*runDuration, qt.IsTrue, qt.Commentf("while a request hangs"))
+			time.Sleep(3 * time.Second)
+			c.Check(d.expectedDuration(time.Now(), d.route), qt.Equals, s.oldest)
+			d.Group.Wait()
+		}
+	})
+}
--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -53,9 +53,9 @@
 // Context implements dispatch.Stop.
 func (s *stop) Context() context.Context { return s.ctx }
 
-// OldestAge implements dispatch.Stop.
-func (s *stop) OldestAge(now time.Time, route *routing.Route) time.Duration {
-	return shutdown.OldestAge(now, s.requests.List(), route)
+// Overdue implements dispatch.Stop.
+func (s *stop) Overdue(now time.Time, route *routing.Route, expected time.Duration) (count int, oldest time.Duration) {
+	return shutdown.Overdue(now, s.requests.List(), route, expected)
 }
 
 // Schedule implements dispatch.Stop.
--- a/internal/pool/latencystats.go
+++ b/internal/pool/latencystats.go
@@ -44,7 +44,7 @@
 	// baseline is the smoothed median as of baselineAt; zero until there is a median.
 	baseline   time.Duration
 	baselineAt time.Time
-	answers    answerWindows
+	answers    recentAnswers
 	// work is a moving average of how long upstreams work on an attempt; zero until there is one.
 	work time.Duration
 }
--- a/internal/shutdown/request.go
+++ b/internal/shutdown/request.go
@@ -88,16 +88,20 @@
 	return c
 }
 
-// OldestAge returns for how long the oldest request of a route has been in flight, without waits at
-// upstreams.
-func OldestAge(now time.Time, requests []*Request, route *routing.Route) time.Duration {
-	oldest := time.Duration(0)
+// Overdue returns how many requests of a route have been in flight for longer than expected, without
+// waits at upstreams, and for how long the oldest one has; zero if none has.
+func Overdue(now time.Time, requests []*Request, route *routing.Route, expected time.Duration) (count int, oldest time.Duration) {
 	for _, r := range requests {
-		if o := r.route.Load(); o != nil && o.Name() == route.Name() {
-			oldest = max(oldest, r.age(now))
+		o := r.route.Load()
+		if o == nil || o.Name() != route.Name() {
+			continue
+		}
+		if age := r.age(now); age > expected {
+			count++
+			oldest = max(oldest, age)
 		}
 	}
-	return oldest
+	return count, oldest
 }
 
 // String returns the name of the phase, as it is logged.
