A stopping host learns from others how long requests take

Cause: without an answer of its own the host takes the route's timeout, 10 s, for the duration.

The longest of all counts; a route that nobody knows is refused as before.

Evidence: TestStoppingHostKnowsFromOthersHowLongRequestsTake fails before.

--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -27,6 +27,9 @@
 	Schedule() (shutdown.Schedule, bool)
 	// Context returns a context that ends when what is in flight is cancelled.
 	Context() context.Context
+	// LongestElsewhere returns the longest time to an answer of a route that other hosts told of;
+	// zero if they told of none.
+	LongestElsewhere(route *routing.Route) time.Duration
 	// Overdue returns how many requests of a route have been in flight for longer than expected, without
 	// waits at upstreams, and for how long the oldest one has.
 	Overdue(now time.Time, route *routing.Route, expected time.Duration) (count int, oldest time.Duration)
@@ -66,13 +69,13 @@
 
 // expectedDuration returns how long a request of a route takes. A request that may be repeated is
 // expected to take as long as most attempts: if it does not end, its caller sends it elsewhere. Any
-// other takes as long as the longest recent one that was served, or as the operator allows if there was
-// none. While upstreams are silent, requests in flight show it; a search is answered without these.
+// other takes as long as the longest recent one that was served here or elsewhere, or as the operator
+// allows if there was none. While upstreams are silent, requests in flight show it; a search is answered without these.
 func (d *Dispatcher) expectedDuration(now time.Time, route *routing.Route) time.Duration {
 	stats := d.LatencyStats(route)
 	expected := stats.HighLatency()
 	if !route.Idempotent() {
-		expected = stats.LongestAnswer(now)
+		expected = max(stats.LongestAnswer(now), d.Stop.LongestElsewhere(route))
 		if expected == 0 {
 			return route.Timeout()
 		}
--- a/internal/dispatch/stop_test.go
+++ b/internal/dispatch/stop_test.go
@@ -24,6 +24,8 @@
 	ctx      context.Context
 	schedule shutdown.Schedule
 	oldest   time.Duration
+	// elsewhere is what other hosts tell.
+	elsewhere time.Duration
 }
 
 var _ Stop = (*fakeStop)(nil)
@@ -32,6 +34,8 @@
 
 func (s *fakeStop) Context() context.Context { return s.ctx }
 
+func (s *fakeStop) LongestElsewhere(*routing.Route) time.Duration { return s.elsewhere }
+
 func (s *fakeStop) Overdue(_ time.Time, _ *routing.Route, expected time.Duration) (count int, oldest time.Duration) {
 	if s.oldest <= expected {
 		return 0, 0
@@ -158,12 +162,17 @@
 				unknown = timeout
 			}
 			c.Check(d.expectedDuration(now, d.route), qt.Equals, unknown)
+			s.elsewhere = 20 * time.Millisecond
+			if !idempotent {
+				c.Check(d.expectedDuration(now, d.route), qt.Equals, s.elsewhere)
+			}
 			d.LatencyStats(d.route).RecordAnswer(now, 30*time.Millisecond, 0)
 			if !idempotent {
 				c.Check(d.expectedDuration(now, d.route), qt.Equals, 30*time.Millisecond)
 			}
 			s.oldest = 250 * time.Millisecond
 			c.Check(d.expectedDuration(now, d.route), qt.Equals, s.oldest)
+			s.elsewhere = 0
 			c.Check(d.expectedDuration(now.Add(time.Minute), d.route), qt.Equals, max(unknown, s.oldest))
 		}
 	})
--- a/internal/host/stop.go
+++ b/internal/host/stop.go
@@ -34,6 +34,8 @@
 	cancel context.CancelFunc
 	// requests are the requests of callers and the attempts for other hosts in flight.
 	requests work.Registry[shutdown.Request]
+	// answerTimes is what other hosts told when the stop began.
+	answerTimes shutdown.AnswerTimes
 
 	mu     sync.Mutex
 	pauses shutdown.PauseDetector
@@ -53,6 +55,11 @@
 // Context implements dispatch.Stop.
 func (s *stop) Context() context.Context { return s.ctx }
 
+// LongestElsewhere implements dispatch.Stop.
+func (s *stop) LongestElsewhere(route *routing.Route) time.Duration {
+	return s.answerTimes.Longest(route.Name())
+}
+
 // Overdue implements dispatch.Stop.
 func (s *stop) Overdue(now time.Time, route *routing.Route, expected time.Duration) (count int, oldest time.Duration) {
 	return shutdown.Overdue(now, s.requests.List(), route, expected)
@@ -122,6 +129,7 @@
 	schedule, _ := h.stop.Schedule()
 	h.logInFlight("stop begins")
 	h.group.Go(func() { h.fleet.Leave(ctx) })
+	h.group.Go(func() { h.askAnswerTimes(ctx) })
 	work.Sleep(ctx, time.Until(schedule.AcceptUntil()))
 	h.logInFlight("host stops accepting requests")
 	h.logEach("request in flight as the host stops accepting requests")
--- a/internal/host/stop_test.go
+++ b/internal/host/stop_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/routing"
 	"github.com/foxtailshelf/foxtailshelf/internal/shutdown"
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
 )
@@ -55,3 +56,44 @@
 	}
 	c.Check(Settings{GraceSeconds: 6, MaxAddressTTLSeconds: 5}.AddressTTL(), qt.Equals, 1500*time.Millisecond)
 }
+
+// TestStoppingHostKnowsFromOthersHowLongRequestsTake guards against a host that refuses all requests of a
+// route in its stop because it has not answered one lately.
+func TestStoppingHostKnowsFromOthersHowLongRequestsTake(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newTestFleet()
+		spec := func(name string, idempotent bool) routing.RouteSpec {
+			return routing.RouteSpec{
+				Name: name, Host: "h", Prefix: "/" + name + "/", Idempotent: idempotent, Timeout: 10 * time.Second, LatencyTarget: time.Second,
+				Destinations: []routing.Destination{{Service: "s", Weight: 1}},
+			}
+		}
+		f.routes = []routing.RouteSpec{spec("order", false), spec("unused", false), spec("lookup", true)}
+		f.put(tableKey, "1")
+		addresses := f.startHosts(7)
+		defer f.stopAll()
+		time.Sleep(5 * time.Second)
+		stopping := f.hosts[addresses[0]]
+		for i, longest := range []time.Duration{0, 700 * time.Millisecond, 2 * time.Second, 300 * time.Millisecond} {
+			h := f.hosts[addresses[i]].host
+			if longest > 0 {
+				h.routeLatencyStats(h.Table().Match("h", "/order/")).RecordAnswer(time.Now(), longest, 0)
+			}
+		}
+		stopping.host.Settings.GraceSeconds = 6
+		stopping.group.Go(func() { stopping.host.Leave(context.Background()) })
+		time.Sleep(100 * time.Millisecond)
+		accepts := func(path string) bool {
+			return stopping.host.dispatcher.CanEndBeforeStop(time.Now(), stopping.host.Table().Match("h", path))
+		}
+		c.Check(accepts("/order/"), qt.IsTrue)
+		c.Check(accepts("/lookup/"), qt.IsTrue)
+		c.Check(accepts("/unused/"), qt.IsFalse)
+		// Orders take up to 2 s, and the answers are due 5.4 s after the begin of the stop.
+		time.Sleep(3400 * time.Millisecond)
+		c.Check(accepts("/order/"), qt.IsFalse)
+		c.Check(accepts("/lookup/"), qt.IsTrue)
+	})
+}
--- a/internal/membership/fleet.go
+++ b/internal/membership/fleet.go
@@ -3,6 +3,7 @@
 package membership
 
 import (
+	"cmp"
 	"context"
 	"math/bits"
 	"math/rand/v2"
@@ -237,6 +238,17 @@
 	return others
 }
 
+// LargestOthers returns the other members that are alive, at most count, the largest first. Members
+// of the same capacity are in an order that differs between hosts.
+func (f *Fleet) LargestOthers(count int) []roster.Member {
+	others := slices.DeleteFunc(f.otherOwners(), func(m roster.Member) bool { return m.State() != roster.Alive })
+	order := func(m roster.Member) uint64 { return xxhash.Sum64String(f.Self.Host() + " " + m.Host()) }
+	slices.SortFunc(others, func(a, b roster.Member) int {
+		return cmp.Or(cmp.Compare(b.Capacity(), a.Capacity()), cmp.Compare(order(a), order(b)))
+	})
+	return others[:min(count, len(others))]
+}
+
 // rank returns the position of this host among the members that are alive, in
 // an order that is the same on all hosts.
 func (f *Fleet) rank() int {
--- a/internal/peer/hosts.go
+++ b/internal/peer/hosts.go
@@ -28,6 +28,8 @@
 	TestRun(ctx context.Context, address string, request *wire.TestRunRequest) (*wire.TestRunReply, error)
 	// CheckUpstream asks whether an upstream runs.
 	CheckUpstream(ctx context.Context, address string, request *wire.CheckUpstreamRequest) (*wire.CheckUpstreamReply, error)
+	// AnswerTimes asks how long requests have recently taken.
+	AnswerTimes(ctx context.Context, address string, request *wire.AnswerTimesRequest) (*wire.AnswerTimesReply, error)
 	// IssueTokens asks for tokens for requests of a client account.
 	IssueTokens(ctx context.Context, address string, request *wire.IssueTokensRequest) (*wire.IssueTokensReply, error)
 }
@@ -40,6 +42,7 @@
 	TestRun(ctx context.Context, request *wire.TestRunRequest) (*wire.TestRunReply, error)
 	CheckUpstream(ctx context.Context, request *wire.CheckUpstreamRequest) (*wire.CheckUpstreamReply, error)
 	IssueTokens(ctx context.Context, request *wire.IssueTokensRequest) (*wire.IssueTokensReply, error)
+	AnswerTimes(ctx context.Context, request *wire.AnswerTimesRequest) (*wire.AnswerTimesReply, error)
 }
 
 // A HostClient is the HostTransport over drpc.
@@ -50,6 +53,13 @@
 // NewHostClient returns a HostClient without connections.
 func NewHostClient() *HostClient { return &HostClient{client: NewGateClient()} }
 
+// AnswerTimes implements HostTransport.
+func (c *HostClient) AnswerTimes(ctx context.Context, address string, request *wire.AnswerTimesRequest) (*wire.AnswerTimesReply, error) {
+	return callWithTimeout(ctx, c.client, address, func(ctx context.Context, conn drpc.Conn) (*wire.AnswerTimesReply, error) {
+		return wire.NewDRPCHostClient(conn).AnswerTimes(ctx, request)
+	})
+}
+
 // CheckUpstream implements HostTransport.
 func (c *HostClient) CheckUpstream(ctx context.Context, address string, request *wire.CheckUpstreamRequest) (*wire.CheckUpstreamReply, error) {
 	return callWithTimeout(ctx, c.client, address, func(ctx context.Context, conn drpc.Conn) (*wire.CheckUpstreamReply, error) {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -130,6 +130,15 @@
 	return nil
 }
 
+// Routes returns all routes in no order.
+func (t *Table) Routes() []*Route {
+	var routes []*Route
+	for _, list := range t.byHost {
+		routes = append(routes, list...)
+	}
+	return routes
+}
+
 // Service returns the service with a name; the zero value if the name is unknown.
 func (t *Table) Service(name string) ServiceSpec { return t.services[name] }
 
