Waits at upstreams are worked out for routes with one upstream only

Nothing depends on them for searches, which are answered without late parts; attempts of searches cost no closure and no simulation of queues under load. The clock is read for the stop only while the host stops.

--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -161,7 +161,7 @@
 func (f *inFlightRequest) requirements(p *part, maxDuration time.Duration) pool.Requirements {
 	avoidsOwnLinks, avoidedDataCenter := f.doubtedLinks(p)
 	return pool.Requirements{
-		BeginBy: f.upstreamBeginBy(time.Now()), LatencyStats: f.latencyStats, Fingerprint: f.fingerprint, TriedUpstreams: p.tried, MaxDuration: maxDuration,
+		BeginBy: f.upstreamBeginBy(), LatencyStats: f.latencyStats, Fingerprint: f.fingerprint, TriedUpstreams: p.tried, MaxDuration: maxDuration,
 		IsLastAttempt: p.ran+1 >= f.route.MaxAttempts() || !f.route.Idempotent(), IsOptional: f.isOutranked() || p.running > 0,
 		AvoidsOwnLinks: avoidsOwnLinks, AvoidedDataCenter: avoidedDataCenter, WaitsInOrder: f.request.Account != nil, LeavesRoom: f.leavesRoom || p.running > 0,
 	}
@@ -256,7 +256,7 @@
 			Fingerprint: f.fingerprint, TriedUpstreams: slices.Clone(p.tried), IsLastAttempt: requirements.IsLastAttempt, IsTestRun: f.isTesting,
 		}
 	}
-	if f.request.InFlight != nil {
+	if f.request.InFlight != nil && !f.route.Gathers() {
 		f.request.InFlight.AddWait(func(now time.Time) time.Duration { return p.pool.WaitSoFar(now, assignment) })
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -129,12 +129,12 @@
 
 // upstreamBeginBy returns by when an upstream has to begin an attempt because the host stops; zero if it
 // does not matter. Searches can do without late parts.
-func (f *inFlightRequest) upstreamBeginBy(now time.Time) time.Time {
+func (f *inFlightRequest) upstreamBeginBy() time.Time {
 	schedule, stopping := f.dispatcher.schedule()
 	if !stopping || f.route.Gathers() || f.goesOnInStop() {
 		return time.Time{}
 	}
-	return schedule.BeginBy(f.dispatcher.expectedDuration(now, f.route))
+	return schedule.BeginBy(f.dispatcher.expectedDuration(time.Now(), f.route))
 }
 
 // goesOnInStop reports whether the request goes on until the host has to answer it, even if it is not
--- a/internal/pool/assignment.go
+++ b/internal/pool/assignment.go
@@ -79,7 +79,8 @@
 	// typicalLatency is as of startedAt.
 	typicalLatency time.Duration
 	startedAt      time.Time
-	// expectedWait is how long the attempt was expected to wait for a slot of the upstream, and
+	// expectedWait is how long the attempt was expected to wait for a slot of the upstream (zero for
+	// gathered answers, where nothing depends on it), and
 	// earliestBegin is before when it has not got one. The latter is not before startedAt.
 	expectedWait  time.Duration
 	earliestBegin time.Time
--- a/internal/pool/backlog.go
+++ b/internal/pool/backlog.go
@@ -29,12 +29,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r.BeginBy = time.Time{}
-	work, shortest, found := r.LatencyStats.Work(), time.Duration(0), false
+	shortest, found := time.Duration(0), false
 	for _, m := range p.usableMembers(now, r) {
 		if !p.acceptsAttempt(now, m, r, inventory.InService) {
 			continue
 		}
-		if wait := m.queueWait(now, work); !found || wait < shortest {
+		if wait := m.queueWait(now, r.LatencyStats); !found || wait < shortest {
 			shortest, found = wait, true
 		}
 	}
@@ -63,12 +63,12 @@
 
 // beginsInTime reports whether a member begins an attempt soon enough.
 func (m *member) beginsInTime(now time.Time, r Requirements) bool {
-	return r.BeginBy.IsZero() || !now.Add(m.queueWait(now, r.LatencyStats.Work())).After(r.BeginBy)
+	return r.BeginBy.IsZero() || !now.Add(m.queueWait(now, r.LatencyStats)).After(r.BeginBy)
 }
 
 // queueWait returns how long an attempt that is sent now waits for a slot. Attempts of other hosts
-// are known from the last response; they are expected to take as long as work.
-func (m *member) queueWait(now time.Time, work time.Duration) time.Duration {
+// are known from the last response; they are expected to take as long as those of the class s.
+func (m *member) queueWait(now time.Time, s *LatencyStats) time.Duration {
 	slots := m.slots()
 	if len(m.running)+m.foreignLoad < slots {
 		return 0
@@ -77,8 +77,9 @@
 	for _, a := range m.running {
 		jobs = append(jobs, job{earliestBegin: a.earliestBegin, work: a.latencyStats.Work(), isInFlight: true})
 	}
+	foreignWork := s.Work()
 	for range m.foreignLoad {
-		jobs = append(jobs, job{earliestBegin: m.loadAt, work: work})
+		jobs = append(jobs, job{earliestBegin: m.loadAt, work: foreignWork})
 	}
 	return freeSlotDelay(now, jobs, slots)
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -235,7 +235,9 @@
 	}
 	assignment := &Assignment{
 		Upstream: best.upstream, member: best, latencyStats: r.LatencyStats, typicalLatency: typical, startedAt: now, earliestBegin: now, fingerprint: r.Fingerprint, waitsInOrder: r.WaitsInOrder,
-		expectedWait: best.queueWait(now, r.LatencyStats.Work()),
+	}
+	if !r.LatencyStats.isGather {
+		assignment.expectedWait = best.queueWait(now, r.LatencyStats)
 	}
 	best.running = append(best.running, assignment)
 	assignment.turn = best.takeTurn(now)
