Recent answers are numbered by the steady clock

A step of the time of day would have kept answers for longer, or forgotten them all, so that a stopping host refuses routes that it knows.

--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -70,7 +70,8 @@
 // expectedDuration returns how long a request of a route takes. A request that may be repeated is
 // expected to take as long as most attempts: if it does not end, its caller sends it elsewhere. Any
 // other takes as long as the longest recent one that was served here or elsewhere, or as the operator
-// allows if there was none. While upstreams are silent, requests in flight show it; a search is answered without these.
+// allows if there was none. While upstreams are silent, requests in flight show it; a search is
+// answered without these.
 func (d *Dispatcher) expectedDuration(now time.Time, route *routing.Route) time.Duration {
 	stats := d.LatencyStats(route)
 	expected := stats.HighLatency()
--- a/internal/pool/answers.go
+++ b/internal/pool/answers.go
@@ -5,33 +5,47 @@
 // answerSeconds is how many seconds answers are kept, the current one included.
 const answerSeconds = 11
 
-// recentAnswers holds the answers of the last seconds.
+// recentAnswers holds the answers of the last seconds. Steps of the time of day do not matter to it.
 type recentAnswers struct {
-	// seconds holds each second at its Unix time modulo answerSeconds.
+	// startedAt is when the first answer was added. Seconds are numbered from then on, beginning with 1.
+	startedAt time.Time
+	// seconds holds each second at its number modulo answerSeconds.
 	seconds [answerSeconds]answerSecond
 }
 
 // An answerSecond is what is kept of the answers in one second.
 type answerSecond struct {
-	unix    int64
+	number  int64
 	count   int
 	longest time.Duration
 }
 
 func (a *recentAnswers) add(now time.Time, took time.Duration) {
-	s := &a.seconds[now.Unix()%answerSeconds]
-	if s.unix != now.Unix() {
-		*s = answerSecond{unix: now.Unix()}
+	if a.startedAt.IsZero() {
+		a.startedAt = now
+	}
+	number := a.number(now)
+	s := &a.seconds[number%answerSeconds]
+	if s.number != number {
+		*s = answerSecond{number: number}
 	}
 	s.count++
 	s.longest = max(s.longest, took)
 }
 
+// number returns the number of the second of a time; zero before the first answer.
+func (a *recentAnswers) number(t time.Time) int64 {
+	if t.Before(a.startedAt) {
+		return 0
+	}
+	return 1 + int64(t.Sub(a.startedAt)/time.Second)
+}
+
 // after returns the number of answers, and the longest one, in the seconds that began after a time.
 func (a *recentAnswers) after(now, at time.Time) (count int, longest time.Duration) {
-	first := max(at.Unix(), now.Unix()-answerSeconds) + 1
+	first := max(a.number(at), a.number(now)-answerSeconds) + 1
 	for _, s := range a.seconds {
-		if s.unix >= first {
+		if s.number >= first {
 			count += s.count
 			longest = max(longest, s.longest)
 		}
@@ -60,7 +74,7 @@
 func (s *LatencyStats) LongestAnswer(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, longest := s.answers.after(now, time.Time{})
+	_, longest := s.answers.after(now, now.Add(-answerSeconds*time.Second))
 	return longest
 }
 
