--- a/internal/host/fleet_test.go
+++ b/internal/host/fleet_test.go
@@ -369,16 +369,6 @@
 	return h.CheckUpstream(ctx, r)
 }
 
-func (p simulatedNetwork) AnswerTimes(ctx context.Context, address string, r *wire.AnswerTimesRequest) (*wire.AnswerTimesReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	h, err := p.connect(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	return h.AnswerTimes(ctx, r)
-}
-
 func (p simulatedNetwork) IssueTokens(ctx context.Context, address string, r *wire.IssueTokensRequest) (*wire.IssueTokensReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/host/stop_test.go
+++ b/internal/host/stop_test.go
@@ -57,6 +57,16 @@
 	c.Check(Settings{GraceSeconds: 6, MaxAddressTTLSeconds: 5}.AddressTTL(), qt.Equals, 1500*time.Millisecond)
 }
 
+func (p simulatedNetwork) AnswerTimes(ctx context.Context, address string, r *wire.AnswerTimesRequest) (*wire.AnswerTimesReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	h, err := p.connect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return h.AnswerTimes(ctx, r)
+}
+
 // TestStoppingHostKnowsFromOthersHowLongRequestsTake guards against a host that refuses all requests of a
 // route in its stop because it has not answered one lately.
 func TestStoppingHostKnowsFromOthersHowLongRequestsTake(t *testing.T) {
