--- a/review/7/standin/main.go
+++ b/review/7/standin/main.go
@@ -18,6 +18,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -128,6 +129,7 @@
 		leafs: make(map[string]*leaf), sentTo: make(map[string]*host), reached: make(map[string]time.Time),
 	}
 	defer p.end()
+	p.endOnSignal()
 	if err := p.start(); err != nil {
 		return 2, err
 	}
@@ -337,6 +339,20 @@
 	}
 }
 
+// endOnSignal ends all processes if this one is told to end.
+func (p *play) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		for _, h := range p.hosts {
+			h.kill()
+		}
+		_ = os.RemoveAll(p.dir)
+		os.Exit(2)
+	}()
+}
+
 // An answer is what a client got; its status is zero if there was no complete answer.
 type answer struct {
 	status     int
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of the second review start. Its only case is a day for the
-# bench, which starts none.
+# Builds the stand-ins that the scripts of the second review start, into target/. The hosts come from
+# the build of the deploy file. Case 6 is a day for the bench, which starts none.
 set -eu
-exit 0
+cd "$(dirname "$0")/.."
+go build -tags review -o target/review-7-standin ./review/7/standin
