review: the hosts of case 7 have loopback addresses of their own

Cause: one of six plays at once could not run (exit code 2): a host did not find its port free, as the stand-in took ports from the range from which the system gives them out to connections.

--- a/review/7/standin/main.go
+++ b/review/7/standin/main.go
@@ -182,13 +182,14 @@
 	})
 	p.store.put("op/config", configuration, 0)
 	for n := range hostCount {
-		h, err := newHost(p, n)
+		h, err := newHost(n)
 		if err != nil {
 			return err
 		}
 		p.hosts = append(p.hosts, h)
 	}
 	for _, h := range p.hosts {
+		h.settings = filepath.Join(p.dir, h.name+".jsonc")
 		if err := h.configure(p); err != nil {
 			return err
 		}
@@ -395,7 +396,7 @@
 
 // A host is one machine of the system with one process.
 type host struct {
-	name, ip, zone                           string
+	name, zone                               string
 	front, ready, control, directory, metric string
 	settings                                 string
 
@@ -408,27 +409,33 @@
 
 type life struct{ from, to time.Time }
 
-func newHost(p *play, n int) (*host, error) {
-	h := &host{name: fmt.Sprintf("frontend-%d", n+1), ip: "127.0.0.1", zone: fmt.Sprintf("fi-south-%c", 'a'+rune(n%3))}
-	h.settings = filepath.Join(p.dir, h.name+".jsonc")
-	for _, address := range []*string{&h.front, &h.ready, &h.control, &h.directory, &h.metric} {
-		a, err := freeAddress(h.ip)
-		if err != nil {
-			return nil, err
+// newHost returns the host on machine n, with a loopback address of its own, so that no connection of
+// another process takes its ports while it is restarted. The ports are those of the pages' example.
+func newHost(n int) (*host, error) {
+	h := &host{name: fmt.Sprintf("frontend-%d", n+1), zone: fmt.Sprintf("fi-south-%c", 'a'+rune(n%3))}
+	const tries = 200
+	for try := range tries {
+		number := os.Getpid() + try
+		ip := fmt.Sprintf("127.%d.%d.%d", 64+number/256%64, number%256, n+1)
+		h.front, h.ready, h.control = net.JoinHostPort(ip, "8226"), net.JoinHostPort(ip, "8227"), net.JoinHostPort(ip, "8224")
+		h.directory, h.metric = net.JoinHostPort(ip, "8225"), net.JoinHostPort(ip, "9464")
+		if areFree(h.front, h.ready, h.control, h.directory, h.metric) {
+			return h, nil
 		}
-		*address = a
 	}
-	return h, nil
+	return nil, errors.New("no free loopback address")
 }
 
-// freeAddress returns an address on which nothing listens.
-func freeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
+// areFree reports whether nothing listens at any of the addresses.
+func areFree(addresses ...string) bool {
+	for _, a := range addresses {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return true
 }
 
 // configure writes the settings as the platform makes them from deploy/host.jsonc.tmpl.
