Tests: crowds of clients that don't behave press a host (red)

What callers saw: in a trial of the users, clients that send heads without end, many fields, or large bodies that never end had a process killed for its memory.

TestCrowd starts a fleet of the system's own processes on loopback addresses and presses one host with 96 MB of memory: 1,000 connections of each class, at the address for requests (plain routes, searches and routes that must not repeat in turn) and at the other addresses. It checks that the process lives, that its memory stays under the 96 MB, with and without what its connections have received and not yet read, that it has at most 600 descriptors, and that it answers an ordinary request beside the connections that it has kept open. It checks no times and no share of answers.

The tests measure processes, so they have a build tag and a step of their own in scripts/test.sh, after all others; the check of known red tests covers this step too.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 TOOL = $(GO) tool -modfile=tools.mod
 
-.PHONY: demo test race lint matrix soak soak-processes bench-policy bench-capacity
+.PHONY: demo test crowd race lint matrix soak soak-processes bench-policy bench-capacity
 
 ## demo: runs all programs on loopback with a query and a booking, and stops them; exit code 0 only if all of it worked
 demo:
@@ -11,6 +11,10 @@
 test:
 	scripts/test.sh
 
+## crowd: presses a host with clients that don't behave; nothing else should run beside it
+crowd:
+	$(GO) test ./platform -tags crowd -run '^TestCrowd$$' -count=1 -timeout 15m -v
+
 ## race: runs the short tests of the host program's decisions with the race detector; needs a C compiler
 race:
 	$(GO) test -race -short ./internal/admission ./internal/budget ./internal/dispatch ./internal/inventory ./internal/membership ./internal/mirror ./internal/pool ./internal/quarantine ./internal/reachability ./internal/roster ./internal/routing ./internal/upstream
@@ -19,6 +23,7 @@
 lint:
 	@unformatted=$$($(TOOL) gofumpt -l cmd internal platform | grep -v pb.go); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 	$(GO) vet ./...
+	$(GO) vet -tags crowd ./platform
 	$(TOOL) staticcheck ./...
 
 ## matrix: injects every fault, alone and in pairs, at every injection point
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Runs all tests with fixed seeds. The tests listed in KNOWN-RED.txt, which are printed,
-# may fail, and no others.
+# Runs all tests with fixed seeds, those with crowds of clients last and on their own. The tests
+# listed in KNOWN-RED.txt, which are printed, may fail, and no others.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -8,6 +8,8 @@
 trap 'rm -f "$output"' EXIT
 status=0
 go test ./... -count=1 -timeout 180s "$@" 2>&1 | tee "$output" || status=$?
+# These measure the memory of processes, so nothing runs beside them.
+go test ./platform -tags crowd -run '^TestCrowd$' -count=1 -timeout 15m "$@" 2>&1 | tee -a "$output" || status=$?
 known=$(grep -vE '^(#|$)' KNOWN-RED.txt | cut -d ' ' -f 1 || true)
 if [ -n "$known" ]; then
 	echo "known red, see KNOWN-RED.txt:"
