Callers cannot open more connections than a host has room for

What callers saw: 1,000 connections took 1,024 to 1,109 descriptors of a host that may have 600, and heads or bodies in small pieces 97 to 153 MB of its 96 MB, with what it had received and not read. Connections whose requests never end stayed for as long as their clients liked.

Cause: process.Server accepted all connections, with receive buffers of the system's size, had no bound on the time for a body, and the settings did not state the descriptors of the machine. The limits max_header_bytes, header_timeout_ms and idle_timeout_ms of the configuration were not used.

Change: internal/footprint keeps one account of the connections at all addresses of a process (callers, addresses, readiness, operations), against a third of its memory and half of its descriptors for sockets (max-descriptors, from the deploy template). Each counts for 64 KiB, of which 32 KiB are its receive buffer. When there is no room for a new one, connections end: those first that hold most for longest without a complete request; then idle ones, longest first; then new ones. Requests that run are kept. Whoever had begun a request gets 503 with Retry-After, not run, and half a second to read it. Entries get the same account. Limits of the configuration replace the defaults.

Why it works: what connections cost by their number is bounded by the account, whatever they send, and a crowd that holds on ends before callers who send. No client inside the limits meets it in calm.

--- a/internal/command/entrycmd.go
+++ b/internal/command/entrycmd.go
@@ -28,6 +28,10 @@
 	// addresses. A graceful stop takes at least this long, because callers may use a
 	// cached address until then.
 	AddressTimeToLiveMilliseconds int `json:"address-time-to-live-milliseconds" validate:"min=100,max=600000"`
+	// MemoryMegabytes and MaxDescriptors are the limits of the process; zero for 512 MB and for the limit
+	// that the system states.
+	MemoryMegabytes int `json:"memory-megabytes" validate:"omitempty,min=32,max=1048576"`
+	MaxDescriptors  int `json:"max-descriptors" validate:"omitempty,min=256,max=10000000"`
 }
 
 const entryHelp = `
@@ -46,12 +50,15 @@
 	if err := settings.Load(path, &s); err != nil {
 		return &ExitError{Code: ExitUsage, Err: err}
 	}
-	p := &process.Process{Name: "entry", Host: s.Host, OperationsAddress: s.OperationsListen, LogLevel: s.LogLevel, Settings: s}
+	p := &process.Process{
+		Name: "entry", Host: s.Host, OperationsAddress: s.OperationsListen, LogLevel: s.LogLevel, Settings: s,
+		MemoryBytes: int64(s.MemoryMegabytes) << 20, Descriptors: s.MaxDescriptors,
+	}
 	if err := p.Init(); err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
 	e := newEntry(s, p)
-	return p.Run(e.Run, process.HTTPTask(s.Listen, e.Handler()))
+	return p.Run(e.Run, p.HTTPTask(s.Listen, e.Handler()))
 }
 
 // newEntry returns the entry of a process and sets what the process does with it.
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -32,6 +32,7 @@
 	ReasonUnknownKey         Reason = "unknown-key"
 	ReasonKeyUndecided       Reason = "key-undecided"
 	ReasonStopping           Reason = "stopping"
+	ReasonNoRoom             Reason = "no-room"
 )
 
 // A Reason says why a request failed, or why a part is missing in an answer.
--- a/internal/entry/httpapi.go
+++ b/internal/entry/httpapi.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"hash/maphash"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -13,6 +15,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/footprint"
 	"github.com/foxtailshelf/foxtailshelf/internal/query"
 	"github.com/foxtailshelf/foxtailshelf/internal/roster"
 	"github.com/foxtailshelf/foxtailshelf/internal/shard"
@@ -155,13 +158,29 @@
 }
 
 // readRequest reads a request; once the entry refuses requests, for at most
-// finishReadPeriod.
+// finishReadPeriod. The error wraps footprint.ErrNoRoom if callers make the entry hold too much.
 func (e *Entry) readRequest(w http.ResponseWriter, r *http.Request) (RequestDocument, error) {
 	stopLimit := context.AfterFunc(e.refusing, func() {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(finishReadPeriod))
 	})
 	defer stopLimit()
-	return DecodeRequest(r.Body)
+	connection := footprint.FromContext(r.Context())
+	length := r.ContentLength
+	if length > MaxBodySize {
+		length = -1
+	}
+	data, err := connection.ReadBody(io.LimitReader(r.Body, MaxBodySize+1), length)
+	if err == nil && !connection.BeginRun() {
+		err = footprint.ErrNoRoom
+	}
+	switch {
+	case errors.Is(err, footprint.ErrNoRoom):
+		connection.Linger()
+		return RequestDocument{}, fmt.Errorf("read request: %w", err)
+	case err != nil:
+		return RequestDocument{}, errUnreadable
+	}
+	return decodeDocument(data)
 }
 
 func (e *Entry) handleRequest(w http.ResponseWriter, r *http.Request) {
@@ -170,6 +189,10 @@
 		writeNotReady(w, "body", string(shard.ReasonStopping))
 		return
 	}
+	if errors.Is(err, footprint.ErrNoRoom) {
+		writeNotReady(w, "body", "no room for it")
+		return
+	}
 	if err != nil {
 		writeError(w, err)
 		return
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -89,6 +89,8 @@
 	firstSending bool
 }
 
+var errUnreadable = &InvalidRequestError{Status: statusBadRequest, Field: "body", Problem: "cannot be read"}
+
 // Error implements error.
 func (e *InvalidRequestError) Error() string {
 	return fmt.Sprintf("%s: %s", e.Field, e.Problem)
@@ -97,11 +99,15 @@
 // DecodeRequest reads and validates the JSON document of a request. It rejects
 // unknown fields and trailing data. Its errors are of type *InvalidRequestError.
 func DecodeRequest(r io.Reader) (RequestDocument, error) {
-	var d RequestDocument
 	data, err := io.ReadAll(io.LimitReader(r, MaxBodySize+1))
 	if err != nil {
-		return d, &InvalidRequestError{Status: statusBadRequest, Field: "body", Problem: "cannot be read"}
+		return RequestDocument{}, errUnreadable
 	}
+	return decodeDocument(data)
+}
+
+func decodeDocument(data []byte) (RequestDocument, error) {
+	var d RequestDocument
 	if len(data) > MaxBodySize {
 		return d, &InvalidRequestError{Status: statusTooLarge, Field: "body", Problem: fmt.Sprintf("larger than %d bytes", MaxBodySize)}
 	}
--- /dev/null
+++ b/internal/footprint/footprint_test.go
@@ -0,0 +1,182 @@
+package footprint
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/foxtailshelf/foxtailshelf/internal/work"
+)
+
+const (
+	testMemory      = 24 << 20
+	testDescriptors = descriptorsForFiles + 2*40
+	testTimeout     = 10 * time.Second
+)
+
+// A testServer is an HTTP server whose handler reads bodies as hosts do.
+type testServer struct {
+	c       *qt.C
+	budget  *Budget
+	address string
+	// answer is what handlers answer with once hold is closed.
+	answer []byte
+	hold   chan struct{}
+	// endedAnswers is how many connections were ended that sent an answer.
+	endedAnswers atomic.Int64
+}
+
+func startServer(t *testing.T) *testServer { return startServerWith(t, testMemory, nil) }
+
+// startServerWith is startServer with the memory of the process and the limits.
+func startServerWith(t *testing.T, memory int64, limits func() Limits) *testServer {
+	c := qt.New(t)
+	s := &testServer{c: c, budget: NewBudget(memory, testDescriptors), hold: make(chan struct{})}
+	s.budget.Limits = limits
+	s.budget.OnEnd = func(_ Cause, phase Phase) {
+		if phase == Answer {
+			s.endedAnswers.Add(1)
+		}
+	}
+	listener, err := Listen(context.Background(), "127.0.0.1:0", s.budget)
+	c.Assert(err, qt.IsNil)
+	s.address = listener.Addr().String()
+	server := &http.Server{Handler: s, ConnState: TrackState, ConnContext: NewContext}
+	var group work.Group
+	group.Go(func() { _ = server.Serve(listener) })
+	t.Cleanup(func() {
+		_ = server.Close()
+		group.Wait()
+	})
+	return s
+}
+
+func (s *testServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn := FromContext(r.Context())
+	body, err := conn.ReadBody(r.Body, r.ContentLength)
+	if err != nil || !conn.BeginRun() {
+		conn.Linger()
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if r.URL.Path == "/held" {
+		<-s.hold
+	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(testTimeout))
+	_, _ = fmt.Fprintf(w, "%d %s", len(body), s.answer)
+}
+
+func (s *testServer) dial() net.Conn {
+	conn, err := net.Dial("tcp", s.address)
+	s.c.Assert(err, qt.IsNil)
+	s.c.Assert(conn.SetDeadline(time.Now().Add(testTimeout)), qt.IsNil)
+	s.c.TB.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// open returns a connection on which some text was sent.
+func (s *testServer) open(text string) net.Conn {
+	conn := s.dial()
+	_, err := io.WriteString(conn, text)
+	s.c.Assert(err, qt.IsNil)
+	return conn
+}
+
+// statusOf returns the status of the next answer; 0 if the connection ended without one.
+func statusOf(conn net.Conn) int {
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	return response.StatusCode
+}
+
+func post(path string, length int, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, length, body)
+}
+
+// TestKeptConnectionsOutliveUnfinishedHeads guards against connections that end because of others although they are
+// within the limits.
+func TestKeptConnectionsOutliveUnfinishedHeads(t *testing.T) {
+	s := startServer(t)
+	kept := s.open(post("/", 1, "x"))
+	s.c.Assert(statusOf(kept), qt.Equals, http.StatusOK)
+	running := s.open(post("/held", 1, "x"))
+	for range s.budget.connectionLimit - 2 {
+		s.open("GET / HTTP/1.1\r\n")
+	}
+	time.Sleep(promptPeriod + 100*time.Millisecond)
+	for range s.budget.connectionLimit / 2 {
+		s.open("GET / HTTP/1.1\r\n")
+	}
+	close(s.hold)
+	s.c.Check(statusOf(running), qt.Equals, http.StatusOK)
+	_, err := io.WriteString(kept, post("/", 1, "x"))
+	s.c.Assert(err, qt.IsNil)
+	s.c.Check(statusOf(kept), qt.Equals, http.StatusOK)
+	s.c.Check(statusOf(s.open(post("/", 1, "x"))), qt.Equals, http.StatusOK)
+}
+
+// TestIdleConnectionsMakeRoom guards against idle connections that keep new callers out for good. They end without a
+// byte, as no request of theirs waits.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	s := startServer(t)
+	var idle []net.Conn
+	for range s.budget.connectionLimit {
+		conn := s.open(post("/", 1, "x"))
+		s.c.Assert(statusOf(conn), qt.Equals, http.StatusOK)
+		idle = append(idle, conn)
+	}
+	s.c.Check(statusOf(s.open(post("/", 1, "x"))), qt.Equals, http.StatusOK)
+	rest, err := io.ReadAll(idle[0])
+	s.c.Check(err, qt.IsNil)
+	s.c.Check(rest, qt.HasLen, 0)
+}
+
+// TestHeads checks the refusals of heads that are too long or cost too much, and that a head within the limits is
+// served however many fields it has.
+func TestHeads(t *testing.T) {
+	for _, test := range []struct {
+		name, text string
+		status     int
+	}{
+		{"within the limit", "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 15_000) + "\r\n", http.StatusOK},
+		{"too long", "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 20_000), http.StatusRequestHeaderFieldsTooLarge},
+		{"empty lines", strings.Repeat("\r\n", 100), http.StatusBadRequest},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := startServer(t)
+			s.c.Check(statusOf(s.open(test.text)), qt.Equals, test.status)
+		})
+	}
+}
+
+// TestHeadTimeout guards against heads that are sent for longer than the limit, and against a limit that also applies to
+// what follows the head.
+func TestHeadTimeout(t *testing.T) {
+	s := startServerWith(t, testMemory, func() Limits {
+		return Limits{HeadBytes: 1 << 10, HeadTimeout: 50 * time.Millisecond, IdleTimeout: time.Minute}
+	})
+	slow := s.open("GET / HTTP/1.1\r\n")
+	body := s.open(post("/", 2, "x"))
+	rest, err := io.ReadAll(slow)
+	s.c.Check(err, qt.IsNil)
+	s.c.Check(rest, qt.HasLen, 0)
+	time.Sleep(100 * time.Millisecond)
+	_, err = io.WriteString(body, "x")
+	s.c.Assert(err, qt.IsNil)
+	s.c.Check(statusOf(body), qt.Equals, http.StatusOK)
+}
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -45,6 +45,9 @@
 	LinkMegabits    float64 `json:"link-megabits" validate:"min=0,max=1000000"`
 	LogLevel        string  `json:"log-level" validate:"required,oneof=debug info warning error"`
 	MemoryMegabytes int     `json:"memory-megabytes" validate:"min=32,max=1048576"`
+	// MaxDescriptors is how many descriptors the process may have, 200 of them for files; zero for the
+	// limit that the system states.
+	MaxDescriptors int `json:"max-descriptors" validate:"omitempty,min=256,max=10000000"`
 }
 
 const (
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"log"
+	"math"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -26,6 +27,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/footprint"
 	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
 	"github.com/foxtailshelf/foxtailshelf/internal/logqueue"
 	"github.com/foxtailshelf/foxtailshelf/internal/timeline"
@@ -43,6 +45,9 @@
 	// flight after the tasks have been cancelled.
 	defaultCloseTimeout = 2 * time.Second
 	maxHeaderBytes      = 64 << 10
+	// maxBoundedHeadBytes limits the head of a request whose connection a footprint.Budget bounds. The
+	// limit that applies first is that of the budget.
+	maxBoundedHeadBytes = 1 << 20
 	// operationsTimeout limits the requests to the operations endpoint, CPU profiles included.
 	operationsTimeout = 2 * time.Minute
 	// stopFlushTimeout limits how long a process that ends waits for its standard output. It is part
@@ -52,8 +57,8 @@
 	crashFlushTimeout = 200 * time.Millisecond
 )
 
-// A Process runs the tasks of one program. Name, Host and LogLevel must be set before
-// Init, the other exported fields before Run.
+// A Process runs the tasks of one program. Name, Host, LogLevel, MemoryBytes and Descriptors must be set
+// before Init, the other exported fields before Run.
 type Process struct {
 	Name string
 	Host string
@@ -61,6 +66,10 @@
 	// served.
 	OperationsAddress string
 	LogLevel          string
+	// MemoryBytes and Descriptors are the limits of the process, which bound what callers make it hold;
+	// zero for footprint.DefaultMemoryBytes and for the limit that the system states.
+	MemoryBytes int64
+	Descriptors int
 	// NotReadyReason returns why the process is not ready; empty if it is ready.
 	NotReadyReason func() string
 	// State returns the state that the operations endpoint serves as JSON.
@@ -86,6 +95,7 @@
 	registry *prometheus.Registry
 	timeline *timeline.Ring
 	recorder *invariant.Recorder
+	budget   *footprint.Budget
 }
 
 // A libraryLog logs what libraries write to the standard logger.
@@ -137,9 +147,39 @@
 		p.timeline.Add("violation", "", "%s", v.Error())
 		p.log.WithField("rule", v.Rule).Error(v.Detail)
 	}}
+	p.initBudget()
 	return nil
 }
 
+// initBudget creates the account of what callers make the process hold, and its metrics.
+func (p *Process) initBudget() {
+	descriptors := p.Descriptors
+	var limit syscall.Rlimit
+	if descriptors == 0 && syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil {
+		descriptors = int(min(limit.Cur, math.MaxInt32))
+	}
+	p.budget = footprint.NewBudget(cmp.Or(p.MemoryBytes, footprint.DefaultMemoryBytes), descriptors)
+	ended := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "foxtailshelf_ended_connections_total", Help: "Connections of callers that were ended by this process, by cause and by what they did: idle, head, body, answer.",
+	}, []string{"cause", "phase"})
+	p.budget.OnEnd = func(c footprint.Cause, phase footprint.Phase) { ended.WithLabelValues(string(c), phase.String()).Inc() }
+	p.budget.OnReport = func(r footprint.Report) {
+		fields := logrus.Fields{"held-bytes": r.HeldBytes, "connections": r.Connections}
+		for cause, n := range r.Ended {
+			fields[string(cause)+"-ended"] = n
+		}
+		p.Log().WithFields(fields).Warn("connections of callers ended")
+	}
+	p.registry.MustRegister(ended, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "foxtailshelf_caller_connections", Help: "Open connections of callers, at all addresses.",
+	}, func() float64 { return float64(p.budget.Connections()) }), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "foxtailshelf_caller_held_bytes", Help: "What the connections of callers count for, with their requests and answers.",
+	}, func() float64 { return float64(p.budget.HeldBytes()) }))
+}
+
+// Budget returns the account of what callers make the process hold.
+func (p *Process) Budget() *footprint.Budget { return p.budget }
+
 // Log returns a logger that adds host and process to each line. It never waits for standard output.
 func (p *Process) Log() logrus.FieldLogger { return p.entry() }
 
@@ -175,7 +215,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, ctx := errgroup.WithContext(ctx)
-	operations := &Server{Address: p.OperationsAddress, Handler: p.operationsHandler(), CloseTimeout: p.CloseTimeout, WriteTimeout: operationsTimeout}
+	operations := &Server{
+		Address: p.OperationsAddress, Handler: p.operationsHandler(), Budget: p.budget, CloseTimeout: p.CloseTimeout, WriteTimeout: operationsTimeout,
+	}
 	tasks = append(tasks, operations.Run)
 	if p.Revision != nil {
 		p.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -274,6 +316,8 @@
 	// Address is the address on which Run listens.
 	Address string
 	Handler http.Handler
+	// Budget bounds what the connections that Run accepts hold; nil for no bound.
+	Budget *footprint.Budget
 	// CloseTimeout is how long requests in flight may take once the context has ended; zero for
 	// defaultCloseTimeout.
 	CloseTimeout time.Duration
@@ -282,14 +326,25 @@
 	WriteTimeout time.Duration
 }
 
-// HTTPTask returns a task that listens on an address and serves a handler.
+// HTTPTask returns a task that listens on an address and serves a handler to callers.
+func (p *Process) HTTPTask(address string, handler http.Handler) Task {
+	return (&Server{Address: address, Handler: handler, Budget: p.budget, CloseTimeout: p.CloseTimeout}).Run
+}
+
+// HTTPTask returns a task that listens on an address and serves a handler, without bounds.
 func HTTPTask(address string, handler http.Handler) Task {
 	return (&Server{Address: address, Handler: handler}).Run
 }
 
 // Run listens on Address and serves until the context ends, as Serve does.
 func (s *Server) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", s.Address)
+	var listener net.Listener
+	var err error
+	if s.Budget != nil {
+		listener, err = footprint.Listen(ctx, s.Address, s.Budget)
+	} else {
+		listener, err = net.Listen("tcp", s.Address)
+	}
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -319,10 +374,13 @@
 	})
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, WriteTimeout: s.WriteTimeout,
-		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
-			return context.WithValue(ctx, connectionUsedKey{}, &atomic.Bool{})
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return footprint.NewContext(context.WithValue(ctx, connectionUsedKey{}, &atomic.Bool{}), conn)
 		},
 	}
+	if s.Budget != nil {
+		server.ReadHeaderTimeout, server.MaxHeaderBytes, server.ConnState = 0, maxBoundedHeadBytes, footprint.TrackState
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		err := server.Serve(listener)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -57,9 +57,12 @@
 	ColdRequestsPerSecond float64
 }
 
-// Limits bound the requests of callers.
+// Limits bound the requests of callers. A limit that is zero is not stated.
 type Limits struct {
-	MaxBodyBytes int64
+	MaxHeadBytes, MaxBodyBytes int64
+	// HeadTimeout is how long a caller may take to send a head, IdleTimeout how long a connection may
+	// be without a request.
+	HeadTimeout, IdleTimeout time.Duration
 }
 
 // A Route is a validated route of a Table.
