Heads of requests count for what their fields cost

What callers saw: 1,000 connections with heads of 63 KB made of fields of a few bytes took 1,012 to 1,047 MB of a host with 96 MB, before any limit of it was met; with 12,000 bytes of such fields before a body it were 301 to 599 MB.

Cause: only the length of a head was bounded. A field of four bytes costs over a hundred in the map of fields, and the server kept these maps for half a second more after it had refused a request.

Change: a connection counts the bytes of its head three times and 160 bytes for each line, as they are read, and is ended like others when there is no room. There is no limit on the number of fields: a single request with any number of them within the limit on heads is served. The server drops the fields once the handler has returned.

Why it works: what is counted is what the process holds, so that a crowd of such heads ends at the same account as one of long bodies.

TestShortFieldsCount needs the counting and hangs without it.

--- a/internal/footprint/budget.go
+++ b/internal/footprint/budget.go
@@ -209,6 +209,28 @@
 	}
 }
 
+// take lets a connection hold more for its request. If there is no room for it, the connection is
+// ended, and take reports false. The caller holds mu.
+func (b *Budget) take(c *Conn, n int64) bool {
+	if c.ended {
+		return false
+	}
+	c.held += n
+	b.held += n
+	if b.exceeds(b.requestLimit) {
+		b.shed(time.Now(), b.requestLimit, nil)
+	}
+	if !c.ended && (b.exceeds(b.requestLimit) || b.overdrawn()) {
+		b.end(c, CauseMemory)
+	}
+	if c.ended {
+		c.held -= n
+		b.held -= n
+		b.ending -= n
+	}
+	return !c.ended
+}
+
 // giveBack ends what the request of a connection holds. The caller holds mu.
 func (b *Budget) giveBack(c *Conn) {
 	b.held -= c.held
--- a/internal/footprint/conn.go
+++ b/internal/footprint/conn.go
@@ -1,6 +1,7 @@
 package footprint
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -26,6 +27,12 @@
 const (
 	// readAheadBytes is how much the server reads beyond a head.
 	readAheadBytes = 4 << 10
+	// fieldBytes is what a line of a head costs beyond its bytes: the entry in the map of fields, its
+	// list of values, and the memory that the map keeps free.
+	fieldBytes = 160
+	// headCopies is how often the bytes of a head are held: as fields, and as they are forwarded,
+	// in a buffer that has grown by doubling.
+	headCopies = 3
 	// lingerTimeout and lingerBytes bound how long a connection that was refused goes on reading, so
 	// that the caller receives the refusal: a connection closed with unread bytes is reset.
 	lingerTimeout = 500 * time.Millisecond
@@ -63,8 +70,8 @@
 	since time.Time
 	// demand is what the request holds, held the part of it that is counted beyond connectionBytes.
 	demand, held int64
-	// headBytes is what was received of the current head.
-	headBytes int64
+	// headBytes and headLines are what was received of the current head.
+	headBytes, headLines int64
 	// hasHeadDeadline is set while reads are bounded by the time for a head.
 	hasHeadDeadline bool
 	// ended is set once the connection must end; lingers if its caller is to receive a refusal first.
@@ -108,7 +115,7 @@
 	case http.StateIdle:
 		c.budget.giveBack(c)
 		c.phase, c.since = Idle, time.Now()
-		c.headBytes = 0
+		c.headBytes, c.headLines = 0, 0
 	}
 }
 
@@ -242,10 +249,15 @@
 		c.budget.count(c, CauseHeadTimeout)
 	}
 	c.headBytes += int64(len(received))
+	c.headLines += int64(bytes.Count(received, []byte("\n")))
 	if c.headBytes > c.budget.limits().HeadBytes+readAheadBytes {
 		c.budget.end(c, CauseHeadTooLong)
 		return c.beginRefusal(refusalTooLong), false
 	}
+	c.demand = c.headLines*fieldBytes + c.headBytes*headCopies
+	if n := c.uncounted(); n > 0 && !c.budget.take(c, n) {
+		return c.beginRefusal(refusalBusy), false
+	}
 	return "", true
 }
 
@@ -278,6 +290,10 @@
 	return c.ended
 }
 
+// uncounted returns how much of the demand is not counted yet. The caller holds the mutex of the
+// budget.
+func (c *Conn) uncounted() int64 { return c.demand - smallRequestBytes - c.held }
+
 // clearHeadDeadline ends the bound on the time for a head. The caller holds the mutex of the budget.
 func (c *Conn) clearHeadDeadline() {
 	if c.hasHeadDeadline && !c.ended {
--- a/internal/footprint/footprint_test.go
+++ b/internal/footprint/footprint_test.go
@@ -104,6 +104,13 @@
 	return response.StatusCode
 }
 
+// await waits until a condition is met.
+func (s *testServer) await(isMet func() bool) {
+	for deadline := time.Now().Add(testTimeout); !isMet(); time.Sleep(time.Millisecond) {
+		s.c.Assert(time.Now().Before(deadline), qt.IsTrue)
+	}
+}
+
 func post(path string, length int, body string) string {
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, length, body)
 }
@@ -164,6 +171,23 @@
 	}
 }
 
+// TestShortFieldsCount guards against heads within the limit whose fields cost more than a host has.
+func TestShortFieldsCount(t *testing.T) {
+	s := startServer(t)
+	head := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 15_000)
+	var held []net.Conn
+	for range 5 {
+		before := s.budget.HeldByRequests()
+		held = append(held, s.open(head))
+		s.await(func() bool { return s.budget.HeldByRequests() > before || s.budget.Connections() < len(held) })
+	}
+	s.c.Check(statusOf(held[0]), qt.Equals, http.StatusServiceUnavailable)
+	last := held[len(held)-1]
+	_, err := io.WriteString(last, "\r\n")
+	s.c.Assert(err, qt.IsNil)
+	s.c.Check(statusOf(last), qt.Equals, http.StatusOK)
+}
+
 // TestHeadTimeout guards against heads that are sent for longer than the limit, and against a limit that also applies to
 // what follows the head.
 func TestHeadTimeout(t *testing.T) {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -371,6 +371,9 @@
 		running.Add(1)
 		defer running.Add(-1)
 		s.Handler.ServeHTTP(w, r)
+		// The server keeps the request while it reads the rest of the body, and until a refused caller
+		// has received the response. It needs the fields no more.
+		r.Header = nil
 	})
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, WriteTimeout: s.WriteTimeout,
