Bodies count as they arrive, and requests without room are refused

What callers saw: with 1,000 connections that send bodies of 256 KiB, at once or in pieces, whole or but for their last byte, a host with 96 MB held 212 to 403 MB, for as long as its clients liked.

Cause: a body was read whole by io.ReadAll before anything was decided, in a buffer that doubles beyond the stated length, and nothing counted what all of them hold.

Change: Conn.ReadBody reads into a buffer that grows up to the stated length, and each growth is taken from the account first. When there is none left, those end that hold most for longest without a complete request; a request that began to arrive gets 503 no-room with Retry-After, and has not run.

In calm a single body may arrive as slowly as its client likes.

TestLongestHoldersEndFirst and TestHeldNeverExceedsTheLimit need the counting.

--- a/internal/footprint/conn.go
+++ b/internal/footprint/conn.go
@@ -33,6 +33,8 @@
 	// headCopies is how often the bytes of a head are held: as fields, and as they are forwarded,
 	// in a buffer that has grown by doubling.
 	headCopies = 3
+	// firstBodyBytes is the first size of the buffer of a body.
+	firstBodyBytes = 4 << 10
 	// lingerTimeout and lingerBytes bound how long a connection that was refused goes on reading, so
 	// that the caller receives the refusal: a connection closed with unread bytes is reset.
 	lingerTimeout = 500 * time.Millisecond
@@ -145,13 +147,39 @@
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
 }
 
-// ReadBody reads a body. The error wraps ErrNoRoom if the connection was ended.
-func (c *Conn) ReadBody(body io.Reader, _ int64) ([]byte, error) {
-	data, err := io.ReadAll(body)
-	if err != nil && c.hasEnded() {
-		return nil, errors.Join(ErrNoRoom, err)
+// ReadBody reads a body of a stated length, or -1 if none is stated. The error wraps ErrNoRoom if the
+// connection was ended.
+func (c *Conn) ReadBody(body io.Reader, length int64) ([]byte, error) {
+	var buffer []byte
+	for {
+		if len(buffer) == cap(buffer) && int64(len(buffer)) != length {
+			size := int64(max(firstBodyBytes, 2*cap(buffer)))
+			if length >= 0 {
+				size = min(size, length)
+			}
+			if !c.grow(size - int64(cap(buffer))) {
+				return nil, ErrNoRoom
+			}
+			buffer = append(make([]byte, 0, size), buffer...)
+		}
+		var beyond [1]byte
+		space := buffer[len(buffer):cap(buffer)]
+		if len(space) == 0 {
+			space = beyond[:]
+		}
+		n, err := body.Read(space)
+		if cap(buffer) > len(buffer) {
+			buffer = buffer[:len(buffer)+n]
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return buffer, nil
+		case err != nil && c.hasEnded():
+			return nil, errors.Join(ErrNoRoom, err)
+		case err != nil:
+			return nil, err
+		}
 	}
-	return data, err
 }
 
 // Read implements net.Conn.
@@ -281,6 +309,20 @@
 	_, _ = io.WriteString(c.Conn, refusal)
 }
 
+// grow lets the request hold more; it reports false if there is no room for it.
+func (c *Conn) grow(n int64) bool {
+	if c == nil {
+		return true
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.demand += n
+	if more := c.uncounted(); more > 0 {
+		return c.budget.take(c, more)
+	}
+	return !c.ended
+}
+
 func (c *Conn) hasEnded() bool {
 	if c == nil {
 		return false
--- a/internal/footprint/footprint_test.go
+++ b/internal/footprint/footprint_test.go
@@ -115,6 +115,61 @@
 	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, length, body)
 }
 
+// TestLongestHoldersEndFirst guards against connections without a complete request that keep others out.
+func TestLongestHoldersEndFirst(t *testing.T) {
+	s := startServer(t)
+	const size = 1 << 20
+	var held []net.Conn
+	for range 10 {
+		before := s.budget.HeldByRequests()
+		held = append(held, s.open(post("/", size, strings.Repeat("x", size-1))))
+		s.await(func() bool { return s.budget.HeldByRequests() > before || s.budget.Connections() < len(held) })
+	}
+	s.c.Check(statusOf(held[0]), qt.Equals, http.StatusServiceUnavailable)
+	last := held[len(held)-1]
+	_, err := io.WriteString(last, "x")
+	s.c.Assert(err, qt.IsNil)
+	s.c.Check(statusOf(last), qt.Equals, http.StatusOK)
+}
+
+// TestHeldNeverExceedsTheLimit checks the bound while many connections take as much as they can.
+func TestHeldNeverExceedsTheLimit(t *testing.T) {
+	s := startServer(t)
+	var group work.Group
+	for range 200 {
+		group.Go(func() {
+			conn, err := net.Dial("tcp", s.address)
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			_ = conn.SetDeadline(time.Now().Add(time.Second))
+			_, _ = io.WriteString(conn, post("/", 1<<20, strings.Repeat("x", 1<<20-1)))
+			_, _ = io.Copy(io.Discard, conn)
+		})
+	}
+	done := make(chan struct{})
+	var waiting work.Group
+	waiting.Go(func() {
+		group.Wait()
+		close(done)
+	})
+	most, mostConnections := int64(0), 0
+	for isDone := false; !isDone; {
+		select {
+		case <-done:
+			isDone = true
+		case <-time.After(time.Millisecond):
+		}
+		most, mostConnections = max(most, s.budget.HeldBytes()), max(mostConnections, s.budget.Connections())
+	}
+	s.c.Check(most <= s.budget.memoryLimit+share(s.budget.memoryLimit, overdraft), qt.IsTrue, qt.Commentf("%d", most))
+	s.c.Check(mostConnections <= s.budget.connectionLimit*5/4, qt.IsTrue, qt.Commentf("%d", mostConnections))
+	s.await(func() bool { return s.budget.HeldBytes() == 0 && s.budget.Connections() == 0 })
+	s.c.Check(s.budget.ending, qt.Equals, int64(0))
+	s.c.Check(s.budget.endingCount, qt.Equals, 0)
+}
+
 // TestKeptConnectionsOutliveUnfinishedHeads guards against connections that end because of others although they are
 // within the limits.
 func TestKeptConnectionsOutliveUnfinishedHeads(t *testing.T) {
