Answers that callers do not read make room for others

What callers saw: nothing yet; found by reading. An answer stays in memory until its caller has read it, for up to 45 s, and was counted nowhere: callers of large answers that read nothing could fill a host's memory like those of bodies.

Change: an answer counts until the next request of its connection. If room is needed, a connection whose answer was not read for over a second may end; the answer then ends before its stated length.

Evidence: TestUnreadAnswersMakeRoom, which does not build before this commit; without the call that counts answers it waits in vain for what they hold.

--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -130,6 +130,14 @@
 	Elapsed      time.Duration
 }
 
+// Size returns the size of the body in bytes.
+func (a *Answer) Size() int {
+	if a.Response != nil {
+		return len(a.Response.Body)
+	}
+	return len(a.Body)
+}
+
 // AccountName returns the name of the caller's client account; empty for none.
 func (r *Request) AccountName() string {
 	if r.Account == nil {
--- a/internal/footprint/conn.go
+++ b/internal/footprint/conn.go
@@ -135,6 +135,28 @@
 	return !c.ended
 }
 
+// BeginAnswer states that an answer of a size is sent. An answer that its caller does not read may be
+// cut.
+func (c *Conn) BeginAnswer(size int) {
+	if c == nil {
+		return
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	if c.ended {
+		return
+	}
+	c.phase, c.since = Answer, time.Now()
+	c.demand += int64(size)
+	if n := c.uncounted(); n > 0 {
+		c.held += n
+		c.budget.held += n
+		if c.budget.exceeds(c.budget.memoryLimit) {
+			c.budget.shed(c.since, c.budget.memoryLimit, c)
+		}
+	}
+}
+
 // Linger has the connection closed only after its caller had time to receive a refusal, although
 // not all of the request was read.
 func (c *Conn) Linger() {
--- a/internal/footprint/footprint_test.go
+++ b/internal/footprint/footprint_test.go
@@ -72,6 +72,7 @@
 		<-s.hold
 	}
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(testTimeout))
+	conn.BeginAnswer(len(s.answer))
 	_, _ = fmt.Fprintf(w, "%d %s", len(body), s.answer)
 }
 
@@ -259,3 +260,27 @@
 	s.c.Assert(err, qt.IsNil)
 	s.c.Check(statusOf(body), qt.Equals, http.StatusOK)
 }
+
+// TestUnreadAnswersMakeRoom guards against callers who do not read their answers and keep others out.
+func TestUnreadAnswersMakeRoom(t *testing.T) {
+	// The answers are larger than the buffers of the system.
+	s := startServerWith(t, 8*testMemory, nil)
+	s.answer = make([]byte, s.budget.memoryLimit/4)
+	var unread []net.Conn
+	for range 3 {
+		conn := s.dial()
+		s.c.Assert(conn.(*net.TCPConn).SetReadBuffer(4<<10), qt.IsNil)
+		_, err := io.WriteString(conn, post("/", 1, "x"))
+		s.c.Assert(err, qt.IsNil)
+		unread = append(unread, conn)
+	}
+	s.await(func() bool { return s.budget.HeldByRequests() > s.budget.memoryLimit/2 })
+	time.Sleep(promptPeriod + 100*time.Millisecond)
+	body := strings.Repeat("x", int(s.budget.memoryLimit/4))
+	s.c.Check(statusOf(s.open(post("/", len(body), body))), qt.Equals, http.StatusOK)
+	s.c.Check(s.endedAnswers.Load() > 0, qt.IsTrue)
+	for _, conn := range unread {
+		_ = conn.Close()
+	}
+	s.await(func() bool { return s.budget.HeldByRequests() == 0 })
+}
