Long requests for other hosts need room, and leave no buffers behind

What callers saw: nothing yet; found by reading. A long request that is passed to another host is held once more here, as a message, and there, and neither was counted. Both ends of a drpc connection keep a buffer as long as the longest message it has carried, and up to 32 idle connections are kept to each host.

Change: relay.Exchanger and Host.Relay reserve the size of a long request in the account. Without room the attempt is not sent, or not run, and another upstream may run it; both are refusals that state so. A connection that has carried a message above 64 KiB is closed. The check of idle hosts covers what is reserved.

--- a/internal/footprint/budget.go
+++ b/internal/footprint/budget.go
@@ -100,9 +100,12 @@
 	group work.Group
 
 	mu sync.Mutex
-	// held is the sum of what all connections hold, ending the part of those that were ended; 0 <= ending <= held.
+	// held is the sum of what all connections hold and of the copies of requests, ending the part of
+	// connections that were ended; 0 <= ending <= held.
 	held, ending int64
-	connections  map[*Conn]struct{}
+	// reserved is the part of held that is reserved for copies of requests.
+	reserved    int64
+	connections map[*Conn]struct{}
 	// endingCount is the number of connections that were ended and are not closed yet.
 	endingCount int
 	// lingering are the connections whose callers have time to receive a refusal.
@@ -141,13 +144,54 @@
 	return b.held
 }
 
-// HeldByRequests returns what requests hold beyond their connections, in bytes.
+// HeldByRequests returns what requests and their copies hold beyond their connections, in bytes.
 func (b *Budget) HeldByRequests() int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.held - int64(len(b.connections))*connectionBytes
 }
 
+// Reserve reserves room for a copy of a request, such as a message to another host. It reports false if
+// there is none. The caller calls release once when the copy is gone. A nil Budget has room for
+// everything.
+func (b *Budget) Reserve(n int64) (release func(), ok bool) {
+	if b == nil || n <= smallRequestBytes {
+		return func() {}, true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.held += n
+	b.reserved += n
+	if b.exceeds(b.requestLimit) {
+		b.shed(time.Now(), b.requestLimit, nil)
+	}
+	if b.held-b.ending > b.requestLimit || b.overdrawn() {
+		b.unreserve(n)
+		return func() {}, false
+	}
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.unreserve(n)
+	}, true
+}
+
+// Reserved returns what is reserved, in bytes.
+func (b *Budget) Reserved() int64 {
+	if b == nil {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.reserved
+}
+
+// unreserve ends a reservation. The caller holds mu.
+func (b *Budget) unreserve(n int64) {
+	b.held -= n
+	b.reserved -= n
+}
+
 func (b *Budget) limits() Limits {
 	if b.Limits == nil {
 		return DefaultLimits
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -14,6 +14,7 @@
 	"github.com/foxtailshelf/foxtailshelf/internal/crashguard"
 	"github.com/foxtailshelf/foxtailshelf/internal/dialling"
 	"github.com/foxtailshelf/foxtailshelf/internal/dispatch"
+	"github.com/foxtailshelf/foxtailshelf/internal/footprint"
 	"github.com/foxtailshelf/foxtailshelf/internal/invariant"
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 	"github.com/foxtailshelf/foxtailshelf/internal/keyvalue"
@@ -50,6 +51,8 @@
 	Decoder       RecordDecoder
 	Upstreams     UpstreamTransport
 	Metrics       *Metrics
+	// Budget is the account of what callers make the host hold. It may be nil.
+	Budget *footprint.Budget
 	// Recorder records violations of invariants. It may be nil.
 	Recorder *invariant.Recorder
 	Log      logrus.FieldLogger
@@ -140,7 +143,7 @@
 	}
 	h.follower.Init()
 	h.dispatcher = &dispatch.Dispatcher{
-		Exchanger:        &relay.Exchanger{Direct: h.Upstreams, HostTransport: h.HostTransport, OnNotice: h.guard.ApplyNotice, OnPartitioned: h.recordPartitioned},
+		Exchanger:        &relay.Exchanger{Direct: h.Upstreams, HostTransport: h.HostTransport, Budget: h.Budget, OnNotice: h.guard.ApplyNotice, OnPartitioned: h.recordPartitioned},
 		Pool:             h.pool,
 		LatencyStats:     h.routeLatencyStats,
 		Guard:            h.guard,
--- a/internal/host/idle.go
+++ b/internal/host/idle.go
@@ -32,5 +32,6 @@
 		invariant.Holding{What: "reserved turns", Count: h.turns.Held()}, invariant.Holding{What: "permits for test runs", Count: h.guard.Permits()},
 		invariant.Holding{What: "calls for tokens", Count: calls}, invariant.Holding{What: "accounts with waiting requests", Count: waited},
 		invariant.Holding{What: "opening connections", Count: dials}, invariant.Holding{What: "bytes of long bodies", Count: int(bodyBytes)},
+		invariant.Holding{What: "bytes of messages of long requests", Count: int(h.Budget.Reserved())},
 	)
 }
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/foxtailshelf/foxtailshelf/internal/dialling"
+	"github.com/foxtailshelf/foxtailshelf/internal/footprint"
 	"github.com/foxtailshelf/foxtailshelf/internal/inventory"
 	"github.com/foxtailshelf/foxtailshelf/internal/peer"
 	"github.com/foxtailshelf/foxtailshelf/internal/pool"
@@ -58,6 +59,11 @@
 	inFlight := h.BeginRequest(r.GetRequestId())
 	inFlight.SetPhase(shutdown.Running)
 	defer h.EndRequest(inFlight)
+	release, ok := h.Budget.Reserve(int64(len(r.GetTarget()) + len(r.GetHeader()) + len(r.GetBody())))
+	if !ok {
+		return h.refuseRelayed(footprint.ErrNoRoom, false), nil
+	}
+	defer release()
 	v := h.guard.Check(r.GetFingerprint())
 	isPermittedTest := r.GetTestRun() && v.Decision == quarantine.Suspect
 	if v.Decision != quarantine.Allowed && !isPermittedTest {
--- a/internal/peer/hosts.go
+++ b/internal/peer/hosts.go
@@ -45,6 +45,10 @@
 	AnswerTimes(ctx context.Context, request *wire.AnswerTimesRequest) (*wire.AnswerTimesReply, error)
 }
 
+// maxKeptMessageBytes is the size of a message after which a connection is not reused: both of its ends
+// keep a buffer for the longest message that it has carried.
+const maxKeptMessageBytes = 64 << 10
+
 // A HostClient is the HostTransport over drpc.
 type HostClient struct{ client *GateClient }
 
@@ -101,10 +105,19 @@
 		}
 	}
 	return callOnce(ctx, c.client, address, acquire, func(ctx context.Context, conn drpc.Conn) (*wire.RelayReply, error) {
-		return wire.NewDRPCHostClient(conn).Relay(ctx, request)
+		reply, err := wire.NewDRPCHostClient(conn).Relay(ctx, request)
+		if max(messageBytes(request), len(reply.GetBody())) > maxKeptMessageBytes {
+			_ = conn.Close()
+		}
+		return reply, err
 	})
 }
 
+// messageBytes returns the size of the parts of a request that have no bound of their own.
+func messageBytes(r *wire.RelayRequest) int {
+	return len(r.GetTarget()) + len(r.GetHeader()) + len(r.GetBody())
+}
+
 // TestRun implements HostTransport.
 func (c *HostClient) TestRun(ctx context.Context, address string, request *wire.TestRunRequest) (*wire.TestRunReply, error) {
 	return callWithTimeout(ctx, c.client, address, func(ctx context.Context, conn drpc.Conn) (*wire.TestRunReply, error) {
--- a/internal/relay/exchanger.go
+++ b/internal/relay/exchanger.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"time"
 
+	"github.com/foxtailshelf/foxtailshelf/internal/footprint"
 	"github.com/foxtailshelf/foxtailshelf/internal/peer"
 	"github.com/foxtailshelf/foxtailshelf/internal/upstream"
 	"github.com/foxtailshelf/foxtailshelf/internal/wire"
@@ -19,6 +20,8 @@
 type Exchanger struct {
 	Direct        upstream.Exchanger
 	HostTransport peer.HostTransport
+	// Budget bounds the messages of long requests; nil for no bound.
+	Budget *footprint.Budget
 	// OnNotice is called with the evidence for which another host did not run a request.
 	OnNotice func(sender string, n *wire.Notice)
 	// OnPartitioned is called with a dialling host that states that it reaches no upstream.
@@ -32,6 +35,11 @@
 	if a.Relay == nil {
 		return e.Direct.Exchange(ctx, a)
 	}
+	release, ok := e.Budget.Reserve(int64(len(a.Target) + len(a.Header) + len(a.Body)))
+	if !ok {
+		return upstream.Outcome{Result: upstream.Refused, NotForwarded: true, Err: fmt.Errorf("relay attempt to host %s: %w", a.Address, footprint.ErrNoRoom)}
+	}
+	defer release()
 	ctx, cancel := context.WithDeadline(ctx, a.Deadline)
 	defer cancel()
 	reply, err := e.HostTransport.Relay(ctx, a.Address, EncodeAttempt(a, time.Until(a.Deadline)))
