--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -34,6 +35,11 @@
 	}
 	switch r.GetResult() {
 	case wire.RelayResult_RELAY_RESULT_ANSWERED:
+		if !upstream.IsFinal(int(r.GetStatus())) {
+			// The other host runs a build that takes any status for that of an answer.
+			outcome.Result, outcome.Err = upstream.Broken, fmt.Errorf("response has status %03d, which is none of an answer", r.GetStatus())
+			return outcome
+		}
 		outcome.Result = upstream.Answered
 		outcome.Response = upstream.Response{
 			Status: int(r.GetStatus()), Header: decodeHeader(r.GetHeader()), Body: r.GetBody(), Signature: r.GetSignature(),
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -107,6 +107,15 @@
 	}
 }
 
+// TestOddStatusIsNoAnswer guards against answers of hosts of earlier builds, which pass on any status.
+func TestOddStatusIsNoAnswer(t *testing.T) {
+	c := qt.New(t)
+	for _, status := range []int{0, 99, 100, 101, 600, 999} {
+		reply := EncodeOutcome("u-1", upstream.Outcome{Result: upstream.Answered, Response: upstream.Response{Status: status, Signature: "signed"}})
+		c.Check(DecodeOutcome(reply).Result, qt.Equals, upstream.Broken, qt.Commentf("status %d", status))
+	}
+}
+
 // TestLostHosts checks the outcomes of attempts to which the dialling host did not
 // reply. The outcome is Broken if the host stopped during the attempt, because an
 // upstream may have run it, and Unreachable if the host does not listen, because
--- a/internal/upstream/connectionpool.go
+++ b/internal/upstream/connectionpool.go
@@ -197,7 +197,7 @@
 		if err != nil {
 			return failedOutcome(ctx, fmt.Errorf("read response: %w", conn.bounds.errorFor(err))), 0
 		}
-		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
+		if isInterim(response.StatusCode) {
 			if interimResponses++; interimResponses > maxInterimResponses {
 				return failedOutcome(ctx, &TooLargeError{What: "interim responses", Bound: maxInterimResponses}), 0
 			}
@@ -371,10 +371,10 @@
 	}
 	outcome.RestErr = metadata.RestErr
 	switch {
+	case !IsFinal(response.StatusCode):
+		return Outcome{Result: Broken, Err: fmt.Errorf("response has status %03d, which is none of an answer", response.StatusCode)}
 	case metadata.RequestID != a.RequestID && (metadata.RequestID != "" || !metadata.NotRun):
 		return Outcome{Result: Broken, Err: fmt.Errorf("response states request id %q instead of the attempt's", metadata.RequestID)}
-	case response.StatusCode < http.StatusOK:
-		return Outcome{Result: Broken, Err: fmt.Errorf("response has status %d, which no attempt asks for", response.StatusCode)}
 	case metadata.Misdirected:
 		outcome.Result = Misdirected
 	case metadata.NotRun:
@@ -385,6 +385,15 @@
 	return outcome
 }
 
+// IsFinal reports whether a status is that of an answer, 200 to 599.
+func IsFinal(status int) bool { return status >= http.StatusOK && status < 600 }
+
+// isInterim reports whether a status is that of a response before the answer. No attempt asks to switch
+// protocols.
+func isInterim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // keepAlivePeriod returns how long the connection may stay open after a response; it
 // must be closed if the period is zero or negative.
 func keepAlivePeriod(response *http.Response) time.Duration {
--- a/internal/upstream/connectionpool_test.go
+++ b/internal/upstream/connectionpool_test.go
@@ -79,6 +79,11 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest: %s\r\nSignature: s-%s\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body)
 }
 
+// withStatus is an okResponse without a body, with another status.
+func withStatus(status, id string) string {
+	return strings.Replace(okResponse(id, ""), "200 OK", status+" Odd", 1)
+}
+
 func exchange(p *ConnectionPool, address, id string, remaining time.Duration) Outcome {
 	return p.Exchange(context.Background(), &Attempt{
 		Method: http.MethodGet, Target: "/a/b?c=%20d", Host: "h.example", RequestID: id, UpstreamID: "u", Address: address,
@@ -120,6 +125,14 @@
 		{"switched protocols", func(id string) string {
 			return "HTTP/1.1 101 Switching Protocols\r\nRequest: " + id + "\r\nSignature: s\r\n\r\n"
 		}, Broken, 0},
+		{"status 000", func(id string) string { return withStatus("000", id) }, Broken, 0},
+		{"status 099", func(id string) string { return withStatus("099", id) }, Broken, 0},
+		{"status 599", func(id string) string { return withStatus("599", id) }, Answered, 1},
+		{"status 600", func(id string) string { return withStatus("600", id) }, Broken, 0},
+		{"status 999", func(id string) string { return withStatus("999", id) }, Broken, 0},
+		{"status 000 of a request that was not run", func(id string) string {
+			return strings.Replace(withStatus("000", id), "Signature: s-", "Not-Run: ", 1)
+		}, Broken, 0},
 		{"body ends with the connection", func(id string) string {
 			return "HTTP/1.1 200 OK\r\nConnection: close\r\nRequest: " + id + "\r\nSignature: s\r\n\r\nbody"
 		}, Answered, 0},
