Few connections wait to be accepted

What callers saw: beside 1,000 connections a host held up to 40 MB more than it counted (TestCrowd first lines without end at the other addresses, 42 MB resident, 81 with what was not read).

Cause: the system accepts up to 4,096 connections for a process and takes what they send, before the process has decided about them.

Change: a listener of callers lets a quarter of the highest number of connections wait.

Why it works: what waits holds a receive buffer each at the most, and the account leaves a quarter for connections that end. Accepting takes far less time than a connect timeout, so that ordinary bursts find room.

Evidence: TestFewConnectionsWaitToBeAccepted: 200 of 200 connections opened before, at most 50 now.

--- a/internal/footprint/budget.go
+++ b/internal/footprint/budget.go
@@ -41,6 +41,8 @@
 	// promptPeriod is how long a small request, or an answer, usually takes at the most to be
 	// received whole. Until then a connection is not one that holds things up.
 	promptPeriod = time.Second
+	// queueShare is the part of the highest number of connections up to which new ones wait to be accepted.
+	queueShare = 0.25
 	// admitTimeout is how long a new connection waits for others that were ended to be closed.
 	admitTimeout, admitInterval = 20 * time.Millisecond, time.Millisecond
 	// reportInterval is the least time between two reports.
@@ -313,6 +315,9 @@
 // spareCount returns how many connections that were ended may be open beside the others.
 func (b *Budget) spareCount() int { return max(1, int(share(int64(b.connectionLimit), overdraft))) }
 
+// queueLimit returns how many new connections may wait to be accepted at one address.
+func (b *Budget) queueLimit() int { return max(1, int(share(int64(b.connectionLimit), queueShare))) }
+
 // shed ends connections until the others hold less than a limit and are fewer than allowed. Those come
 // first that hold up others, and of these those that hold most for longest; then those that wait for
 // their next request, as their callers lose nothing; then new ones. Those whose requests run, and the
--- a/internal/footprint/footprint_test.go
+++ b/internal/footprint/footprint_test.go
@@ -209,6 +209,31 @@
 	s.c.Check(rest, qt.HasLen, 0)
 }
 
+// TestFewConnectionsWaitToBeAccepted guards against connections that the process has not accepted and that send as much
+// as their receive buffers hold.
+func TestFewConnectionsWaitToBeAccepted(t *testing.T) {
+	c := qt.New(t)
+	budget := NewBudget(testMemory, testDescriptors)
+	listener, err := Listen(context.Background(), "127.0.0.1:0", budget)
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	const tries = 200
+	var opened atomic.Int64
+	var group work.Group
+	for range tries {
+		group.Go(func() {
+			conn, err := net.DialTimeout("tcp", listener.Addr().String(), 200*time.Millisecond)
+			if err != nil {
+				return
+			}
+			opened.Add(1)
+			c.TB.Cleanup(func() { _ = conn.Close() })
+		})
+	}
+	group.Wait()
+	c.Check(opened.Load() <= tries/4, qt.IsTrue, qt.Commentf("%d of %d", opened.Load(), tries))
+}
+
 // TestHeads checks the refusals of heads that are too long or cost too much, and that a head within the limits is
 // served however many fields it has.
 func TestHeads(t *testing.T) {
--- a/internal/footprint/listener.go
+++ b/internal/footprint/listener.go
@@ -25,9 +25,22 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
+	if tcp, ok := listener.(*net.TCPListener); ok {
+		shortenQueue(tcp, budget.queueLimit())
+	}
 	return &Listener{Listener: listener, Budget: budget}, nil
 }
 
+// shortenQueue limits the connections that wait to be accepted: the system holds what they send. If that
+// fails, as many wait as the system allows.
+func shortenQueue(listener *net.TCPListener, limit int) {
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(descriptor uintptr) { _ = syscall.Listen(int(descriptor), limit) })
+}
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
